--- a/common/clock.c
+++ b/common/clock.c
@@ -22,6 +22,6 @@
 void
 clock_update (struct clock *clock)
 {
-  clock->now_ms = clock_read (CLOCK_MONOTONIC);
+  clock->now_ms = clock_read (CLOCK_BOOTTIME);
   clock->wall_ms = clock_read (CLOCK_REALTIME);
 }
--- a/include/common/settings.h
+++ b/include/common/settings.h
@@ -28,6 +28,7 @@
 extern const struct settings_schema worker_schema;
 extern const struct settings_schema faults_schema;
 extern const struct settings_schema load_schema;
+extern const struct settings_schema jobd_schema;
 
 enum settings_result
 {
--- /dev/null
+++ b/include/lib/jobs/endpoint.h
@@ -0,0 +1,102 @@
+#ifndef SESAMEPICK_LIB_JOBS_ENDPOINT_H
+#define SESAMEPICK_LIB_JOBS_ENDPOINT_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+#include <sys/queue.h>
+
+#include "lib/jobs/job.h"
+
+/* What can be used of an endpoint or a host, and what a task uses. */
+struct resources
+{
+  int64_t cpu_milli;
+  int64_t memory_mb;
+  int64_t gpus;
+};
+
+/* What an endpoint's entry in the platform's registry says. */
+struct endpoint_entry
+{
+  const char *id;
+  const char *pool;
+  const char *address;
+  const char *data_centre;
+  const char *const *labels;
+  bool draining;
+  /* Time that a draining endpoint has left at least; -1 if not said. */
+  int64_t remaining_ms;
+  /* Start of this life, in ms since 1970. */
+  int64_t born_ms;
+  struct resources capacity;
+};
+
+TAILQ_HEAD (task_list, task);
+
+/* One life of a host as a pool's endpoint, and all that is known of what runs there. */
+struct endpoint
+{
+  char *id;
+  char *pool;
+  char *address;
+  char **labels;
+  /* Host as the machine list names it, or NULL while not known. */
+  char *host;
+  struct resources capacity;
+  struct resources used;
+  bool listed;
+  bool draining;
+  int64_t remaining_ms;
+  int64_t born_ms;
+  /* Has answered under our fence in this life. */
+  bool fenced;
+  /* No new tasks: the host is about to move or to be maintained. */
+  bool cordoned;
+  bool cordoned_for_wave;
+
+  struct task_list tasks;
+  unsigned n_tasks;
+  unsigned n_serving;
+  unsigned n_filling;
+  int64_t idle_since_ms;
+
+  /* Orders. calls counts those under way, that keep the struct alive. */
+  unsigned calls;
+  bool hold_in_flight;
+  int64_t next_hold_ms;
+  int64_t last_hold_ms;
+  /* Since when calls have failed; 0 while they work. */
+  int64_t silent_since_ms;
+  int64_t avoid_until_ms;
+  /* The endpoint's own clock at a moment of ours. */
+  int64_t clock_ms;
+  int64_t clock_read_ms;
+  /* Lease last given on the endpoint's clock, and the moment of ours when it has surely lapsed. */
+  int64_t until_ms;
+  int64_t lapse_ms;
+
+  /* Numbers of ends: processed, in the record under way, durable, acknowledged to the endpoint. */
+  uint64_t ends_seen;
+  uint64_t ends_flushing;
+  uint64_t ends_durable;
+  uint64_t ends_acked;
+
+  /* Jobs in a row whose tasks failed here with none done between. */
+  unsigned failed_jobs;
+  const struct job *last_failed_job;
+};
+
+struct endpoint *endpoint_create (const char *id, int64_t now_ms);
+void endpoint_destroy (struct endpoint *endpoint);
+void endpoint_update (struct endpoint *endpoint, const struct endpoint_entry *entry);
+bool endpoint_has_label (const struct endpoint *endpoint, const char *label);
+const char *endpoint_rack (const struct endpoint *endpoint);
+struct resources task_resources (const struct task *task);
+bool endpoint_has_room (const struct endpoint *endpoint, const struct resources *need);
+void endpoint_add_task (struct endpoint *endpoint, struct task *task);
+void endpoint_remove_task (struct task *task, int64_t now_ms);
+unsigned endpoint_count_step (const struct endpoint *endpoint, const struct task *task);
+int64_t endpoint_clock_at (const struct endpoint *endpoint, int64_t now_ms);
+
+#endif
--- /dev/null
+++ b/include/lib/jobs/job_book.h
@@ -0,0 +1,46 @@
+#ifndef SESAMEPICK_LIB_JOBS_JOB_BOOK_H
+#define SESAMEPICK_LIB_JOBS_JOB_BOOK_H
+
+#include <stddef.h>
+
+#include "lib/jobs/job.h"
+
+/* All jobs of the journal, as every entry host keeps them by reading it. */
+struct job_book
+{
+  /* Id to struct job. */
+  GHashTable *jobs;
+  /* The newest leadership record. */
+  uint64_t leader_epoch;
+  char *leader_node;
+  bool leader_resigned;
+  /* Told when a job is defined, cancelled, or about to be forgotten. May be NULL. */
+  void (*defined) (void *ctx, struct job *job);
+  void (*cancelled) (void *ctx, struct job *job);
+  void (*forgotten) (void *ctx, struct job *job);
+  /* Told of each leadership record. May be NULL. */
+  void (*leader_seen) (void *ctx, int64_t offset);
+  /* Told of what a leader has done in a wave of maintenance. May be NULL. */
+  void (*wave_seen) (void *ctx, const Sp__WaveProgress *progress);
+  void *ctx;
+};
+
+void job_book_init (struct job_book *book);
+void job_book_finish (struct job_book *book);
+struct job *job_book_find (const struct job_book *book, const char *id);
+/* Takes one record of the journal. An empty value drops the key. Gives 0, or -EBADMSG for a record
+ * that can't be read, which changes nothing. */
+int job_book_apply (struct job_book *book, const char *key, const void *value, size_t len,
+                    int64_t offset, int64_t now_ms);
+/* Number of the queue's jobs of which no task has started. */
+unsigned job_book_pending (const struct job_book *book, const char *queue);
+
+/* Keys and values of the journal's records; free the keys with g_free. */
+char *job_record_key (const Sp__JobRecord *record);
+GBytes *job_record_pack (const Sp__JobRecord *record);
+Sp__JobProgress *job_progress_create (const struct job *job, Sp__JobState state);
+void job_progress_destroy (Sp__JobProgress *progress);
+/* Keys of all records of a job, NULL at the end; free with g_strfreev. */
+char **job_record_keys_of (const char *id);
+
+#endif
--- /dev/null
+++ b/include/lib/jobs/queue_table.h
@@ -0,0 +1,46 @@
+#ifndef SESAMEPICK_LIB_JOBS_QUEUE_TABLE_H
+#define SESAMEPICK_LIB_JOBS_QUEUE_TABLE_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+/* The queues and pools of one version of the configuration. */
+struct job_queue
+{
+  char *host;
+  char *prefix;
+  char *pool;
+  uint32_t priority;
+  uint32_t max_attempts;
+  uint32_t slack_permille;
+  uint32_t target_ms;
+  bool advised;
+};
+
+struct job_pool_config
+{
+  char *name;
+  bool standby;
+};
+
+struct queue_table
+{
+  int64_t version;
+  GPtrArray *queues;
+  GPtrArray *pools;
+};
+
+struct queue_table *queue_table_create (void);
+void queue_table_destroy (struct queue_table *table);
+/* Takes copies of the texts. */
+void queue_table_add (struct queue_table *table, const struct job_queue *queue);
+void queue_table_add_pool (struct queue_table *table, const char *name, bool standby);
+/* Finds the queue of the longest prefix that the path begins with, or NULL. rest is what follows.
+ */
+const struct job_queue *queue_table_find (const struct queue_table *table, const char *host,
+                                          const char *path, const char **rest);
+/* Name under which jobs of a queue are counted; free with g_free. */
+char *queue_name (const struct job_queue *queue);
+
+#endif
--- /dev/null
+++ b/jobd/leader.c
@@ -0,0 +1,781 @@
+#include <string.h>
+
+#include "common/log.h"
+#include "jobd.h"
+#include "platform/documents.h"
+#include "platform/endpoints.h"
+
+/* Leadership over the journal, and the scheduler while this host leads. The leader's appends carry
+ * its epoch, and its orders carry it as their fence: a leader that has been replaced can write
+ * nothing, and no endpoint that its successor has reached obeys it. */
+
+enum
+{
+  /* The leader shows that it lives this often; a timeout holds three of these. */
+  HEARTBEAT_MS = 400,
+  /* Without a durable heartbeat for this long, no host is moved or maintained. */
+  RENEWED_MS = 1500,
+  /* Hosts claim at different moments, so that the first is seen by the others. */
+  CLAIM_JITTER_MS = 300,
+  RESIGNED_JITTER_MS = 60,
+  /* Progress is recorded in batches. */
+  LEADER_GAP_MS = 25,
+  FOLLOWER_JOURNAL_GAP_MS = 150,
+  LEADER_JOURNAL_GAP_MS = 50,
+  REGISTRY_WAIT_MS = 1000,
+  REGISTRY_GAP_MS = 300,
+  /* The list is read more often while hosts are on their way. */
+  LIST_MS = 1500,
+  LIST_BUSY_MS = 400,
+  LIST_BUSY_FOR_MS = 4000,
+  /* Ended jobs are forgotten after twice the time for which their state must be known. */
+  FORGET_CHECK_MS = 5000,
+  /* A leader whose loop stood still waits for a fresh reading of the journal, up to this. */
+  DISTRUST_MAX_MS = 1500,
+  SEQUENCE_MAX = 1 << 30,
+};
+
+enum leader_phase
+{
+  LEADER_FOLLOWING,
+  /* The claim is under way. */
+  LEADER_CLAIMING,
+  /* The claim is durable; the journal is being read up to it. */
+  LEADER_CATCHING_UP,
+  LEADER_LEADING,
+};
+
+struct leader
+{
+  struct jobd *jobd;
+  enum leader_phase phase;
+  uint64_t epoch;
+  int64_t claim_offset;
+  int64_t seen_ms;
+  int64_t jitter_ms;
+  int64_t claim_ms;
+  /* Set in a callback; acted on in the next tick. */
+  const char *end_reason;
+  int64_t distrust_ms;
+  struct store *store;
+  struct writer *writer;
+  /* Of what operators read. */
+  struct writer *status_writer;
+  struct orders *orders;
+  struct scheduler *scheduler;
+  struct tail *registry;
+  struct store *registry_store;
+  int64_t heartbeat_sent_ms;
+  int64_t heartbeat_durable_ms;
+  bool heartbeat_in_flight;
+  unsigned flush_left;
+  int64_t next_list_ms;
+  int64_t busy_until_ms;
+  int64_t next_forget_ms;
+  /* What operators wrote of waves: key to value. */
+  GHashTable *waves;
+  /* Packed records of what earlier leaders did in waves, by wave. */
+  GHashTable *wave_progress;
+  struct metric leading;
+  struct metric claims;
+  struct metric tasks;
+  struct metric ready;
+  struct metric starts;
+  struct metric lapses;
+  struct metric moves;
+  struct metric silent;
+};
+
+/* Gives the time. */
+static int64_t
+leader_now_ms (const struct leader *leader)
+{
+  return jobd_now_ms (leader->jobd);
+}
+
+/* Makes the part that follows or leads. */
+struct leader *
+leader_create (struct jobd *jobd)
+{
+  struct leader *leader = g_new0 (struct leader, 1);
+  struct metrics *metrics = &jobd->metrics;
+
+  leader->jobd = jobd;
+  leader->waves =
+      g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify) g_bytes_unref);
+  leader->wave_progress =
+      g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, (GDestroyNotify) g_bytes_unref);
+  leader->jitter_ms = g_random_int_range (0, CLAIM_JITTER_MS);
+  metric_add_gauge (metrics, &leader->leading, "sesamepick_jobd_leading", "",
+                    "1 while this host leads.");
+  metric_add (metrics, &leader->claims, "sesamepick_jobd_claims_total", "",
+              "Claims of the leadership.");
+  metric_add_gauge (metrics, &leader->tasks, "sesamepick_jobd_tasks_running", "",
+                    "Tasks that run or may run.");
+  metric_add_gauge (metrics, &leader->ready, "sesamepick_jobd_tasks_ready", "",
+                    "Tasks that wait for room.");
+  metric_add (metrics, &leader->starts, "sesamepick_jobd_starts_total", "",
+              "Starts of tasks that were ordered.");
+  metric_add (metrics, &leader->lapses, "sesamepick_jobd_lapses_total", "",
+              "Runs that were lost with their endpoint or its lease.");
+  metric_add (metrics, &leader->moves, "sesamepick_jobd_host_moves_total", "",
+              "Moves of hosts that were ordered.");
+  metric_add_gauge (metrics, &leader->silent, "sesamepick_jobd_endpoints_silent", "",
+                    "Endpoints that do not answer.");
+  return leader;
+}
+
+/* Ends a leadership or a claim. */
+static void
+leader_step_down (struct leader *leader)
+{
+  log_info ("leader", "leadership ended: epoch=%" G_GUINT64_FORMAT " reason=\"%s\"", leader->epoch,
+            leader->end_reason);
+  leader->end_reason = NULL;
+  leader->phase = LEADER_FOLLOWING;
+  leader->seen_ms = leader_now_ms (leader);
+  leader->heartbeat_in_flight = false;
+  leader->flush_left = 0;
+  if (leader->registry)
+    {
+      store_destroy (leader->registry_store);
+      tail_destroy (leader->registry);
+      leader->registry = NULL;
+    }
+  if (leader->orders)
+    orders_destroy (leader->orders);
+  leader->orders = NULL;
+  if (leader->scheduler)
+    scheduler_destroy (leader->scheduler);
+  leader->scheduler = NULL;
+  store_destroy (leader->store);
+  writer_destroy (leader->writer);
+  leader->writer = NULL;
+  if (leader->status_writer)
+    writer_destroy (leader->status_writer);
+  leader->status_writer = NULL;
+  tail_set_gap (leader->jobd->journal, FOLLOWER_JOURNAL_GAP_MS);
+}
+
+/* Frees the part. */
+void
+leader_destroy (struct leader *leader)
+{
+  if (leader->phase != LEADER_FOLLOWING)
+    {
+      leader->end_reason = "stop";
+      leader_step_down (leader);
+    }
+  g_hash_table_destroy (leader->waves);
+  g_hash_table_destroy (leader->wave_progress);
+  g_free (leader);
+}
+
+/* Tells whether this host leads. */
+bool
+leader_is_leading (const struct leader *leader)
+{
+  return leader->phase == LEADER_LEADING;
+}
+
+/* Has the leadership end in the next tick. */
+static void
+leader_end (struct leader *leader, const char *reason)
+{
+  if (leader->phase != LEADER_FOLLOWING && !leader->end_reason)
+    leader->end_reason = reason;
+}
+
+/* Packs a leadership record. */
+static GBytes *
+leadership_pack (const struct leader *leader, bool resigned)
+{
+  Sp__JobRecord record = SP__JOB_RECORD__INIT;
+  Sp__Leadership leadership = SP__LEADERSHIP__INIT;
+
+  leadership.epoch = leader->epoch;
+  leadership.node = leader->jobd->settings->name;
+  leadership.resigned = resigned;
+  record.body_case = SP__JOB_RECORD__BODY_LEADERSHIP;
+  record.leadership = &leadership;
+  return job_record_pack (&record);
+}
+
+/* Appends a leadership record. */
+static void
+leader_append_leadership (struct leader *leader, bool resigned, writer_done *done)
+{
+  g_autoptr (GBytes) value = leadership_pack (leader, resigned);
+  gsize len;
+  const void *data = g_bytes_get_data (value, &len);
+
+  leader->heartbeat_sent_ms = leader_now_ms (leader);
+  writer_append (leader->writer, "leader", data, len, done, leader);
+}
+
+/* The claim is durable, or another host was first. */
+static void
+leader_on_claim (void *ctx, enum writer_result result, int64_t offset)
+{
+  struct leader *leader = ctx;
+
+  if (result != WRITER_DURABLE)
+    {
+      leader_end (leader, "another host claimed first");
+      return;
+    }
+  leader->phase = LEADER_CATCHING_UP;
+  leader->claim_offset = offset;
+  leader->heartbeat_durable_ms = leader->heartbeat_sent_ms;
+  tail_set_gap (leader->jobd->journal, LEADER_JOURNAL_GAP_MS);
+  log_info ("leader", "claim durable: epoch=%" G_GUINT64_FORMAT " offset=%" G_GINT64_FORMAT,
+            leader->epoch, offset);
+}
+
+/* Claims the leadership under the next epoch. The sequence begins anywhere, so that two claims of
+ * one epoch exclude each other. */
+static void
+leader_claim (struct leader *leader)
+{
+  struct jobd *jobd = leader->jobd;
+  struct writer_config config = {
+    .topic = JOURNAL_TOPIC,
+    .part = JOURNAL_PART,
+    .producer = "sesamepick-leader",
+    .epoch = jobd->book.leader_epoch + 1,
+    .first_sequence = (uint64_t) g_random_int_range (1, SEQUENCE_MAX),
+    .gap_ms = LEADER_GAP_MS,
+    .patient = true,
+    .now_ms = jobd_now_ms,
+    .ctx = jobd,
+  };
+
+  leader->phase = LEADER_CLAIMING;
+  leader->epoch = config.epoch;
+  leader->claim_ms = leader_now_ms (leader);
+  leader->claims.value++;
+  leader->store = store_create (jobd->client, jobd->settings->store);
+  leader->writer = writer_create (jobd->loop, leader->store, &config);
+  log_info ("leader",
+            "claiming: epoch=%" G_GUINT64_FORMAT
+            " former=%s resigned=%d silent_ms=%" G_GINT64_FORMAT,
+            leader->epoch, jobd->book.leader_node ? jobd->book.leader_node : "none",
+            jobd->book.leader_resigned, leader_now_ms (leader) - leader->seen_ms);
+  leader_append_leadership (leader, false, leader_on_claim);
+}
+
+/* Tells whether the present leader must be taken as gone. */
+static bool
+leader_is_gone (const struct leader *leader)
+{
+  const struct jobd *jobd = leader->jobd;
+  int64_t healthy_ms = tail_healthy_since_ms (jobd->journal);
+  int64_t now_ms = leader_now_ms (leader);
+
+  if (jobd->stopping || !jobd->queues || !tail_is_loaded (jobd->journal) || healthy_ms == 0)
+    return false;
+  if (!jobd->book.leader_node || jobd->book.leader_resigned)
+    return now_ms - MAX (healthy_ms, leader->seen_ms) >
+           (jobd->book.leader_node ? leader->jitter_ms * RESIGNED_JITTER_MS / CLAIM_JITTER_MS
+                                   : leader->jitter_ms);
+  /* A leader of this name is an earlier life of this process. */
+  if (strcmp (jobd->book.leader_node, jobd->settings->name) == 0)
+    return true;
+  return now_ms - MAX (healthy_ms, leader->seen_ms) >
+         jobd->settings->leader_timeout_ms + leader->jitter_ms;
+}
+
+/* A leadership record was read. */
+void
+leader_seen (struct leader *leader, int64_t offset)
+{
+  const struct job_book *book = &leader->jobd->book;
+
+  (void) offset;
+  leader->seen_ms = leader_now_ms (leader);
+  if (leader->phase == LEADER_FOLLOWING)
+    return;
+  if (book->leader_epoch > leader->epoch)
+    leader_end (leader, "a higher epoch was read");
+  else if (book->leader_epoch == leader->epoch &&
+           strcmp (book->leader_node, leader->jobd->settings->name) != 0)
+    leader_end (leader, "another host claimed the same epoch");
+}
+
+/* The callbacks of the scheduler. */
+
+static void
+leader_start_task (void *ctx, struct endpoint *endpoint, struct task *task, int64_t until_ms)
+{
+  struct leader *leader = ctx;
+
+  log_info ("scheduler",
+            "start: task=%s.%u.%u.%u attempt=%u endpoint=%s waited_ms=%" G_GINT64_FORMAT,
+            task->job->id, task->occurrence, task->step, task->index, task->attempt, endpoint->id,
+            leader_now_ms (leader) - task->job->seen_ms);
+  orders_start (leader->orders, endpoint, task, until_ms);
+}
+
+static void
+leader_stop_task (void *ctx, struct endpoint *endpoint, const char *task, uint32_t attempt,
+                  struct task *known)
+{
+  struct leader *leader = ctx;
+
+  log_info ("scheduler", "stop: task=%s attempt=%u endpoint=%s known=%d", task, attempt,
+            endpoint->id, known != NULL);
+  orders_stop (leader->orders, endpoint, task, attempt, known);
+}
+
+static void
+leader_hold_endpoint (void *ctx, struct endpoint *endpoint, int64_t until_ms, int64_t wait_ms)
+{
+  struct leader *leader = ctx;
+
+  orders_hold (leader->orders, endpoint, until_ms, wait_ms);
+}
+
+static void
+leader_pace_task (void *ctx, struct endpoint *endpoint, struct task *task, int percent)
+{
+  struct leader *leader = ctx;
+
+  log_info ("scheduler", "pace: task=%s.%u.%u.%u endpoint=%s percent=%d", task->job->id,
+            task->occurrence, task->step, task->index, endpoint->id, percent);
+  orders_pace (leader->orders, endpoint, task, percent);
+}
+
+static void
+leader_move_host (void *ctx, struct host *host, const char *pool)
+{
+  struct leader *leader = ctx;
+
+  log_info ("machines", "move: host=%s from=%s to=%s", host->id, host->pool, pool);
+  leader->busy_until_ms = leader_now_ms (leader) + LIST_BUSY_FOR_MS;
+  orders_move_host (leader->orders, host, pool);
+}
+
+static void
+leader_maintain_host (void *ctx, struct host *host, uint32_t wave)
+{
+  struct leader *leader = ctx;
+
+  log_info ("machines", "maintain: host=%s pool=%s wave=%u", host->id, host->pool, wave);
+  leader->busy_until_ms = leader_now_ms (leader) + LIST_BUSY_FOR_MS;
+  orders_maintain_host (leader->orders, host, wave);
+}
+
+/* Writes how a wave stands where its operator reads it. */
+static void
+leader_tell_wave (void *ctx, uint32_t wave, bool completed)
+{
+  struct leader *leader = ctx;
+  struct writer_config config = {
+    .topic = STORE_TOPIC_STATUS,
+    .producer = "sesamepick-leader",
+    .epoch = leader->epoch,
+    .patient = true,
+    .now_ms = jobd_now_ms,
+    .ctx = leader->jobd,
+  };
+  g_autofree char *key = g_strdup_printf ("%s%u", STORE_KEY_WAVE_PREFIX, wave);
+  char *value = encode_wave_status (completed);
+
+  log_info ("wave", "wave %s: wave=%u", completed ? "completed" : "begun", wave);
+  if (!leader->status_writer)
+    {
+      config.first_sequence = (uint64_t) g_random_int_range (1, SEQUENCE_MAX);
+      leader->status_writer = writer_create (leader->jobd->loop, leader->store, &config);
+    }
+  writer_append (leader->status_writer, key, value, strlen (value), NULL, NULL);
+  free (value);
+}
+
+static void
+leader_on_deposed (void *ctx, const char *why)
+{
+  leader_end (ctx, why);
+}
+
+/* A record of the registry was read. */
+static void
+leader_on_registry_record (void *ctx, const struct store_record *record)
+{
+  struct leader *leader = ctx;
+  struct decoded_endpoint decoded;
+
+  if (!leader->scheduler || record->key[0] == '\0')
+    return;
+  if (record->len == 0)
+    {
+      log_info ("registry", "endpoint gone: endpoint=%s", record->key);
+      scheduler_endpoint_gone (leader->scheduler, record->key, leader_now_ms (leader));
+      return;
+    }
+  if (decode_endpoint (record->key, record->value, record->len, &decoded) != 0)
+    return;
+  scheduler_endpoint_listed (leader->scheduler, &decoded.entry, leader_now_ms (leader));
+  decoded_endpoint_clear (&decoded);
+}
+
+/* The whole registry was read. */
+static void
+leader_on_registry_loaded (void *ctx)
+{
+  struct leader *leader = ctx;
+
+  if (leader->scheduler)
+    scheduler_registry_read (leader->scheduler);
+}
+
+/* Hands the pools of the configuration to the scheduler. */
+void
+leader_config_changed (struct leader *leader)
+{
+  const GPtrArray *pools = leader->jobd->queues->pools;
+
+  if (!leader->scheduler)
+    return;
+  for (guint i = 0; i < pools->len; i++)
+    {
+      const struct job_pool_config *pool = g_ptr_array_index (pools, i);
+
+      scheduler_set_pool (leader->scheduler, pool->name, pool->standby);
+    }
+}
+
+/* Hands a wave to the scheduler. */
+static void
+leader_take_wave (struct leader *leader, const char *key, GBytes *value)
+{
+  struct decoded_wave wave;
+  gsize len;
+  const void *data = g_bytes_get_data (value, &len);
+
+  if (decode_wave (data, len, &wave) != 0)
+    {
+      log_warning ("wave", "record can't be read: key=%s", key);
+      return;
+    }
+  scheduler_wave_asked (leader->scheduler, &wave.order, leader_now_ms (leader));
+  decoded_wave_clear (&wave);
+}
+
+/* An operator's record was read. */
+void
+leader_take_operator_record (struct leader *leader, const struct store_record *record)
+{
+  GBytes *value;
+
+  if (!g_str_has_prefix (record->key, STORE_KEY_WAVE_PREFIX) || record->len == 0)
+    return;
+  value = g_bytes_new (record->value, record->len);
+  if (leader->scheduler)
+    leader_take_wave (leader, record->key, value);
+  g_hash_table_replace (leader->waves, g_strdup (record->key), value);
+}
+
+/* What a leader did in a wave was read. */
+void
+leader_take_wave_progress (struct leader *leader, const Sp__WaveProgress *progress)
+{
+  size_t len = sp__wave_progress__get_packed_size (progress);
+  uint8_t *data = g_malloc (len);
+
+  sp__wave_progress__pack (progress, data);
+  g_hash_table_replace (leader->wave_progress, GUINT_TO_POINTER (progress->wave),
+                        g_bytes_new_take (data, len));
+}
+
+/* Hands all waves, and what was done in them, to a new scheduler. */
+static void
+leader_load_waves (struct leader *leader)
+{
+  GHashTableIter each;
+  gpointer key;
+  gpointer value;
+
+  g_hash_table_iter_init (&each, leader->wave_progress);
+  while (g_hash_table_iter_next (&each, NULL, &value))
+    {
+      gsize len;
+      const void *data = g_bytes_get_data (value, &len);
+      Sp__WaveProgress *progress = sp__wave_progress__unpack (NULL, len, data);
+
+      scheduler_wave_progress (leader->scheduler, progress);
+      sp__wave_progress__free_unpacked (progress, NULL);
+    }
+  g_hash_table_iter_init (&each, leader->waves);
+  while (g_hash_table_iter_next (&each, &key, &value))
+    leader_take_wave (leader, key, value);
+}
+
+/* Starts to schedule: the journal has been read up to the claim. */
+static void
+leader_begin (struct leader *leader)
+{
+  struct jobd *jobd = leader->jobd;
+  const Sp__JobdSettings *settings = jobd->settings;
+  struct orders_config orders = {
+    .loop = jobd->loop,
+    .holder = settings->name,
+    .epoch = leader->epoch,
+    .machines = settings->machines,
+    .now_ms = jobd_now_ms,
+    .ctx = jobd,
+  };
+  struct scheduler_config config = {
+    .epoch = leader->epoch,
+    .claim_offset = leader->claim_offset,
+    .lease_ms = settings->lease_ms,
+    .stop_ms = settings->stop_ms,
+    .move_ms = settings->move_ms,
+    .maintenance_ms = settings->maintenance_ms,
+    .notice_ms = settings->notice_ms,
+  };
+  struct scheduler_ops ops = {
+    .start = leader_start_task,
+    .stop = leader_stop_task,
+    .hold = leader_hold_endpoint,
+    .pace = leader_pace_task,
+    .move_host = leader_move_host,
+    .maintain_host = leader_maintain_host,
+    .wave_state = leader_tell_wave,
+    .deposed = leader_on_deposed,
+    .ctx = leader,
+  };
+  struct tail_config registry = {
+    .topic = STORE_TOPIC_REGISTRY,
+    .wait_ms = REGISTRY_WAIT_MS,
+    .gap_ms = REGISTRY_GAP_MS,
+    .now_ms = jobd_now_ms,
+    .record = leader_on_registry_record,
+    .loaded = leader_on_registry_loaded,
+    .ctx = leader,
+  };
+
+  leader->phase = LEADER_LEADING;
+  leader->orders = orders_create (&orders);
+  leader->scheduler =
+      scheduler_create (&config, &ops, &jobd->book, leader_now_ms (leader), jobd->clock.wall_ms);
+  orders_set_scheduler (leader->orders, leader->scheduler);
+  leader_config_changed (leader);
+  leader_load_waves (leader);
+  leader->registry_store = store_create (jobd->client, settings->store);
+  leader->registry = tail_create (jobd->loop, leader->registry_store, &registry);
+  leader->next_list_ms = 0;
+  log_info ("leader", "leading: epoch=%" G_GUINT64_FORMAT " jobs=%u", leader->epoch,
+            g_hash_table_size (jobd->book.jobs));
+}
+
+/* A job was defined. */
+void
+leader_job_defined (struct leader *leader, struct job *job)
+{
+  if (leader->scheduler)
+    scheduler_job_defined (leader->scheduler, job, leader_now_ms (leader),
+                           leader->jobd->clock.wall_ms);
+}
+
+/* A job was cancelled. */
+void
+leader_job_cancelled (struct leader *leader, struct job *job)
+{
+  if (leader->scheduler)
+    scheduler_job_cancelled (leader->scheduler, job, leader_now_ms (leader));
+}
+
+/* A job's records were dropped. */
+void
+leader_job_forgotten (struct leader *leader, struct job *job)
+{
+  if (leader->scheduler)
+    scheduler_job_forgotten (leader->scheduler, job);
+}
+
+/* A heartbeat is durable, or fenced off. */
+static void
+leader_on_heartbeat (void *ctx, enum writer_result result, int64_t offset)
+{
+  struct leader *leader = ctx;
+
+  (void) offset;
+  leader->heartbeat_in_flight = false;
+  if (result != WRITER_DURABLE)
+    {
+      leader_end (leader, "fenced off at the store");
+      return;
+    }
+  leader->heartbeat_durable_ms = leader->heartbeat_sent_ms;
+}
+
+/* A record of progress is durable, or fenced off. */
+static void
+leader_on_progress (void *ctx, enum writer_result result, int64_t offset)
+{
+  struct leader *leader = ctx;
+
+  (void) offset;
+  if (result != WRITER_DURABLE)
+    {
+      leader_end (leader, "fenced off at the store");
+      return;
+    }
+  leader->flush_left--;
+  if (leader->flush_left == 0 && leader->scheduler)
+    scheduler_flushed (leader->scheduler, true, leader_now_ms (leader));
+}
+
+/* Appends one record of progress, and takes it into this host's own book once durable, by reading.
+ */
+static void
+leader_add_progress (void *ctx, const Sp__JobRecord *record)
+{
+  struct leader *leader = ctx;
+  g_autofree char *key = job_record_key (record);
+  g_autoptr (GBytes) value = job_record_pack (record);
+  gsize len;
+  const void *data = g_bytes_get_data (value, &len);
+
+  leader->flush_left++;
+  writer_append (leader->writer, key, data, len, leader_on_progress, leader);
+}
+
+/* Has progress recorded, and shows that the leader lives. */
+static void
+leader_write (struct leader *leader)
+{
+  int64_t now_ms = leader_now_ms (leader);
+
+  if (leader->flush_left == 0 && scheduler_is_dirty (leader->scheduler))
+    scheduler_collect (leader->scheduler, leader_add_progress, leader);
+  if (!leader->heartbeat_in_flight && now_ms - leader->heartbeat_sent_ms >= HEARTBEAT_MS)
+    {
+      leader->heartbeat_in_flight = true;
+      leader_append_leadership (leader, false, leader_on_heartbeat);
+    }
+}
+
+/* Drops the records of jobs that ended long ago. */
+static void
+leader_forget_jobs (struct leader *leader)
+{
+  struct jobd *jobd = leader->jobd;
+  int64_t now_ms = leader_now_ms (leader);
+  GHashTableIter each;
+  gpointer value;
+
+  if (now_ms < leader->next_forget_ms)
+    return;
+  leader->next_forget_ms = now_ms + FORGET_CHECK_MS;
+  g_hash_table_iter_init (&each, jobd->book.jobs);
+  while (g_hash_table_iter_next (&each, NULL, &value))
+    {
+      struct job *job = value;
+      g_auto (GStrv) keys = NULL;
+
+      if (!job_state_is_final (job->state) || job->scheduled || job->ended_ms == 0 ||
+          now_ms - job->ended_ms < 2 * (int64_t) jobd->settings->status_ms)
+        continue;
+      /* Not again before the drop has been read. */
+      job->ended_ms = now_ms;
+      keys = job_record_keys_of (job->id);
+      for (char **key = keys; *key; key++)
+        writer_append (leader->writer, *key, "", 0, NULL, NULL);
+    }
+}
+
+/* Shows the scheduler's counts. */
+static void
+leader_update_metrics (struct leader *leader)
+{
+  struct scheduler_counts counts = { 0 };
+
+  if (leader->scheduler)
+    scheduler_count (leader->scheduler, &counts);
+  leader->leading.value = leader->phase == LEADER_LEADING;
+  leader->tasks.value = counts.tasks_running;
+  leader->ready.value = counts.tasks_ready;
+  leader->starts.value = (int64_t) counts.starts;
+  leader->lapses.value = (int64_t) counts.lapses;
+  leader->moves.value = (int64_t) counts.moves;
+  leader->silent.value = counts.endpoints_silent;
+}
+
+/* Leads for one turn. */
+static void
+leader_lead (struct leader *leader)
+{
+  struct jobd *jobd = leader->jobd;
+  int64_t now_ms = leader_now_ms (leader);
+
+  if (leader->distrust_ms > 0 && tail_fresh_ms (jobd->journal) <= leader->distrust_ms &&
+      now_ms - leader->distrust_ms < DISTRUST_MAX_MS)
+    return;
+  leader->distrust_ms = 0;
+  scheduler_set_renewed (leader->scheduler, now_ms - leader->heartbeat_durable_ms < RENEWED_MS);
+  if (now_ms >= leader->next_list_ms)
+    {
+      leader->next_list_ms = now_ms + (now_ms < leader->busy_until_ms ? LIST_BUSY_MS : LIST_MS);
+      orders_list_hosts (leader->orders);
+    }
+  scheduler_tick (leader->scheduler, now_ms, jobd->clock.wall_ms);
+  leader_write (leader);
+  leader_forget_jobs (leader);
+}
+
+/* The loop has stood still: orders wait until the journal has been read anew. */
+void
+leader_distrust (struct leader *leader)
+{
+  if (leader->phase == LEADER_LEADING)
+    leader->distrust_ms = leader_now_ms (leader);
+}
+
+/* Lets time pass. */
+void
+leader_tick (struct leader *leader)
+{
+  if (leader->end_reason)
+    leader_step_down (leader);
+  switch (leader->phase)
+    {
+    case LEADER_FOLLOWING:
+      if (leader_is_gone (leader))
+        leader_claim (leader);
+      break;
+    case LEADER_CLAIMING:
+      break;
+    case LEADER_CATCHING_UP:
+      if (tail_offset (leader->jobd->journal) > leader->claim_offset)
+        leader_begin (leader);
+      break;
+    case LEADER_LEADING:
+      leader_lead (leader);
+      break;
+    }
+  leader_update_metrics (leader);
+}
+
+/* A resignation is durable, or doesn't matter any more. */
+static void
+leader_on_resigned (void *ctx, enum writer_result result, int64_t offset)
+{
+  (void) result;
+  (void) offset;
+  leader_end (ctx, "resigned");
+}
+
+/* Gives the leadership up before a planned stop. */
+void
+leader_resign (struct leader *leader)
+{
+  if (leader->phase == LEADER_FOLLOWING)
+    return;
+  if (leader->phase != LEADER_LEADING)
+    {
+      leader_end (leader, "stop");
+      return;
+    }
+  leader_append_leadership (leader, true, leader_on_resigned);
+}
--- /dev/null
+++ b/jobd/writer.c
@@ -0,0 +1,301 @@
+#include "writer.h"
+
+#include "common/log.h"
+
+enum
+{
+  MS_PER_S = 1000,
+  /* Time-outs of the tries of one call; the last one repeats. An append takes 4 ms and may wait for
+   * two seconds behind others. */
+  FIRST_TIMEOUT_MS = 500,
+  NEXT_TIMEOUT_MS = 1200,
+  RETRY_MS = 120,
+  STUCK_MS = 900,
+  BATCH_BYTES_MAX = 1024 * 1024,
+};
+
+/* One record that waits. */
+struct entry
+{
+  GByteArray *record;
+  writer_done *done;
+  void *ctx;
+};
+
+struct writer
+{
+  struct writer_config config;
+  char *producer;
+  struct ev_loop *loop;
+  struct store *store;
+  ev_timer timer;
+  GQueue waiting;
+  /* The call under way. */
+  GPtrArray *batch;
+  GByteArray *body;
+  uint64_t sequence;
+  int64_t batch_ms;
+  int64_t sent_ms;
+  unsigned tries;
+  /* A try had no answer, so that the batch may have been written. */
+  bool unsure;
+  /* The store has taken a call of this producer. */
+  bool accepted;
+  bool fenced;
+  /* Set while a callback runs that may destroy the writer. */
+  bool *destroyed;
+};
+
+/* Frees a record that waits. */
+static void
+entry_destroy (gpointer data)
+{
+  struct entry *entry = data;
+
+  g_byte_array_unref (entry->record);
+  g_free (entry);
+}
+
+/* Gives the time. */
+static int64_t
+writer_now_ms (const struct writer *writer)
+{
+  return writer->config.now_ms (writer->config.ctx);
+}
+
+static void writer_send (struct writer *writer);
+
+/* Runs the timer after a while. */
+static void
+writer_schedule (struct writer *writer, int64_t after_ms)
+{
+  ev_timer_stop (writer->loop, &writer->timer);
+  ev_timer_set (&writer->timer, (double) MAX (after_ms, 0) / MS_PER_S, 0.0);
+  ev_timer_start (writer->loop, &writer->timer);
+}
+
+/* Tells the outcome of some records. Gives false if the writer was destroyed meanwhile. */
+static bool
+writer_tell (struct writer *writer, GPtrArray *entries, enum writer_result result, int64_t offset)
+{
+  bool destroyed = false;
+
+  writer->destroyed = &destroyed;
+  for (guint i = 0; i < entries->len; i++)
+    {
+      const struct entry *entry = g_ptr_array_index (entries, i);
+
+      if (entry->done && !destroyed)
+        entry->done (entry->ctx, result, offset + i);
+    }
+  g_ptr_array_free (entries, TRUE);
+  if (destroyed)
+    return false;
+  writer->destroyed = NULL;
+  return true;
+}
+
+/* Refuses all records that were not sent yet. */
+static bool
+writer_refuse_waiting (struct writer *writer, enum writer_result result)
+{
+  GPtrArray *entries = g_ptr_array_new_with_free_func (entry_destroy);
+  struct entry *entry;
+
+  while ((entry = g_queue_pop_head (&writer->waiting)))
+    g_ptr_array_add (entries, entry);
+  return writer_tell (writer, entries, result, 0);
+}
+
+/* Ends the call under way. Gives false if the writer was destroyed meanwhile. */
+static bool
+writer_finish_batch (struct writer *writer, enum writer_result result, int64_t offset)
+{
+  GPtrArray *entries = g_steal_pointer (&writer->batch);
+
+  g_clear_pointer (&writer->body, g_byte_array_unref);
+  writer->unsure = false;
+  writer->tries = 0;
+  return writer_tell (writer, entries, result, offset);
+}
+
+/* Sends the next call once its time has come. */
+static void
+writer_go_on (struct writer *writer)
+{
+  if (!writer->batch && !g_queue_is_empty (&writer->waiting))
+    writer_schedule (writer, writer->sent_ms + writer->config.gap_ms - writer_now_ms (writer));
+}
+
+/* The call was certainly not carried out. */
+static void
+writer_refused (struct writer *writer)
+{
+  if (writer->unsure || writer->config.patient)
+    {
+      writer_schedule (writer, RETRY_MS);
+      return;
+    }
+  if (writer_finish_batch (writer, WRITER_REFUSED, 0) &&
+      writer_refuse_waiting (writer, WRITER_REFUSED))
+    writer_go_on (writer);
+}
+
+/* Another producer of a higher epoch, or of the same one, has written. */
+static void
+writer_fenced (struct writer *writer)
+{
+  writer->fenced = true;
+  if (writer_finish_batch (writer, WRITER_FENCED, 0))
+    writer_refuse_waiting (writer, WRITER_FENCED);
+}
+
+/* A call has been answered, or has not. */
+static void
+writer_on_done (void *ctx, const struct store_answer *answer)
+{
+  struct writer *writer = ctx;
+
+  switch (answer->result)
+    {
+    case STORE_DONE:
+      writer->accepted = true;
+      writer->sequence++;
+      if (writer_finish_batch (writer, WRITER_DURABLE, answer->offset))
+        writer_go_on (writer);
+      break;
+    case STORE_UNKNOWN:
+      writer->unsure = true;
+      writer_schedule (writer, 0);
+      if (!writer->config.patient)
+        writer_refuse_waiting (writer, WRITER_REFUSED);
+      break;
+    case STORE_FENCED:
+    case STORE_BAD_SEQUENCE:
+      log_info ("writer", "fenced off: producer=%s epoch=%" G_GUINT64_FORMAT " result=%d",
+                writer->producer, writer->config.epoch, answer->result);
+      writer_fenced (writer);
+      break;
+    default:
+      writer_refused (writer);
+      break;
+    }
+}
+
+/* Makes a call of the records that wait. */
+static void
+writer_take_batch (struct writer *writer)
+{
+  struct entry *entry;
+
+  writer->batch = g_ptr_array_new_with_free_func (entry_destroy);
+  writer->body = g_byte_array_new ();
+  writer->batch_ms = writer_now_ms (writer);
+  while ((entry = g_queue_peek_head (&writer->waiting)))
+    {
+      if (writer->batch->len > 0 && writer->body->len + entry->record->len > BATCH_BYTES_MAX)
+        break;
+      g_queue_pop_head (&writer->waiting);
+      g_byte_array_append (writer->body, entry->record->data, entry->record->len);
+      g_ptr_array_add (writer->batch, entry);
+    }
+}
+
+/* Sends the call under way again, or the next one. */
+static void
+writer_send (struct writer *writer)
+{
+  struct store_append append = {
+    .topic = writer->config.topic,
+    .part = writer->config.part,
+    .producer = writer->producer,
+    .epoch = writer->config.epoch,
+    .sequence = writer->sequence,
+  };
+
+  if (!writer->batch)
+    {
+      if (g_queue_is_empty (&writer->waiting))
+        return;
+      writer_take_batch (writer);
+    }
+  append.records = writer->body;
+  append.timeout_ms = writer->tries == 0 ? FIRST_TIMEOUT_MS : NEXT_TIMEOUT_MS;
+  writer->tries++;
+  writer->sent_ms = writer_now_ms (writer);
+  store_append (writer->store, &append, writer_on_done, writer);
+}
+
+/* A call is due. */
+static void
+writer_on_timer (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  (void) loop;
+  (void) events;
+  writer_send (timer->data);
+}
+
+/* Makes a writer. */
+struct writer *
+writer_create (struct ev_loop *loop, struct store *store, const struct writer_config *config)
+{
+  struct writer *writer = g_new0 (struct writer, 1);
+
+  writer->config = *config;
+  writer->producer = g_strdup (config->producer);
+  writer->sequence = config->first_sequence;
+  writer->loop = loop;
+  writer->store = store;
+  g_queue_init (&writer->waiting);
+  ev_timer_init (&writer->timer, writer_on_timer, 0.0, 0.0);
+  writer->timer.data = writer;
+  return writer;
+}
+
+/* Frees the writer. A call under way must have been ended with its store. */
+void
+writer_destroy (struct writer *writer)
+{
+  struct entry *entry;
+
+  if (writer->destroyed)
+    *writer->destroyed = true;
+  ev_timer_stop (writer->loop, &writer->timer);
+  while ((entry = g_queue_pop_head (&writer->waiting)))
+    entry_destroy (entry);
+  if (writer->batch)
+    g_ptr_array_free (writer->batch, TRUE);
+  g_clear_pointer (&writer->body, g_byte_array_unref);
+  g_free (writer->producer);
+  g_free (writer);
+}
+
+/* Adds a record to the next call. */
+void
+writer_append (struct writer *writer, const char *key, const void *value, size_t len,
+               writer_done *done, void *ctx)
+{
+  struct entry *entry = g_new (struct entry, 1);
+
+  entry->record = g_byte_array_new ();
+  store_add_record (entry->record, key, value, len);
+  entry->done = done;
+  entry->ctx = ctx;
+  g_queue_push_tail (&writer->waiting, entry);
+  if (!writer->batch && !ev_is_active (&writer->timer))
+    writer_schedule (writer, writer->sent_ms + writer->config.gap_ms - writer_now_ms (writer));
+}
+
+/* Tells whether a call has had no answer for long. */
+bool
+writer_is_stuck (const struct writer *writer)
+{
+  return writer->batch && writer_now_ms (writer) - writer->batch_ms > STUCK_MS;
+}
+
+/* Tells whether all records are done. */
+bool
+writer_is_idle (const struct writer *writer)
+{
+  return !writer->batch && writer->waiting.length == 0;
+}
--- /dev/null
+++ b/lib/jobs/endpoint.c
@@ -0,0 +1,152 @@
+#include "lib/jobs/endpoint.h"
+
+#include <string.h>
+
+/* Makes an endpoint of which only the id is known. */
+struct endpoint *
+endpoint_create (const char *id, int64_t now_ms)
+{
+  struct endpoint *endpoint = g_new0 (struct endpoint, 1);
+
+  endpoint->id = g_strdup (id);
+  endpoint->idle_since_ms = now_ms;
+  endpoint->remaining_ms = -1;
+  TAILQ_INIT (&endpoint->tasks);
+  return endpoint;
+}
+
+/* Frees an endpoint without tasks. */
+void
+endpoint_destroy (struct endpoint *endpoint)
+{
+  g_assert (TAILQ_EMPTY (&endpoint->tasks));
+  g_free (endpoint->id);
+  g_free (endpoint->pool);
+  g_free (endpoint->address);
+  g_free (endpoint->host);
+  g_strfreev (endpoint->labels);
+  g_free (endpoint);
+}
+
+/* Replaces a text if it differs. */
+static void
+text_replace (char **text, const char *value)
+{
+  if (g_strcmp0 (*text, value) == 0)
+    return;
+  g_free (*text);
+  *text = g_strdup (value);
+}
+
+/* Takes what the registry says. The life is the caller's to compare. */
+void
+endpoint_update (struct endpoint *endpoint, const struct endpoint_entry *entry)
+{
+  text_replace (&endpoint->pool, entry->pool);
+  text_replace (&endpoint->address, entry->address);
+  g_strfreev (endpoint->labels);
+  endpoint->labels = g_strdupv ((char **) entry->labels);
+  endpoint->capacity = entry->capacity;
+  endpoint->draining = entry->draining;
+  endpoint->remaining_ms = entry->remaining_ms;
+  endpoint->listed = true;
+}
+
+/* Tells whether the endpoint bears a label. */
+bool
+endpoint_has_label (const struct endpoint *endpoint, const char *label)
+{
+  return endpoint->labels && g_strv_contains ((const char *const *) endpoint->labels, label);
+}
+
+/* Gives the label that names the rack, the last one. Gives NULL if there are no labels. */
+const char *
+endpoint_rack (const struct endpoint *endpoint)
+{
+  guint n = endpoint->labels ? g_strv_length (endpoint->labels) : 0;
+
+  return n > 0 ? endpoint->labels[n - 1] : NULL;
+}
+
+/* Gives what a task takes of an endpoint. Filling tasks take no processor of their own. */
+struct resources
+task_resources (const struct task *task)
+{
+  const Sp__JobStep *step = task_step (task);
+  struct resources need = {
+    .cpu_milli = step->fills ? 0 : step->cpu_milli,
+    .memory_mb = step->memory_mb,
+    .gpus = step->gpus,
+  };
+
+  return need;
+}
+
+/* Tells whether need fits beside what is used. */
+bool
+endpoint_has_room (const struct endpoint *endpoint, const struct resources *need)
+{
+  return endpoint->used.cpu_milli + need->cpu_milli <= endpoint->capacity.cpu_milli &&
+         endpoint->used.memory_mb + need->memory_mb <= endpoint->capacity.memory_mb &&
+         endpoint->used.gpus + need->gpus <= endpoint->capacity.gpus;
+}
+
+/* Counts a task as running, or possibly running, on the endpoint. */
+void
+endpoint_add_task (struct endpoint *endpoint, struct task *task)
+{
+  const Sp__JobStep *step = task_step (task);
+  struct resources need = task_resources (task);
+
+  task->endpoint = endpoint;
+  TAILQ_INSERT_TAIL (&endpoint->tasks, task, endpoint_link);
+  endpoint->n_tasks++;
+  endpoint->n_filling += step->fills;
+  endpoint->n_serving += step->target_ms > 0 && !step->fills;
+  endpoint->used.cpu_milli += need.cpu_milli;
+  endpoint->used.memory_mb += need.memory_mb;
+  endpoint->used.gpus += need.gpus;
+}
+
+/* Takes a task off its endpoint. */
+void
+endpoint_remove_task (struct task *task, int64_t now_ms)
+{
+  struct endpoint *endpoint = task->endpoint;
+  const Sp__JobStep *step = task_step (task);
+  struct resources need = task_resources (task);
+
+  TAILQ_REMOVE (&endpoint->tasks, task, endpoint_link);
+  task->endpoint = NULL;
+  endpoint->n_tasks--;
+  endpoint->n_filling -= step->fills;
+  endpoint->n_serving -= step->target_ms > 0 && !step->fills;
+  endpoint->used.cpu_milli -= need.cpu_milli;
+  endpoint->used.memory_mb -= need.memory_mb;
+  endpoint->used.gpus -= need.gpus;
+  if (endpoint->n_tasks == 0)
+    endpoint->idle_since_ms = now_ms;
+}
+
+/* Counts the tasks of the same step and occurrence on the endpoint. */
+unsigned
+endpoint_count_step (const struct endpoint *endpoint, const struct task *task)
+{
+  const struct task *other;
+  unsigned n = 0;
+
+  TAILQ_FOREACH (other, &endpoint->tasks, endpoint_link)
+    {
+      if (other->job == task->job && other->step == task->step &&
+          other->occurrence == task->occurrence)
+        n++;
+    }
+  return n;
+}
+
+/* Estimates the endpoint's clock at a moment of ours. */
+int64_t
+endpoint_clock_at (const struct endpoint *endpoint, int64_t now_ms)
+{
+  return endpoint->clock_ms + (now_ms - endpoint->clock_read_ms);
+}
--- /dev/null
+++ b/lib/jobs/endpoint_orders.c
@@ -0,0 +1,272 @@
+#include "scheduler_state.h"
+
+#include <string.h>
+
+/* Leases of endpoints, and what their reports say. */
+
+enum
+{
+  /* How long an endpoint may keep a hold open until something ends there. Three of these fit into
+   * the shortest lease of the settings. */
+  HOLD_WAIT_MS = 1000,
+  /* Shorter where serving tasks share with filling ones, whose pace follows the figures. */
+  HOLD_WAIT_SHARED_MS = 500,
+  /* Ends that come together are taken by one hold. */
+  HOLD_GAP_MS = 25,
+  HOLD_RETRY_MS = 200,
+  /* Time between looks while ends can't be made durable. */
+  HOLD_UNFLUSHED_MS = 250,
+  /* A task that shows no progress for this long stands still: even at seven times its usual length
+   * a task of seconds shows a percent each 300 ms. */
+  STALL_MS = 2500,
+};
+
+/* Notes that an endpoint does not answer. */
+void
+endpoint_set_silent (struct scheduler *scheduler, struct endpoint *endpoint)
+{
+  if (endpoint->silent_since_ms == 0)
+    endpoint->silent_since_ms = scheduler->now_ms;
+}
+
+/* Tells whether an endpoint may get new tasks. */
+bool
+endpoint_is_usable (const struct scheduler *scheduler, const struct endpoint *endpoint)
+{
+  return endpoint->listed && endpoint->fenced && !endpoint->draining && !endpoint->cordoned &&
+         endpoint->silent_since_ms == 0 && scheduler->now_ms >= endpoint->avoid_until_ms;
+}
+
+/* Takes all tasks off an endpoint on which nothing of them can run any more. */
+void
+endpoint_reset (struct scheduler *scheduler, struct endpoint *endpoint, const char *why)
+{
+  (void) why;
+  while (!TAILQ_EMPTY (&endpoint->tasks))
+    {
+      scheduler->counts.lapses++;
+      task_release (scheduler, TAILQ_FIRST (&endpoint->tasks));
+    }
+  endpoint->fenced = false;
+  endpoint->ends_seen = 0;
+  endpoint->ends_flushing = 0;
+  endpoint->ends_durable = 0;
+  endpoint->ends_acked = 0;
+  endpoint->until_ms = 0;
+  endpoint->lapse_ms = 0;
+  endpoint->clock_ms = 0;
+  endpoint->failed_jobs = 0;
+  endpoint->next_hold_ms = scheduler->now_ms;
+}
+
+/* Sends a hold: it extends the lease of all that runs there and waits for an end. */
+static void
+endpoint_send_hold (struct scheduler *scheduler, struct endpoint *endpoint)
+{
+  int64_t until_ms = 0;
+  int64_t wait_ms = 0;
+
+  if (endpoint->fenced && endpoint->n_tasks > 0)
+    {
+      until_ms = endpoint_clock_at (endpoint, scheduler->now_ms) + scheduler->config.lease_ms;
+      endpoint->until_ms = MAX (endpoint->until_ms, until_ms);
+      endpoint->lapse_ms = MAX (endpoint->lapse_ms,
+                                scheduler->now_ms + scheduler->config.lease_ms * 102 / 100 + 300);
+      if (endpoint->ends_seen == endpoint->ends_durable && endpoint->silent_since_ms == 0)
+        wait_ms =
+            endpoint->n_filling > 0 && endpoint->n_serving > 0 ? HOLD_WAIT_SHARED_MS : HOLD_WAIT_MS;
+    }
+  endpoint->hold_in_flight = true;
+  endpoint->calls++;
+  endpoint->last_hold_ms = scheduler->now_ms;
+  scheduler->ops.hold (scheduler->ops.ctx, endpoint, until_ms, wait_ms);
+}
+
+/* Tells whether an endpoint is to be looked at. An idle one that owes nothing is left alone. */
+static bool
+endpoint_wants_hold (const struct endpoint *endpoint)
+{
+  if (!endpoint->address)
+    return false;
+  if (!endpoint->fenced || endpoint->n_tasks > 0 || endpoint->silent_since_ms > 0)
+    return endpoint->listed || endpoint->n_tasks > 0;
+  return endpoint->ends_acked < endpoint->ends_durable;
+}
+
+/* Stops tasks that stand still, so that they run elsewhere. */
+static void
+endpoint_stop_stalled (struct scheduler *scheduler, struct endpoint *endpoint)
+{
+  struct task *task = TAILQ_FIRST (&endpoint->tasks);
+
+  while (task)
+    {
+      struct task *next = TAILQ_NEXT (task, endpoint_link);
+
+      if (task->phase == TASK_RUNNING && !task_step (task)->long_running &&
+          !task_step (task)->gang && scheduler->now_ms - task->progress_ms > STALL_MS)
+        {
+          endpoint->avoid_until_ms = scheduler->now_ms + STALL_MS;
+          task_stop (scheduler, task, "no progress");
+        }
+      task = next;
+    }
+}
+
+/* Looks after one endpoint: its lease, its silence and its leaving. */
+void
+endpoint_tick (struct scheduler *scheduler, struct endpoint *endpoint)
+{
+  bool left = !endpoint->listed && endpoint->draining && endpoint->silent_since_ms > 0;
+
+  if (endpoint->n_tasks > 0 && endpoint->silent_since_ms > 0 &&
+      (left || scheduler->now_ms > endpoint->lapse_ms))
+    endpoint_reset (scheduler, endpoint, left ? "left" : "lease lapsed");
+  if (endpoint->n_tasks > 0)
+    endpoint_stop_stalled (scheduler, endpoint);
+  if (!endpoint->hold_in_flight && scheduler->now_ms >= endpoint->next_hold_ms &&
+      endpoint_wants_hold (endpoint))
+    endpoint_send_hold (scheduler, endpoint);
+}
+
+/* Takes one run that an endpoint lists. A run that should not be is stopped. */
+static void
+endpoint_take_run (struct scheduler *scheduler, struct endpoint *endpoint,
+                   const struct endpoint_run *run, int64_t sent_ms)
+{
+  struct task *task = scheduler_find_task (scheduler, run->task);
+  bool wanted = task && task->job->scheduled && !task->done && !job_is_over (task->job);
+
+  if (wanted && !task->endpoint && run->attempt > task->ended_attempt &&
+      (task->phase == TASK_READY || task->phase == TASK_BLOCKED))
+    task_adopt (scheduler, task, endpoint, run, sent_ms);
+  if (!task || task->endpoint != endpoint || task->attempt != run->attempt)
+    {
+      endpoint->calls++;
+      scheduler->counts.stops++;
+      scheduler->ops.stop (scheduler->ops.ctx, endpoint, run->task, run->attempt, NULL);
+      return;
+    }
+  if (task->phase == TASK_STARTING)
+    task_set_phase (scheduler, task, TASK_RUNNING);
+  task_set_checkpoint (task, run->checkpoint);
+  task->load = run->load;
+  if (run->percent != task->progress_percent)
+    {
+      task->progress_percent = run->percent;
+      task->progress_ms = scheduler->now_ms;
+    }
+  if (task->phase == TASK_RUNNING)
+    task->confirmed_ms = MAX (task->confirmed_ms, sent_ms);
+}
+
+/* Tells whether a report lists a task's run. */
+static bool
+report_lists (const struct endpoint_report *report, const struct task *task)
+{
+  g_autofree char *name = task_name (task);
+
+  for (size_t i = 0; i < report->n_runs; i++)
+    {
+      if (report->runs[i].attempt == task->attempt && strcmp (report->runs[i].task, name) == 0)
+        return true;
+    }
+  return false;
+}
+
+/* Takes off the endpoint what it no longer lists, though it was asked after the run was confirmed
+ * to be there, or was made void. */
+static void
+endpoint_release_missing (struct scheduler *scheduler, struct endpoint *endpoint,
+                          const struct endpoint_report *report, int64_t sent_ms)
+{
+  struct task *task = TAILQ_FIRST (&endpoint->tasks);
+
+  while (task)
+    {
+      struct task *next = TAILQ_NEXT (task, endpoint_link);
+      bool settled = task->phase == TASK_RUNNING || task->phase == TASK_STOPPING;
+
+      if (settled && task->confirmed_ms > 0 && task->confirmed_ms < sent_ms &&
+          !report_lists (report, task))
+        {
+          scheduler->counts.lapses++;
+          task_release (scheduler, task);
+        }
+      task = next;
+    }
+}
+
+/* Takes the ends that were not taken before. */
+static void
+endpoint_take_ends (struct scheduler *scheduler, struct endpoint *endpoint,
+                    const struct endpoint_report *report)
+{
+  for (size_t i = 0; i < report->n_ends; i++)
+    {
+      const struct endpoint_end *end = &report->ends[i];
+
+      if (end->number <= endpoint->ends_seen)
+        continue;
+      endpoint->ends_seen = end->number;
+      task_take_end (scheduler, endpoint, end);
+    }
+}
+
+/* Takes the report of an endpoint. */
+static void
+endpoint_take_report (struct scheduler *scheduler, struct endpoint *endpoint,
+                      const struct endpoint_report *report, uint64_t acked, int64_t sent_ms)
+{
+  bool was_fenced = endpoint->fenced;
+
+  if (report->born_ms > 0 && report->born_ms != endpoint->born_ms)
+    {
+      if (endpoint->born_ms > 0)
+        endpoint_reset (scheduler, endpoint, "new life in a report");
+      endpoint->born_ms = report->born_ms;
+      acked = 0;
+    }
+  endpoint->silent_since_ms = 0;
+  endpoint->fenced = true;
+  endpoint->clock_ms = report->clock_ms;
+  endpoint->clock_read_ms = scheduler->now_ms;
+  endpoint->ends_acked = MAX (endpoint->ends_acked, acked);
+  /* The first lease is counted from what an earlier leader may have given at the latest. */
+  if (!was_fenced)
+    endpoint->lapse_ms = scheduler->now_ms + scheduler->config.lease_ms * 102 / 100 + 300;
+  endpoint_take_ends (scheduler, endpoint, report);
+  for (size_t i = 0; i < report->n_runs; i++)
+    endpoint_take_run (scheduler, endpoint, &report->runs[i], sent_ms);
+  endpoint_release_missing (scheduler, endpoint, report, sent_ms);
+  if (!was_fenced)
+    scheduler_pool (scheduler, endpoint->pool)->changed = true;
+}
+
+/* An endpoint has answered a hold, or has not. */
+void
+scheduler_hold_done (struct scheduler *scheduler, struct endpoint *endpoint,
+                     enum order_result result, const struct endpoint_report *report, uint64_t acked,
+                     int64_t sent_ms, int64_t now_ms)
+{
+  scheduler->now_ms = now_ms;
+  endpoint->calls--;
+  endpoint->hold_in_flight = false;
+  if (result == ORDER_FENCED)
+    {
+      scheduler_depose (scheduler, "a hold was fenced off");
+      return;
+    }
+  if (result != ORDER_DONE || !report)
+    {
+      endpoint_set_silent (scheduler, endpoint);
+      endpoint->next_hold_ms = now_ms + HOLD_RETRY_MS;
+      return;
+    }
+  endpoint_take_report (scheduler, endpoint, report, acked, sent_ms);
+  endpoint->next_hold_ms = now_ms + HOLD_GAP_MS;
+  if (endpoint->ends_seen > endpoint->ends_durable)
+    endpoint->next_hold_ms = now_ms + HOLD_UNFLUSHED_MS;
+  if (endpoint->n_filling > 0)
+    endpoint_pace (scheduler, endpoint);
+}
--- /dev/null
+++ b/lib/jobs/job_book.c
@@ -0,0 +1,265 @@
+#include "lib/jobs/job_book.h"
+
+#include <errno.h>
+#include <string.h>
+
+#define LEADER_KEY "leader"
+
+/* Makes an empty book; the callbacks are set by the owner afterwards. */
+void
+job_book_init (struct job_book *book)
+{
+  *book = (struct job_book){ 0 };
+  book->jobs = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, (GDestroyNotify) job_destroy);
+}
+
+/* Frees all jobs. */
+void
+job_book_finish (struct job_book *book)
+{
+  g_hash_table_destroy (book->jobs);
+  g_free (book->leader_node);
+}
+
+/* Finds a job by its id. Gives NULL if no record of it has been read. */
+struct job *
+job_book_find (const struct job_book *book, const char *id)
+{
+  return g_hash_table_lookup (book->jobs, id);
+}
+
+/* Finds a job, or makes one of which nothing but the id is known. */
+static struct job *
+job_book_obtain (struct job_book *book, const char *id, int64_t now_ms)
+{
+  struct job *job = job_book_find (book, id);
+
+  if (job)
+    return job;
+  job = job_create (id);
+  job->seen_ms = now_ms;
+  g_hash_table_insert (book->jobs, job->id, job);
+  return job;
+}
+
+/* Takes a definition; the first one of an id stays. */
+static void
+job_book_define (struct job_book *book, Sp__JobRecord *record, int64_t offset, int64_t now_ms)
+{
+  struct job *job = job_book_obtain (book, record->definition->id, now_ms);
+  bool known = job->definition != NULL;
+
+  job_define (job, record->definition);
+  record->definition = NULL;
+  record->body_case = SP__JOB_RECORD__BODY__NOT_SET;
+  if (known)
+    return;
+  job->offset = offset;
+  if (book->defined && !job_state_is_final (job->state))
+    book->defined (book->ctx, job);
+}
+
+/* Takes a progress record. */
+static void
+job_book_progress (struct job_book *book, const Sp__JobProgress *progress, int64_t now_ms)
+{
+  struct job *job = job_book_obtain (book, progress->id, now_ms);
+
+  if (job_merge_progress (job, progress) && job_state_is_final (job->state))
+    job->ended_ms = now_ms;
+}
+
+/* Takes a cancellation. */
+static void
+job_book_cancel (struct job_book *book, const char *id, int64_t now_ms)
+{
+  struct job *job = job_book_obtain (book, id, now_ms);
+
+  if (job->cancelled)
+    return;
+  job->cancelled = true;
+  if (book->cancelled && job->definition)
+    book->cancelled (book->ctx, job);
+}
+
+/* Takes a leadership record. An older epoch than the one known changes nothing. */
+static void
+job_book_lead (struct job_book *book, const Sp__Leadership *leadership, int64_t offset)
+{
+  if (leadership->epoch < book->leader_epoch)
+    return;
+  book->leader_epoch = leadership->epoch;
+  book->leader_resigned = leadership->resigned;
+  g_free (book->leader_node);
+  book->leader_node = g_strdup (leadership->node);
+  if (book->leader_seen)
+    book->leader_seen (book->ctx, offset);
+}
+
+/* Drops a job whose records are deleted. The key of its progress is the last to go. */
+static void
+job_book_forget (struct job_book *book, const char *key)
+{
+  struct job *job;
+
+  if (!g_str_has_prefix (key, "p/"))
+    return;
+  job = job_book_find (book, key + 2);
+  if (!job)
+    return;
+  if (book->forgotten)
+    book->forgotten (book->ctx, job);
+  g_hash_table_remove (book->jobs, key + 2);
+}
+
+/* Takes one record of the journal. Gives 0, or -EBADMSG for one that can't be read. */
+int
+job_book_apply (struct job_book *book, const char *key, const void *value, size_t len,
+                int64_t offset, int64_t now_ms)
+{
+  Sp__JobRecord *record;
+
+  if (len == 0)
+    {
+      job_book_forget (book, key);
+      return 0;
+    }
+  record = sp__job_record__unpack (NULL, len, value);
+  if (!record)
+    return -EBADMSG;
+  switch (record->body_case)
+    {
+    case SP__JOB_RECORD__BODY_DEFINITION:
+      job_book_define (book, record, offset, now_ms);
+      break;
+    case SP__JOB_RECORD__BODY_CANCEL:
+      job_book_cancel (book, record->cancel->id, now_ms);
+      break;
+    case SP__JOB_RECORD__BODY_PROGRESS:
+      job_book_progress (book, record->progress, now_ms);
+      break;
+    case SP__JOB_RECORD__BODY_LEADERSHIP:
+      job_book_lead (book, record->leadership, offset);
+      break;
+    case SP__JOB_RECORD__BODY_WAVE:
+      if (book->wave_seen)
+        book->wave_seen (book->ctx, record->wave);
+      break;
+    default:
+      break;
+    }
+  sp__job_record__free_unpacked (record, NULL);
+  return 0;
+}
+
+/* Counts the queue's jobs of which no task has started. */
+unsigned
+job_book_pending (const struct job_book *book, const char *queue)
+{
+  GHashTableIter each;
+  gpointer value;
+  unsigned n = 0;
+
+  g_hash_table_iter_init (&each, book->jobs);
+  while (g_hash_table_iter_next (&each, NULL, &value))
+    {
+      const struct job *job = value;
+
+      if (job->definition && job->state == SP__JOB_STATE__JOB_QUEUED && !job->cancelled &&
+          strcmp (job->definition->queue, queue) == 0)
+        n++;
+    }
+  return n;
+}
+
+/* Gives the key under which a record is kept. Free with g_free. */
+char *
+job_record_key (const Sp__JobRecord *record)
+{
+  switch (record->body_case)
+    {
+    case SP__JOB_RECORD__BODY_DEFINITION:
+      return g_strconcat ("d/", record->definition->id, NULL);
+    case SP__JOB_RECORD__BODY_CANCEL:
+      return g_strconcat ("c/", record->cancel->id, NULL);
+    case SP__JOB_RECORD__BODY_PROGRESS:
+      return g_strconcat ("p/", record->progress->id, NULL);
+    case SP__JOB_RECORD__BODY_WAVE:
+      return g_strdup_printf ("w/%u", record->wave->wave);
+    default:
+      return g_strdup (LEADER_KEY);
+    }
+}
+
+/* Gives a record's bytes. */
+GBytes *
+job_record_pack (const Sp__JobRecord *record)
+{
+  size_t len = sp__job_record__get_packed_size (record);
+  uint8_t *data = g_malloc (len);
+
+  sp__job_record__pack (record, data);
+  return g_bytes_new_take (data, len);
+}
+
+/* Tells whether a task has anything to record. */
+static bool
+task_has_progress (const struct task *task)
+{
+  return task->done || task->failures > 0 || task->ended_attempt > 0;
+}
+
+/* Makes a progress record of a job. The checkpoints of an ended job are left out. */
+Sp__JobProgress *
+job_progress_create (const struct job *job, Sp__JobState state)
+{
+  Sp__JobProgress *progress = g_new (Sp__JobProgress, 1);
+  bool final = job_state_is_final (state);
+
+  sp__job_progress__init (progress);
+  progress->id = job->id;
+  progress->state = state;
+  if (final)
+    return progress;
+  progress->tasks = g_new (Sp__TaskProgress *, MAX (job->n_tasks, 1));
+  for (uint32_t i = 0; i < job->n_tasks; i++)
+    {
+      const struct task *task = &job->tasks[i];
+      Sp__TaskProgress *entry;
+
+      if (!task_has_progress (task))
+        continue;
+      entry = g_new (Sp__TaskProgress, 1);
+      sp__task_progress__init (entry);
+      entry->task = i;
+      entry->done = task->done;
+      entry->failures = task->failures;
+      entry->ended_attempt = task->ended_attempt;
+      if (task->checkpoint && !task->done)
+        entry->checkpoint = task->checkpoint;
+      progress->tasks[progress->n_tasks++] = entry;
+    }
+  return progress;
+}
+
+/* Frees a progress record; its texts belong to the job. */
+void
+job_progress_destroy (Sp__JobProgress *progress)
+{
+  for (size_t i = 0; i < progress->n_tasks; i++)
+    g_free (progress->tasks[i]);
+  g_free (progress->tasks);
+  g_free (progress);
+}
+
+/* Gives the keys of all records of a job, that of its progress last. */
+char **
+job_record_keys_of (const char *id)
+{
+  char **keys = g_new0 (char *, 4);
+
+  keys[0] = g_strconcat ("d/", id, NULL);
+  keys[1] = g_strconcat ("c/", id, NULL);
+  keys[2] = g_strconcat ("p/", id, NULL);
+  return keys;
+}
--- /dev/null
+++ b/lib/jobs/pool_size.c
@@ -0,0 +1,400 @@
+#include "scheduler_state.h"
+
+#include <string.h>
+
+/* How many hosts each pool needs, and which move. Demand turns through the queues faster than a
+ * person could follow; hosts that nobody needs stand in a standby pool, where they cost nothing. */
+
+enum
+{
+  PERMILLE = 1000,
+  /* Share of a host that packing can use: tasks are a tenth of a host. */
+  PACKING_PERMILLE = 850,
+  /* Hosts that a pool keeps at least, so that lasting tasks have somewhere to go. */
+  HOSTS_MIN = 2,
+  /* How long a host must have been idle before another pool, or the standby pool, gets it. A move
+   * costs as much as a bit more than a second of a host. */
+  IDLE_FOR_PEER_MS = 200,
+  IDLE_FOR_STANDBY_MS = 1500,
+  RETRY_MS = 500,
+  /* A host stays where it came for this long. */
+  STAY_MS = 3000,
+};
+
+/* Finds a host. */
+struct host *
+scheduler_host (const struct scheduler *scheduler, const char *id)
+{
+  struct host *host;
+
+  TAILQ_FOREACH (host, &scheduler->hosts, link)
+    {
+      if (strcmp (host->id, id) == 0)
+        return host;
+    }
+  return NULL;
+}
+
+/* Frees a host. */
+void
+pool_host_destroy (struct host *host)
+{
+  g_free (host->id);
+  g_free (host->pool);
+  g_free (host->endpoint_id);
+  g_free (host->rack);
+  g_free (host);
+}
+
+/* Gives the endpoint that runs on a host, or NULL. */
+struct endpoint *
+host_endpoint (const struct scheduler *scheduler, const struct host *host)
+{
+  return host->endpoint_id ? g_hash_table_lookup (scheduler->endpoints, host->endpoint_id) : NULL;
+}
+
+/* Takes one entry of the machine list. */
+static void
+host_update (struct host *host, const struct host_entry *entry)
+{
+  size_t n = entry->labels ? g_strv_length ((char **) entry->labels) : 0;
+
+  host->listed = true;
+  host->state = entry->state;
+  host->capacity = entry->capacity;
+  if (g_strcmp0 (host->pool, entry->pool) != 0)
+    {
+      g_free (host->pool);
+      host->pool = g_strdup (entry->pool);
+    }
+  g_free (host->endpoint_id);
+  host->endpoint_id = g_strdup (entry->endpoint);
+  g_free (host->rack);
+  host->rack = n > 0 ? g_strdup (entry->labels[n - 1]) : NULL;
+}
+
+/* Takes a whole reading of the machine list. */
+void
+scheduler_hosts_listed (struct scheduler *scheduler, const struct host_entry *entries, size_t n,
+                        int64_t sent_ms, int64_t now_ms)
+{
+  struct host *host;
+  struct host *next;
+
+  scheduler->now_ms = now_ms;
+  scheduler->hosts_listed = true;
+  TAILQ_FOREACH (host, &scheduler->hosts, link)
+    host->listed = false;
+  for (size_t i = 0; i < n; i++)
+    {
+      host = scheduler_host (scheduler, entries[i].id);
+      if (!host)
+        {
+          host = g_new0 (struct host, 1);
+          host->id = g_strdup (entries[i].id);
+          TAILQ_INSERT_TAIL (&scheduler->hosts, host, link);
+        }
+      /* The list may have been read before an order that is under way. */
+      if (host->order_in_flight || host->order_done_ms > sent_ms)
+        host->listed = true;
+      else
+        host_update (host, &entries[i]);
+    }
+  for (host = TAILQ_FIRST (&scheduler->hosts); host; host = next)
+    {
+      next = TAILQ_NEXT (host, link);
+      if (host->listed || host->order_in_flight)
+        continue;
+      TAILQ_REMOVE (&scheduler->hosts, host, link);
+      pool_host_destroy (host);
+    }
+}
+
+/* Adds up what the tasks of a pool need that run or could run. */
+static void
+pool_sum_need (struct pool *pool)
+{
+  const struct job *job;
+
+  pool->need = (struct resources){ 0 };
+  TAILQ_FOREACH (job, &pool->jobs, pool_link)
+    {
+      for (uint32_t i = 0; i < job->n_tasks; i++)
+        {
+          const struct task *task = &job->tasks[i];
+          struct resources need;
+
+          if (task->phase == TASK_DONE || task->phase == TASK_BLOCKED)
+            continue;
+          need = task_resources (task);
+          pool->need.cpu_milli += need.cpu_milli;
+          pool->need.memory_mb += need.memory_mb;
+          pool->need.gpus += need.gpus;
+        }
+    }
+}
+
+/* Gives the number of hosts of one size that need makes. */
+static unsigned
+hosts_for (const struct resources *need, const struct resources *size)
+{
+  int64_t cpu = size->cpu_milli * PACKING_PERMILLE / PERMILLE;
+  int64_t memory = size->memory_mb * PACKING_PERMILLE / PERMILLE;
+  int64_t n = 0;
+
+  if (cpu > 0)
+    n = MAX (n, (need->cpu_milli + cpu - 1) / cpu);
+  if (memory > 0)
+    n = MAX (n, (need->memory_mb + memory - 1) / memory);
+  return (unsigned) n;
+}
+
+/* Tells whether a host counts for its pool: it serves, or will soon. */
+static bool
+host_counts (const struct scheduler *scheduler, const struct host *host)
+{
+  const struct endpoint *endpoint = host_endpoint (scheduler, host);
+
+  if (host->state == HOST_MOVING || host->state == HOST_IN_MAINTENANCE)
+    return true;
+  return host->state == HOST_UP &&
+         (!endpoint || (!endpoint->draining && endpoint->silent_since_ms == 0));
+}
+
+/* Counts a pool's hosts. */
+static unsigned
+pool_count_hosts (const struct scheduler *scheduler, const struct pool *pool)
+{
+  const struct host *host;
+  unsigned n = 0;
+
+  TAILQ_FOREACH (host, &scheduler->hosts, link)
+    n += strcmp (host->pool, pool->name) == 0 && host_counts (scheduler, host);
+  return n;
+}
+
+/* Tells whether a host may move: nothing runs on it, and nothing is about to. */
+static bool
+host_is_free (const struct scheduler *scheduler, const struct host *host, bool standby,
+              int64_t idle_ms)
+{
+  const struct endpoint *endpoint = host_endpoint (scheduler, host);
+
+  if (host->state != HOST_UP || host->order_in_flight || host->order_unsure ||
+      scheduler->now_ms < host->next_order_ms)
+    return false;
+  if (standby)
+    return true;
+  return endpoint && endpoint->fenced && endpoint->n_tasks == 0 && !endpoint->draining &&
+         !endpoint->cordoned_for_wave && endpoint->silent_since_ms == 0 &&
+         scheduler->now_ms - endpoint->idle_since_ms >= idle_ms &&
+         scheduler->now_ms - host->moved_ms >= STAY_MS &&
+         endpoint->ends_acked >= endpoint->ends_seen;
+}
+
+/* Finds a host of a pool that may move. */
+static struct host *
+pool_free_host (const struct scheduler *scheduler, const struct pool *pool, int64_t idle_ms)
+{
+  struct host *host;
+
+  TAILQ_FOREACH (host, &scheduler->hosts, link)
+    {
+      if (strcmp (host->pool, pool->name) == 0 &&
+          host_is_free (scheduler, host, pool->standby, idle_ms))
+        return host;
+    }
+  return NULL;
+}
+
+/* Orders a move. The endpoint takes no more tasks from now on. */
+static void
+host_move (struct scheduler *scheduler, struct host *host, const struct pool *pool)
+{
+  struct endpoint *endpoint = host_endpoint (scheduler, host);
+
+  if (endpoint)
+    endpoint->cordoned = true;
+  host->order_in_flight = true;
+  scheduler->counts.moves++;
+  scheduler->ops.move_host (scheduler->ops.ctx, host, pool->name);
+}
+
+/* Finds a host for a pool that lacks one: from a standby pool, or an idle one of a pool that needs
+ * fewer than it has. */
+static struct host *
+scheduler_find_spare (const struct scheduler *scheduler, const struct pool *needy)
+{
+  const struct pool *pool;
+  struct host *host;
+
+  TAILQ_FOREACH (pool, &scheduler->pools, link)
+    {
+      host = pool->standby ? pool_free_host (scheduler, pool, 0) : NULL;
+      if (host)
+        return host;
+    }
+  TAILQ_FOREACH (pool, &scheduler->pools, link)
+    {
+      if (pool->standby || pool == needy ||
+          pool_count_hosts (scheduler, pool) <= MAX (pool->hosts_wanted, HOSTS_MIN))
+        continue;
+      host = pool_free_host (scheduler, pool, IDLE_FOR_PEER_MS);
+      if (host)
+        return host;
+    }
+  return NULL;
+}
+
+/* Puts idle hosts of a pool that has too many into the standby pool. */
+static void
+pool_shrink (struct scheduler *scheduler, struct pool *pool, const struct pool *standby)
+{
+  unsigned have = pool_count_hosts (scheduler, pool);
+
+  while (have > MAX (pool->hosts_wanted + 1, HOSTS_MIN))
+    {
+      struct host *host = pool_free_host (scheduler, pool, IDLE_FOR_STANDBY_MS);
+
+      if (!host)
+        return;
+      host_move (scheduler, host, standby);
+      have--;
+    }
+}
+
+/* Gives the size of a pool's hosts, of any host if it has none. */
+static struct resources
+pool_host_size (const struct scheduler *scheduler, const struct pool *pool)
+{
+  const struct host *host;
+  struct resources size = { 0 };
+
+  TAILQ_FOREACH (host, &scheduler->hosts, link)
+    {
+      if (strcmp (host->pool, pool->name) == 0)
+        return host->capacity;
+      size = host->capacity;
+    }
+  return size;
+}
+
+/* Moves hosts to where they are needed. */
+void
+scheduler_size_pools (struct scheduler *scheduler)
+{
+  struct pool *pool;
+  struct pool *standby = NULL;
+
+  if (!scheduler->renewed || !scheduler->hosts_listed || !scheduler->inheritance_known)
+    return;
+  TAILQ_FOREACH (pool, &scheduler->pools, link)
+    {
+      struct resources size = pool_host_size (scheduler, pool);
+
+      pool_sum_need (pool);
+      pool->hosts_wanted = hosts_for (&pool->need, &size);
+      if (pool->standby)
+        standby = pool;
+    }
+  TAILQ_FOREACH (pool, &scheduler->pools, link)
+    {
+      unsigned have = pool_count_hosts (scheduler, pool);
+
+      while (!pool->standby && have < pool->hosts_wanted)
+        {
+          struct host *host = scheduler_find_spare (scheduler, pool);
+
+          if (!host)
+            break;
+          host_move (scheduler, host, pool);
+          have++;
+        }
+    }
+  TAILQ_FOREACH (pool, &scheduler->pools, link)
+    {
+      if (standby && !pool->standby)
+        pool_shrink (scheduler, pool, standby);
+    }
+}
+
+/* What ran on a host's endpoint ended with an order that was carried out. */
+static void
+host_emptied (struct scheduler *scheduler, struct host *host)
+{
+  struct endpoint *endpoint = host_endpoint (scheduler, host);
+
+  if (!endpoint)
+    return;
+  endpoint_reset (scheduler, endpoint, "its host was moved or maintained");
+  endpoint->listed = false;
+  endpoint->cordoned = true;
+  g_free (host->endpoint_id);
+  host->endpoint_id = NULL;
+}
+
+/* An order for a host failed: its endpoint goes on. */
+static void
+host_order_failed (struct scheduler *scheduler, struct host *host, enum host_result result)
+{
+  struct endpoint *endpoint = host_endpoint (scheduler, host);
+
+  host->next_order_ms = scheduler->now_ms + RETRY_MS;
+  host->order_unsure = result == HOST_ORDER_UNKNOWN;
+  if (result == HOST_ORDER_FENCED)
+    scheduler_depose (scheduler, "an order for a host was fenced off");
+  if (endpoint)
+    endpoint->cordoned = endpoint->cordoned_for_wave;
+}
+
+/* The platform has answered a move, or has not. */
+void
+scheduler_move_done (struct scheduler *scheduler, struct host *host, enum host_result result,
+                     int64_t now_ms)
+{
+  scheduler->now_ms = now_ms;
+  host->order_in_flight = false;
+  if (result != HOST_ORDER_DONE)
+    {
+      host_order_failed (scheduler, host, result);
+      return;
+    }
+  host->order_unsure = false;
+  host->order_done_ms = now_ms;
+  host->moved_ms = now_ms;
+  host->state = HOST_MOVING;
+  host_emptied (scheduler, host);
+}
+
+/* The platform has answered an order of maintenance, or has not. */
+void
+scheduler_maintain_done (struct scheduler *scheduler, struct host *host, uint32_t number,
+                         enum host_result result, int64_t now_ms)
+{
+  struct wave *wave;
+
+  scheduler->now_ms = now_ms;
+  host->order_in_flight = false;
+  TAILQ_FOREACH (wave, &scheduler->waves, link)
+    {
+      if (wave->number == number)
+        break;
+    }
+  if (wave && (result == HOST_ORDER_DONE || result == HOST_ORDER_NOT_IN_WAVE))
+    {
+      g_hash_table_remove (wave->left, host->id);
+      if (result == HOST_ORDER_DONE)
+        g_hash_table_add (wave->begun, g_strdup (host->id));
+      wave->dirty = true;
+    }
+  if (result != HOST_ORDER_DONE)
+    {
+      host_order_failed (scheduler, host, result);
+      return;
+    }
+  scheduler->counts.maintenances++;
+  host->order_unsure = false;
+  host->order_done_ms = now_ms;
+  host->state = HOST_IN_MAINTENANCE;
+  host_emptied (scheduler, host);
+}
--- /dev/null
+++ b/lib/jobs/scheduler.c
@@ -0,0 +1,677 @@
+#include "scheduler_state.h"
+
+#include <stdio.h>
+#include <string.h>
+
+enum
+{
+  PERMILLE = 1000,
+  /* The endpoints' clocks may be 2% slow. */
+  SLOW_CLOCK_PERMILLE = 20,
+  /* Allowance for an order that was under way when its sender lost the leadership. */
+  INHERIT_MARGIN_MS = 500,
+  /* A job's age is taken from clocks of two hosts; more than this is a clock that jumped. */
+  JOB_AGE_MAX_MS = 30000,
+  /* How often repeated jobs are looked at for occurrences that are due. */
+  REVIEW_MS = 50,
+  /* How often the pools are sized: a host takes longer than this to move. */
+  SIZING_MS = 100,
+};
+
+/* Finds a pool, or makes it: jobs may come before the configuration that names their pool. */
+struct pool *
+scheduler_pool (struct scheduler *scheduler, const char *name)
+{
+  struct pool *pool;
+
+  TAILQ_FOREACH (pool, &scheduler->pools, link)
+    {
+      if (strcmp (pool->name, name) == 0)
+        return pool;
+    }
+  pool = g_new0 (struct pool, 1);
+  pool->name = g_strdup (name);
+  TAILQ_INIT (&pool->jobs);
+  TAILQ_INSERT_TAIL (&scheduler->pools, pool, link);
+  return pool;
+}
+
+/* Takes a pool of the configuration. */
+void
+scheduler_set_pool (struct scheduler *scheduler, const char *name, bool standby)
+{
+  scheduler_pool (scheduler, name)->standby = standby;
+}
+
+/* Stops giving orders, because another leader has taken over. */
+void
+scheduler_depose (struct scheduler *scheduler, const char *why)
+{
+  if (scheduler->deposed)
+    return;
+  scheduler->deposed = true;
+  scheduler->ops.deposed (scheduler->ops.ctx, why);
+}
+
+/* Has the job's progress recorded. */
+void
+job_mark_dirty (struct scheduler *scheduler, struct job *job)
+{
+  job->dirty = true;
+  g_hash_table_add (scheduler->dirty, job);
+}
+
+/* Tells whether no task of the job may start any more. */
+bool
+job_is_over (const struct job *job)
+{
+  return job->cancelled || job_state_is_final (job->next_state) || job_state_is_final (job->state);
+}
+
+/* Tells whether all tasks of a step are done. */
+static bool
+step_is_done (const struct job *job, uint32_t occurrence, uint32_t step)
+{
+  struct task *first = job_task (job, occurrence, step, 0);
+
+  for (uint32_t i = 0; i < job->definition->steps[step]->n_tasks; i++)
+    {
+      if (!first[i].done)
+        return false;
+    }
+  return true;
+}
+
+/* Tells whether the tasks of a step may start: its occurrence is due and all that it depends on is
+ * done. */
+bool
+step_is_open (const struct job *job, uint32_t occurrence, uint32_t step)
+{
+  const Sp__JobStep *definition = job->definition->steps[step];
+
+  for (size_t i = 0; i < definition->n_depends_on; i++)
+    {
+      if (!step_is_done (job, occurrence, definition->depends_on[i]))
+        return false;
+    }
+  return true;
+}
+
+/* Tells whether an occurrence's time has come. */
+static bool
+occurrence_is_due (const struct scheduler *scheduler, const struct job *job, uint32_t occurrence)
+{
+  const Sp__JobDefinition *definition = job->definition;
+
+  if (definition->repeats == 0)
+    return true;
+  return scheduler->wall_ms >= definition->first_ms + occurrence * definition->interval_ms;
+}
+
+/* Opens the steps whose time has come and notes the job's end. */
+void
+job_review (struct scheduler *scheduler, struct job *job)
+{
+  if (!job->scheduled || job_is_over (job))
+    return;
+  for (uint32_t k = 0; k < job->n_occurrences; k++)
+    {
+      if (!occurrence_is_due (scheduler, job, k))
+        break;
+      for (uint32_t s = 0; s < job->definition->n_steps; s++)
+        {
+          struct task *task = job_task (job, k, s, 0);
+          uint32_t n = job->definition->steps[s]->n_tasks;
+
+          if (!step_is_open (job, k, s))
+            continue;
+          for (uint32_t i = 0; i < n; i++)
+            {
+              if (task[i].phase == TASK_BLOCKED && !task[i].done)
+                task_set_phase (scheduler, &task[i], TASK_READY);
+            }
+        }
+    }
+  if (job->n_left > 0)
+    return;
+  job->next_state = SP__JOB_STATE__JOB_COMPLETED;
+  job_mark_dirty (scheduler, job);
+}
+
+/* Gives the moment at which the job's objective passes. */
+static int64_t
+job_due_ms (const struct scheduler *scheduler, const struct job *job)
+{
+  const Sp__JobDefinition *definition = job->definition;
+  int64_t age_ms = CLAMP (scheduler->wall_ms - definition->accepted_ms, 0, JOB_AGE_MAX_MS);
+  int64_t objective_ms =
+      job->chain_ms * definition->slack_permille / PERMILLE + definition->target_ms;
+
+  return scheduler->now_ms - age_ms + objective_ms;
+}
+
+/* Puts the tasks of a job into the state that its durable progress says. */
+static void
+job_prepare (struct job *job)
+{
+  job->n_ready = 0;
+  job->n_live = 0;
+  job->n_left = 0;
+  job->next_state = job->state;
+  for (uint32_t i = 0; i < job->n_tasks; i++)
+    {
+      struct task *task = &job->tasks[i];
+
+      task->endpoint = NULL;
+      task->phase = task->done ? TASK_DONE : TASK_BLOCKED;
+      task->attempt = task->ended_attempt;
+      task->order_in_flight = false;
+      task->pace_in_flight = false;
+      task->pace_percent = 100;
+      task->pace_ordered_percent = 100;
+      task->away_since_ms = 0;
+      job->n_left += !task->done;
+    }
+}
+
+/* Numbers the attempts that earlier leaders may have started without a trace; the journal does not
+ * record starts. */
+static void
+job_skip_attempts (const struct scheduler *scheduler, struct job *job)
+{
+  enum
+  {
+    ATTEMPTS_PER_EPOCH = 100,
+  };
+  uint64_t epochs = scheduler->config.epoch - MIN (job->definition->epoch, scheduler->config.epoch);
+  uint32_t least = (uint32_t) MIN (epochs, 10000) * ATTEMPTS_PER_EPOCH;
+
+  for (uint32_t i = 0; i < job->n_tasks; i++)
+    job->tasks[i].attempt = MAX (job->tasks[i].attempt, least);
+}
+
+/* Takes a job in. */
+void
+scheduler_job_defined (struct scheduler *scheduler, struct job *job, int64_t now_ms,
+                       int64_t wall_ms)
+{
+  scheduler->now_ms = now_ms;
+  scheduler->wall_ms = wall_ms;
+  if (job->scheduled || !job->definition || job_state_is_final (job->state))
+    return;
+  job->scheduled = true;
+  job->inherited = job->offset < scheduler->config.claim_offset;
+  job_prepare (job);
+  if (job->inherited)
+    job_skip_attempts (scheduler, job);
+  job->chain_ms = job_chain_ms (job);
+  job->due_ms = job_due_ms (scheduler, job);
+  TAILQ_INSERT_TAIL (&scheduler_pool (scheduler, job->definition->pool)->jobs, job, pool_link);
+  scheduler->counts.jobs++;
+  job_review (scheduler, job);
+  if (job->cancelled)
+    scheduler_job_cancelled (scheduler, job, now_ms);
+}
+
+/* Notes the end of a job that was cancelled or failed, once nothing of it runs. */
+static void
+job_settle (struct scheduler *scheduler, struct job *job)
+{
+  if (!job->cancelled || job->n_live > 0 || job_state_is_final (job->next_state))
+    return;
+  job->next_state = SP__JOB_STATE__JOB_CANCELLED;
+  job_mark_dirty (scheduler, job);
+}
+
+/* Stops all that runs of a job whose cancellation is durable. */
+void
+scheduler_job_cancelled (struct scheduler *scheduler, struct job *job, int64_t now_ms)
+{
+  scheduler->now_ms = now_ms;
+  if (!job->scheduled || job_state_is_final (job->next_state))
+    return;
+  for (uint32_t i = 0; i < job->n_tasks; i++)
+    task_stop (scheduler, &job->tasks[i], "cancelled");
+  job_settle (scheduler, job);
+}
+
+/* Takes a job out of the schedule. */
+static void
+scheduler_drop_job (struct scheduler *scheduler, struct job *job)
+{
+  if (!job->scheduled)
+    return;
+  for (uint32_t i = 0; i < job->n_tasks; i++)
+    {
+      if (job->tasks[i].endpoint)
+        endpoint_remove_task (&job->tasks[i], scheduler->now_ms);
+    }
+  job->scheduled = false;
+  job->dirty = false;
+  g_hash_table_remove (scheduler->dirty, job);
+  TAILQ_REMOVE (&scheduler_pool (scheduler, job->definition->pool)->jobs, job, pool_link);
+  scheduler->counts.jobs--;
+}
+
+/* Takes out a job whose records are deleted. */
+void
+scheduler_job_forgotten (struct scheduler *scheduler, struct job *job)
+{
+  scheduler_drop_job (scheduler, job);
+}
+
+/* Finds a task by its name on the endpoints. Gives NULL if there is no such job or task. */
+struct task *
+scheduler_find_task (const struct scheduler *scheduler, const char *name)
+{
+  char id[64];
+  unsigned occurrence;
+  unsigned step;
+  unsigned index;
+  const struct job *job;
+
+  if (sscanf (name, "%63[^.].%u.%u.%u", id, &occurrence, &step, &index) != 4)
+    return NULL;
+  job = job_book_find (scheduler->book, id);
+  return job ? job_task (job, occurrence, step, index) : NULL;
+}
+
+/* Makes the scheduler of a new leader, with all jobs of the book that have not ended. */
+struct scheduler *
+scheduler_create (const struct scheduler_config *config, const struct scheduler_ops *ops,
+                  struct job_book *book, int64_t now_ms, int64_t wall_ms)
+{
+  struct scheduler *scheduler = g_new0 (struct scheduler, 1);
+  GHashTableIter each;
+  gpointer value;
+
+  scheduler->config = *config;
+  scheduler->ops = *ops;
+  scheduler->book = book;
+  scheduler->now_ms = now_ms;
+  scheduler->wall_ms = wall_ms;
+  scheduler->claimed_ms = now_ms;
+  scheduler->renewed = true;
+  scheduler->endpoints = g_hash_table_new (g_str_hash, g_str_equal);
+  scheduler->dirty = g_hash_table_new (g_direct_hash, g_direct_equal);
+  TAILQ_INIT (&scheduler->pools);
+  TAILQ_INIT (&scheduler->hosts);
+  TAILQ_INIT (&scheduler->waves);
+  g_hash_table_iter_init (&each, book->jobs);
+  while (g_hash_table_iter_next (&each, NULL, &value))
+    scheduler_job_defined (scheduler, value, now_ms, wall_ms);
+  return scheduler;
+}
+
+/* Ends a leadership; the book keeps the durable state. */
+void
+scheduler_destroy (struct scheduler *scheduler)
+{
+  GHashTableIter each;
+  gpointer value;
+
+  g_hash_table_iter_init (&each, scheduler->book->jobs);
+  while (g_hash_table_iter_next (&each, NULL, &value))
+    scheduler_drop_job (scheduler, value);
+  g_hash_table_iter_init (&each, scheduler->endpoints);
+  while (g_hash_table_iter_next (&each, NULL, &value))
+    endpoint_destroy (value);
+  while (!TAILQ_EMPTY (&scheduler->pools))
+    {
+      struct pool *pool = TAILQ_FIRST (&scheduler->pools);
+
+      TAILQ_REMOVE (&scheduler->pools, pool, link);
+      g_free (pool->name);
+      g_free (pool);
+    }
+  while (!TAILQ_EMPTY (&scheduler->hosts))
+    {
+      struct host *host = TAILQ_FIRST (&scheduler->hosts);
+
+      TAILQ_REMOVE (&scheduler->hosts, host, link);
+      pool_host_destroy (host);
+    }
+  while (!TAILQ_EMPTY (&scheduler->waves))
+    {
+      struct wave *wave = TAILQ_FIRST (&scheduler->waves);
+
+      TAILQ_REMOVE (&scheduler->waves, wave, link);
+      wave_destroy (wave);
+    }
+  g_hash_table_destroy (scheduler->endpoints);
+  g_hash_table_destroy (scheduler->dirty);
+  g_free (scheduler);
+}
+
+/* Takes an entry of the registry. A new life of the endpoint holds nothing of before. */
+void
+scheduler_endpoint_listed (struct scheduler *scheduler, const struct endpoint_entry *entry,
+                           int64_t now_ms)
+{
+  struct endpoint *endpoint = g_hash_table_lookup (scheduler->endpoints, entry->id);
+  bool was_draining;
+
+  scheduler->now_ms = now_ms;
+  if (!endpoint)
+    {
+      endpoint = endpoint_create (entry->id, now_ms);
+      endpoint->born_ms = entry->born_ms;
+      g_hash_table_insert (scheduler->endpoints, endpoint->id, endpoint);
+    }
+  if (entry->born_ms > endpoint->born_ms)
+    {
+      if (endpoint->born_ms > 0)
+        endpoint_reset (scheduler, endpoint, "new life in the registry");
+      endpoint->born_ms = entry->born_ms;
+    }
+  was_draining = endpoint->draining;
+  endpoint_update (endpoint, entry);
+  if (endpoint->draining && !was_draining)
+    endpoint->next_hold_ms = now_ms;
+  scheduler_pool (scheduler, entry->pool)->changed = true;
+}
+
+/* An endpoint's entry has been removed from the registry: it has left, or was silent. */
+void
+scheduler_endpoint_gone (struct scheduler *scheduler, const char *id, int64_t now_ms)
+{
+  struct endpoint *endpoint = g_hash_table_lookup (scheduler->endpoints, id);
+
+  scheduler->now_ms = now_ms;
+  if (endpoint)
+    endpoint->listed = false;
+}
+
+/* The whole registry has been read. */
+void
+scheduler_registry_read (struct scheduler *scheduler)
+{
+  scheduler->registry_read = true;
+}
+
+/* Allows or forbids calls that change hosts. */
+void
+scheduler_set_renewed (struct scheduler *scheduler, bool renewed)
+{
+  scheduler->renewed = renewed;
+}
+
+/* Tells whether each endpoint that may run an earlier leader's tasks has answered, or else its
+ * lease must have lapsed. */
+static bool
+scheduler_all_endpoints_known (const struct scheduler *scheduler)
+{
+  GHashTableIter each;
+  gpointer value;
+  const struct host *host;
+
+  if (!scheduler->registry_read || !scheduler->hosts_listed)
+    return false;
+  g_hash_table_iter_init (&each, scheduler->endpoints);
+  while (g_hash_table_iter_next (&each, NULL, &value))
+    {
+      const struct endpoint *endpoint = value;
+
+      if (!endpoint->fenced)
+        return false;
+    }
+  TAILQ_FOREACH (host, &scheduler->hosts, link)
+    {
+      if (host->state == HOST_UP && host->endpoint_id &&
+          !g_hash_table_contains (scheduler->endpoints, host->endpoint_id))
+        return false;
+    }
+  return true;
+}
+
+/* Finds out whether tasks of an earlier leader may still run unseen. */
+static void
+scheduler_review_inheritance (struct scheduler *scheduler)
+{
+  int64_t longest_ms =
+      scheduler->config.lease_ms * (PERMILLE + SLOW_CLOCK_PERMILLE) / PERMILLE + INHERIT_MARGIN_MS;
+  struct pool *pool;
+
+  if (scheduler->inheritance_known)
+    return;
+  if (!scheduler_all_endpoints_known (scheduler) &&
+      scheduler->now_ms - scheduler->claimed_ms < longest_ms)
+    return;
+  scheduler->inheritance_known = true;
+  TAILQ_FOREACH (pool, &scheduler->pools, link)
+    pool->changed = true;
+}
+
+/* Looks after all endpoints; frees those that are gone for good. */
+static void
+scheduler_tick_endpoints (struct scheduler *scheduler)
+{
+  GHashTableIter each;
+  gpointer value;
+
+  g_hash_table_iter_init (&each, scheduler->endpoints);
+  while (g_hash_table_iter_next (&each, NULL, &value))
+    {
+      struct endpoint *endpoint = value;
+
+      endpoint_tick (scheduler, endpoint);
+      if (!endpoint->listed && endpoint->n_tasks == 0 && endpoint->calls == 0)
+        {
+          g_hash_table_iter_remove (&each);
+          endpoint_destroy (endpoint);
+        }
+    }
+}
+
+/* Has repeated jobs looked at for occurrences that are due. */
+static void
+scheduler_review_jobs (struct scheduler *scheduler)
+{
+  struct pool *pool;
+  struct job *job;
+
+  if (scheduler->now_ms < scheduler->next_review_ms)
+    return;
+  scheduler->next_review_ms = scheduler->now_ms + REVIEW_MS;
+  TAILQ_FOREACH (pool, &scheduler->pools, link)
+    {
+      TAILQ_FOREACH (job, &pool->jobs, pool_link)
+        {
+          if (job->definition->repeats > 0)
+            job_review (scheduler, job);
+          job_settle (scheduler, job);
+        }
+    }
+}
+
+/* Takes out the jobs whose end is durable and of which nothing runs. */
+static void
+scheduler_drop_ended (struct scheduler *scheduler)
+{
+  struct pool *pool;
+
+  TAILQ_FOREACH (pool, &scheduler->pools, link)
+    {
+      struct job *job = TAILQ_FIRST (&pool->jobs);
+
+      while (job)
+        {
+          struct job *next = TAILQ_NEXT (job, pool_link);
+
+          if (job_state_is_final (job->state) && job->n_live == 0 && !job->dirty)
+            scheduler_drop_job (scheduler, job);
+          job = next;
+        }
+    }
+}
+
+/* Sends again the orders of the tasks that wait for an answer. */
+static void
+scheduler_tick_tasks (struct scheduler *scheduler)
+{
+  GHashTableIter each;
+  gpointer value;
+
+  g_hash_table_iter_init (&each, scheduler->endpoints);
+  while (g_hash_table_iter_next (&each, NULL, &value))
+    {
+      struct endpoint *endpoint = value;
+      struct task *task = TAILQ_FIRST (&endpoint->tasks);
+
+      while (task)
+        {
+          struct task *next = TAILQ_NEXT (task, endpoint_link);
+
+          task_send_orders (scheduler, task);
+          task = next;
+        }
+    }
+}
+
+/* Lets time pass: gives the orders that are due. */
+void
+scheduler_tick (struct scheduler *scheduler, int64_t now_ms, int64_t wall_ms)
+{
+  struct pool *pool;
+
+  scheduler->now_ms = now_ms;
+  scheduler->wall_ms = wall_ms;
+  if (scheduler->deposed)
+    return;
+  scheduler_tick_endpoints (scheduler);
+  scheduler_tick_tasks (scheduler);
+  scheduler_review_inheritance (scheduler);
+  scheduler_review_jobs (scheduler);
+  scheduler_drop_ended (scheduler);
+  TAILQ_FOREACH (pool, &scheduler->pools, link)
+    {
+      if (pool->changed)
+        pool_place (scheduler, pool);
+    }
+  if (now_ms < scheduler->next_sizing_ms)
+    return;
+  scheduler->next_sizing_ms = now_ms + SIZING_MS;
+  scheduler_run_waves (scheduler);
+  scheduler_size_pools (scheduler);
+  TAILQ_FOREACH (pool, &scheduler->pools, link)
+    pool->changed = true;
+}
+
+/* Tells whether there is progress to record. */
+bool
+scheduler_is_dirty (const struct scheduler *scheduler)
+{
+  const struct wave *wave;
+
+  if (scheduler->flushing)
+    return false;
+  if (g_hash_table_size (scheduler->dirty) > 0)
+    return true;
+  TAILQ_FOREACH (wave, &scheduler->waves, link)
+    {
+      if (wave->dirty)
+        return true;
+    }
+  return false;
+}
+
+/* Adds the record of a wave. */
+static void
+wave_collect (struct wave *wave, void (*add) (void *ctx, const Sp__JobRecord *record), void *ctx)
+{
+  Sp__WaveProgress progress = SP__WAVE_PROGRESS__INIT;
+  Sp__JobRecord record = SP__JOB_RECORD__INIT;
+  guint n;
+  g_autofree char **hosts = (char **) g_hash_table_get_keys_as_array (wave->begun, &n);
+
+  progress.wave = wave->number;
+  progress.n_hosts = n;
+  progress.hosts = hosts;
+  record.body_case = SP__JOB_RECORD__BODY_WAVE;
+  record.wave = &progress;
+  wave->dirty = false;
+  add (ctx, &record);
+}
+
+/* Hands out all progress that is not durable yet. Until scheduler_flushed nothing more is. */
+void
+scheduler_collect (struct scheduler *scheduler,
+                   void (*add) (void *ctx, const Sp__JobRecord *record), void *ctx)
+{
+  GHashTableIter each;
+  gpointer key;
+  struct wave *wave;
+
+  scheduler->flushing = true;
+  g_hash_table_iter_init (&each, scheduler->dirty);
+  while (g_hash_table_iter_next (&each, &key, NULL))
+    {
+      struct job *job = key;
+      Sp__JobProgress *progress = job_progress_create (job, job->next_state);
+      Sp__JobRecord record = SP__JOB_RECORD__INIT;
+
+      record.body_case = SP__JOB_RECORD__BODY_PROGRESS;
+      record.progress = progress;
+      add (ctx, &record);
+      job_progress_destroy (progress);
+      job->dirty = false;
+    }
+  g_hash_table_remove_all (scheduler->dirty);
+  TAILQ_FOREACH (wave, &scheduler->waves, link)
+    {
+      if (wave->dirty)
+        wave_collect (wave, add, ctx);
+    }
+  g_hash_table_iter_init (&each, scheduler->endpoints);
+  while (g_hash_table_iter_next (&each, NULL, &key))
+    ((struct endpoint *) key)->ends_flushing = ((struct endpoint *) key)->ends_seen;
+}
+
+/* What was collected last is durable, or was given up and never will be. */
+void
+scheduler_flushed (struct scheduler *scheduler, bool durable, int64_t now_ms)
+{
+  GHashTableIter each;
+  gpointer value;
+
+  scheduler->now_ms = now_ms;
+  scheduler->flushing = false;
+  if (!durable)
+    return;
+  g_hash_table_iter_init (&each, scheduler->endpoints);
+  while (g_hash_table_iter_next (&each, NULL, &value))
+    {
+      struct endpoint *endpoint = value;
+
+      if (endpoint->ends_flushing <= endpoint->ends_durable)
+        continue;
+      endpoint->ends_durable = endpoint->ends_flushing;
+      endpoint->next_hold_ms = now_ms;
+    }
+}
+
+/* Gives the scheduler's counts. */
+void
+scheduler_count (const struct scheduler *scheduler, struct scheduler_counts *counts)
+{
+  GHashTableIter each;
+  gpointer value;
+  const struct pool *pool;
+  const struct job *job;
+
+  *counts = scheduler->counts;
+  g_hash_table_iter_init (&each, scheduler->endpoints);
+  while (g_hash_table_iter_next (&each, NULL, &value))
+    {
+      const struct endpoint *endpoint = value;
+
+      counts->endpoints++;
+      counts->endpoints_silent += endpoint->silent_since_ms > 0;
+      counts->tasks_running += endpoint->n_tasks;
+    }
+  TAILQ_FOREACH (pool, &scheduler->pools, link)
+    {
+      TAILQ_FOREACH (job, &pool->jobs, pool_link)
+        counts->tasks_ready += job->n_ready;
+    }
+}
--- /dev/null
+++ b/lib/jobs/scheduler_state.h
@@ -0,0 +1,118 @@
+#ifndef SESAMEPICK_LIB_JOBS_SCHEDULER_STATE_H
+#define SESAMEPICK_LIB_JOBS_SCHEDULER_STATE_H
+
+#include "lib/jobs/scheduler.h"
+
+/* What the scheduler's files share. */
+
+TAILQ_HEAD (job_list, job);
+TAILQ_HEAD (wave_list, wave);
+TAILQ_HEAD (pool_list, pool);
+
+/* The endpoints that serve one service, and the jobs that need them. */
+struct pool
+{
+  TAILQ_ENTRY (pool) link;
+  char *name;
+  /* Its hosts are off and cost nothing. */
+  bool standby;
+  /* Jobs with tasks that are not done, in the order of their arrival. */
+  struct job_list jobs;
+  /* Something changed that may let a task start. */
+  bool changed;
+  /* Need of the tasks that run or could, and how many hosts that makes. */
+  struct resources need;
+  unsigned hosts_wanted;
+  /* Since when the pool has had more hosts than it needs; 0 if it has not. */
+  int64_t surplus_since_ms;
+  int64_t last_want_ms;
+};
+
+/* A maintenance wave under way. */
+struct wave
+{
+  TAILQ_ENTRY (wave) link;
+  uint32_t number;
+  /* Ids of the hosts still to do, and of those done, as sets. */
+  GHashTable *left;
+  GHashTable *begun;
+  unsigned most_at_once;
+  int64_t start_ms;
+  int64_t duration_ms;
+  bool dirty;
+  bool announced;
+  bool completed;
+};
+
+struct scheduler
+{
+  struct scheduler_config config;
+  struct scheduler_ops ops;
+  struct job_book *book;
+  int64_t now_ms;
+  int64_t wall_ms;
+  int64_t claimed_ms;
+  /* Id to struct endpoint. */
+  GHashTable *endpoints;
+  bool registry_read;
+  /* No earlier leader's task can run unseen any more. */
+  bool inheritance_known;
+  struct pool_list pools;
+  struct host_list hosts;
+  bool hosts_listed;
+  struct wave_list waves;
+  bool renewed;
+  bool deposed;
+  bool flushing;
+  /* Jobs whose progress is to be recorded. */
+  GHashTable *dirty;
+  int64_t next_sizing_ms;
+  int64_t next_review_ms;
+  struct scheduler_counts counts;
+};
+
+/* scheduler.c */
+struct pool *scheduler_pool (struct scheduler *scheduler, const char *name);
+void scheduler_depose (struct scheduler *scheduler, const char *why);
+void job_mark_dirty (struct scheduler *scheduler, struct job *job);
+void job_review (struct scheduler *scheduler, struct job *job);
+bool job_is_over (const struct job *job);
+bool step_is_open (const struct job *job, uint32_t occurrence, uint32_t step);
+struct task *scheduler_find_task (const struct scheduler *scheduler, const char *name);
+
+/* task_run.c: the life of a task's run. */
+void task_set_phase (struct scheduler *scheduler, struct task *task, enum task_phase phase);
+void task_begin (struct scheduler *scheduler, struct task *task, struct endpoint *endpoint,
+                 uint32_t attempt);
+void task_adopt (struct scheduler *scheduler, struct task *task, struct endpoint *endpoint,
+                 const struct endpoint_run *run, int64_t sent_ms);
+void task_stop (struct scheduler *scheduler, struct task *task, const char *why);
+void task_release (struct scheduler *scheduler, struct task *task);
+void task_take_end (struct scheduler *scheduler, struct endpoint *endpoint,
+                    const struct endpoint_end *end);
+void task_send_orders (struct scheduler *scheduler, struct task *task);
+bool task_is_at_work (const struct task *task);
+
+/* endpoint_orders.c */
+void endpoint_reset (struct scheduler *scheduler, struct endpoint *endpoint, const char *why);
+void endpoint_tick (struct scheduler *scheduler, struct endpoint *endpoint);
+void endpoint_set_silent (struct scheduler *scheduler, struct endpoint *endpoint);
+bool endpoint_is_usable (const struct scheduler *scheduler, const struct endpoint *endpoint);
+
+/* placement.c */
+void pool_place (struct scheduler *scheduler, struct pool *pool);
+
+/* pacing.c */
+void endpoint_pace (struct scheduler *scheduler, struct endpoint *endpoint);
+
+/* pool_size.c, wave.c */
+void scheduler_size_pools (struct scheduler *scheduler);
+void scheduler_run_waves (struct scheduler *scheduler);
+struct host *scheduler_host (const struct scheduler *scheduler, const char *id);
+struct endpoint *host_endpoint (const struct scheduler *scheduler, const struct host *host);
+unsigned step_tasks_away (const struct scheduler *scheduler, const struct task *task);
+bool endpoint_can_be_emptied (const struct scheduler *scheduler, const struct endpoint *endpoint);
+void wave_destroy (struct wave *wave);
+void pool_host_destroy (struct host *host);
+
+#endif
--- /dev/null
+++ b/lib/jobs/task_run.c
@@ -0,0 +1,398 @@
+#include "scheduler_state.h"
+
+#include <string.h>
+
+/* The life of a task's run: started, confirmed, stopped, ended. */
+
+enum
+{
+  /* How often a start without an answer is sent again before it is made void. */
+  START_TRIES_MAX = 3,
+  START_RETRY_MS = 100,
+  STOP_RETRY_MS = 250,
+  PERMILLE = 1000,
+  /* The endpoints' clocks may be 2% slow. */
+  SLOW_CLOCK_PERMILLE = 20,
+  LAPSE_MARGIN_MS = 300,
+  PERCENT_AT_WORK = 100,
+  /* Jobs whose tasks failed in a row on one endpoint before it is suspected. */
+  FAILED_JOBS_SUSPECT = 2,
+  /* How long a suspected endpoint gets no tasks. */
+  SUSPECT_MS = 3000,
+};
+
+/* Changes a task's phase and the counts that go with it. */
+void
+task_set_phase (struct scheduler *scheduler, struct task *task, enum task_phase phase)
+{
+  struct job *job = task->job;
+
+  job->n_ready -= task->phase == TASK_READY;
+  job->n_live -=
+      task->phase == TASK_STARTING || task->phase == TASK_RUNNING || task->phase == TASK_STOPPING;
+  job->n_left -= phase == TASK_DONE && task->phase != TASK_DONE;
+  task->phase = phase;
+  task->phase_since_ms = scheduler->now_ms;
+  job->n_ready += phase == TASK_READY;
+  job->n_live += phase == TASK_STARTING || phase == TASK_RUNNING || phase == TASK_STOPPING;
+  scheduler_pool (scheduler, job->definition->pool)->changed = true;
+}
+
+/* Tells whether a lasting task does its work. */
+bool
+task_is_at_work (const struct task *task)
+{
+  return task->phase == TASK_RUNNING && task->progress_percent >= PERCENT_AT_WORK;
+}
+
+/* Gives a lease from now on the endpoint's clock and notes when it has surely lapsed. */
+static int64_t
+endpoint_extend (struct scheduler *scheduler, struct endpoint *endpoint)
+{
+  int64_t until_ms = endpoint_clock_at (endpoint, scheduler->now_ms) + scheduler->config.lease_ms;
+
+  endpoint->until_ms = MAX (endpoint->until_ms, until_ms);
+  endpoint->lapse_ms = MAX (
+      endpoint->lapse_ms,
+      scheduler->now_ms + scheduler->config.lease_ms * (PERMILLE + SLOW_CLOCK_PERMILLE) / PERMILLE +
+          LAPSE_MARGIN_MS);
+  return until_ms;
+}
+
+/* Sends a task's start. */
+static void
+task_send_start (struct scheduler *scheduler, struct task *task)
+{
+  struct endpoint *endpoint = task->endpoint;
+
+  task->order_in_flight = true;
+  endpoint->calls++;
+  scheduler->counts.starts++;
+  scheduler->ops.start (scheduler->ops.ctx, endpoint, task, endpoint_extend (scheduler, endpoint));
+}
+
+/* Sends a task's stop. */
+static void
+task_send_stop (struct scheduler *scheduler, struct task *task)
+{
+  g_autofree char *name = task_name (task);
+
+  task->order_in_flight = true;
+  task->endpoint->calls++;
+  scheduler->counts.stops++;
+  scheduler->ops.stop (scheduler->ops.ctx, task->endpoint, name, task->attempt, task);
+}
+
+/* Starts a ready task on an endpoint, under a number of attempt that is higher than any before. */
+void
+task_begin (struct scheduler *scheduler, struct task *task, struct endpoint *endpoint,
+            uint32_t attempt)
+{
+  struct job *job = task->job;
+
+  task->attempt = attempt;
+  task->start_tries = 0;
+  task->order_in_flight = false;
+  task->next_order_ms = 0;
+  task->progress_percent = -1;
+  task->progress_ms = scheduler->now_ms;
+  task->pace_percent = 100;
+  task->pace_ordered_percent = 100;
+  task->load = 0;
+  endpoint_add_task (endpoint, task);
+  task_set_phase (scheduler, task, TASK_STARTING);
+  if (job->next_state == SP__JOB_STATE__JOB_QUEUED)
+    {
+      job->next_state = SP__JOB_STATE__JOB_RUNNING;
+      job_mark_dirty (scheduler, job);
+    }
+  task_send_start (scheduler, task);
+}
+
+/* Takes over a run that an endpoint lists and that this leader did not start. */
+void
+task_adopt (struct scheduler *scheduler, struct task *task, struct endpoint *endpoint,
+            const struct endpoint_run *run, int64_t sent_ms)
+{
+  task->attempt = run->attempt;
+  task->start_tries = 0;
+  task->order_in_flight = false;
+  task->progress_ms = scheduler->now_ms;
+  task->progress_percent = -1;
+  task->pace_percent = 100;
+  /* What an earlier leader ordered is not known. */
+  task->pace_ordered_percent = task_step (task)->fills ? -1 : 100;
+  endpoint_add_task (endpoint, task);
+  task_set_phase (scheduler, task, TASK_RUNNING);
+  task->confirmed_ms = sent_ms;
+  if (task->job->next_state == SP__JOB_STATE__JOB_QUEUED)
+    {
+      task->job->next_state = SP__JOB_STATE__JOB_RUNNING;
+      job_mark_dirty (scheduler, task->job);
+    }
+}
+
+/* Has a task's run stopped, if there is or may be one. */
+void
+task_stop (struct scheduler *scheduler, struct task *task, const char *why)
+{
+  (void) why;
+  if (task->phase == TASK_READY)
+    task_set_phase (scheduler, task, TASK_BLOCKED);
+  if (task->phase != TASK_STARTING && task->phase != TASK_RUNNING)
+    return;
+  task_set_phase (scheduler, task, TASK_STOPPING);
+  task->confirmed_ms = 0;
+  task->next_order_ms = scheduler->now_ms;
+  task_send_orders (scheduler, task);
+}
+
+/* A task no longer runs: it waits again, unless it is done or its job is over. */
+void
+task_release (struct scheduler *scheduler, struct task *task)
+{
+  struct endpoint *endpoint = task->endpoint;
+
+  endpoint_remove_task (task, scheduler->now_ms);
+  scheduler_pool (scheduler, endpoint->pool)->changed = true;
+  if (task_step (task)->long_running)
+    task->away_since_ms = scheduler->now_ms;
+  if (task->done)
+    task_set_phase (scheduler, task, TASK_DONE);
+  else if (job_is_over (task->job))
+    task_set_phase (scheduler, task, TASK_BLOCKED);
+  else
+    task_set_phase (scheduler, task, TASK_READY);
+}
+
+/* Ends a job that can't be done: its tasks are stopped. */
+static void
+job_fail (struct scheduler *scheduler, struct job *job)
+{
+  if (job_is_over (job))
+    return;
+  job->next_state = SP__JOB_STATE__JOB_FAILED;
+  job_mark_dirty (scheduler, job);
+  for (uint32_t i = 0; i < job->n_tasks; i++)
+    task_stop (scheduler, &job->tasks[i], "job failed");
+}
+
+/* Suspects an endpoint on which tasks of several jobs have failed in a row. One job by itself may
+ * be at fault. */
+static void
+endpoint_note_failure (struct scheduler *scheduler, struct endpoint *endpoint,
+                       const struct task *task)
+{
+  if (task_step (task)->long_running || endpoint->last_failed_job == task->job)
+    return;
+  endpoint->last_failed_job = task->job;
+  endpoint->failed_jobs++;
+  if (endpoint->failed_jobs >= FAILED_JOBS_SUSPECT)
+    endpoint->avoid_until_ms = scheduler->now_ms + SUSPECT_MS;
+}
+
+/* Marks a task done; of a gang, one end stands for all. */
+static void
+task_note_done (struct scheduler *scheduler, struct task *task)
+{
+  const Sp__JobStep *step = task_step (task);
+  struct task *first = job_task (task->job, task->occurrence, task->step, 0);
+
+  if (step->long_running)
+    return;
+  if (!step->gang)
+    {
+      task->done = true;
+      return;
+    }
+  for (uint32_t i = 0; i < step->n_tasks; i++)
+    {
+      first[i].done = true;
+      if (!first[i].endpoint && first[i].phase != TASK_DONE)
+        task_set_phase (scheduler, &first[i], TASK_DONE);
+    }
+}
+
+/* Notes what an end means for the task and its job. */
+static void
+task_count_end (struct scheduler *scheduler, struct endpoint *endpoint, struct task *task,
+                const struct endpoint_end *end)
+{
+  const Sp__JobStep *step = task_step (task);
+
+  if (end->how == RUN_DONE)
+    {
+      task_note_done (scheduler, task);
+      if (!step->long_running)
+        {
+          endpoint->failed_jobs = 0;
+          endpoint->last_failed_job = NULL;
+        }
+    }
+  if (end->how != RUN_FAILED)
+    return;
+  endpoint_note_failure (scheduler, endpoint, task);
+  if (step->long_running)
+    return;
+  task->failures++;
+  if (task->job->definition->max_attempts > 0 &&
+      task->failures >= task->job->definition->max_attempts)
+    job_fail (scheduler, task->job);
+}
+
+/* Takes the end of a run that an endpoint lists. Ends are listed until acknowledged, to each leader
+ * anew: one that was taken before changes nothing. */
+void
+task_take_end (struct scheduler *scheduler, struct endpoint *endpoint,
+               const struct endpoint_end *end)
+{
+  struct task *task = scheduler_find_task (scheduler, end->task);
+  struct job *job;
+
+  if (!task || !task->job->scheduled)
+    return;
+  job = task->job;
+  scheduler->counts.ends[end->how]++;
+  if (end->attempt > task->ended_attempt)
+    {
+      task->ended_attempt = end->attempt;
+      task->attempt = MAX (task->attempt, end->attempt);
+      task_set_checkpoint (task, end->checkpoint);
+      task_count_end (scheduler, endpoint, task, end);
+      job_mark_dirty (scheduler, job);
+    }
+  if (task->endpoint == endpoint && task->attempt <= end->attempt)
+    task_release (scheduler, task);
+  else if (task->done && task->endpoint)
+    task_stop (scheduler, task, "another run is done");
+  else if (task->done && task->phase != TASK_DONE)
+    task_set_phase (scheduler, task, TASK_DONE);
+  if (task->done)
+    job_review (scheduler, job);
+}
+
+/* Sends an order that is due once more: a start without an answer, or a stop. */
+void
+task_send_orders (struct scheduler *scheduler, struct task *task)
+{
+  if (task->order_in_flight || scheduler->now_ms < task->next_order_ms)
+    return;
+  if (task->phase == TASK_STARTING)
+    {
+      if (task->start_tries < START_TRIES_MAX)
+        {
+          task_send_start (scheduler, task);
+          return;
+        }
+      /* A stop makes the attempt void there: it can't begin any more. */
+      task_set_phase (scheduler, task, TASK_STOPPING);
+      task->confirmed_ms = 0;
+    }
+  if (task->phase == TASK_STOPPING && task->confirmed_ms == 0)
+    task_send_stop (scheduler, task);
+}
+
+/* A start that was certainly not carried out: the task waits again. */
+static void
+task_start_refused (struct scheduler *scheduler, struct task *task, int64_t avoid_ms)
+{
+  scheduler->counts.starts_failed++;
+  task->endpoint->avoid_until_ms =
+      MAX (task->endpoint->avoid_until_ms, scheduler->now_ms + avoid_ms);
+  task->endpoint->next_hold_ms = scheduler->now_ms;
+  /* An earlier try without an answer may still be carried out. */
+  if (task->start_tries > 0)
+    {
+      task->start_tries = START_TRIES_MAX;
+      task->next_order_ms = scheduler->now_ms;
+      return;
+    }
+  task_release (scheduler, task);
+}
+
+/* An endpoint has answered a start, or has not. */
+void
+scheduler_start_done (struct scheduler *scheduler, struct endpoint *endpoint, struct task *task,
+                      uint32_t attempt, enum order_result result, int64_t clock_ms, int64_t now_ms)
+{
+  enum
+  {
+    /* How long an endpoint gets no tasks after it refused one. */
+    AVOID_FULL_MS = 200,
+    AVOID_UNHEALTHY_MS = 1000,
+  };
+
+  scheduler->now_ms = now_ms;
+  endpoint->calls--;
+  if (task->attempt == attempt)
+    task->order_in_flight = false;
+  if (clock_ms > 0)
+    {
+      endpoint->clock_ms = clock_ms;
+      endpoint->clock_read_ms = now_ms;
+    }
+  if (task->endpoint != endpoint || task->attempt != attempt || task->phase != TASK_STARTING)
+    {
+      task->next_order_ms = now_ms;
+      if (result == ORDER_FENCED)
+        scheduler_depose (scheduler, "a start was fenced off");
+      return;
+    }
+  switch (result)
+    {
+    case ORDER_DONE:
+      task_set_phase (scheduler, task, TASK_RUNNING);
+      task->confirmed_ms = now_ms;
+      task->progress_ms = now_ms;
+      endpoint->silent_since_ms = 0;
+      break;
+    case ORDER_UNKNOWN:
+      task->start_tries++;
+      task->next_order_ms = now_ms + START_RETRY_MS;
+      break;
+    case ORDER_FENCED:
+      scheduler_depose (scheduler, "a start was fenced off");
+      break;
+    case ORDER_OLD:
+      task_set_phase (scheduler, task, TASK_STOPPING);
+      task->confirmed_ms = now_ms;
+      endpoint->next_hold_ms = now_ms;
+      break;
+    case ORDER_NOT_SENT:
+      endpoint_set_silent (scheduler, endpoint);
+      task_start_refused (scheduler, task, AVOID_FULL_MS);
+      break;
+    case ORDER_OTHER_LIFE:
+    case ORDER_UNHEALTHY:
+    case ORDER_INVALID:
+      task_start_refused (scheduler, task, AVOID_UNHEALTHY_MS);
+      break;
+    case ORDER_LATE:
+    case ORDER_NO_ROOM:
+    case ORDER_NO_TICKET:
+      task_start_refused (scheduler, task, AVOID_FULL_MS);
+      break;
+    }
+}
+
+/* An endpoint has answered a stop, or has not. Once it has, the run either is listed as ended or
+ * never began. */
+void
+scheduler_stop_done (struct scheduler *scheduler, struct endpoint *endpoint, struct task *known,
+                     uint32_t attempt, enum order_result result, int64_t now_ms)
+{
+  scheduler->now_ms = now_ms;
+  endpoint->calls--;
+  if (result == ORDER_FENCED)
+    scheduler_depose (scheduler, "a stop was fenced off");
+  endpoint->next_hold_ms = MIN (endpoint->next_hold_ms, now_ms);
+  if (!known || known->attempt != attempt)
+    return;
+  known->order_in_flight = false;
+  if (known->endpoint != endpoint || known->phase != TASK_STOPPING)
+    return;
+  if (result == ORDER_DONE || result == ORDER_OLD)
+    known->confirmed_ms = now_ms;
+  else
+    known->next_order_ms = now_ms + STOP_RETRY_MS;
+}
--- a/protocols/settings.pb-c.c
+++ b/protocols/settings.pb-c.c
@@ -322,6 +322,51 @@
   assert(message->base.descriptor == &sp__load_settings__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   sp__jobd_settings__init
+                     (Sp__JobdSettings         *message)
+{
+  static const Sp__JobdSettings init_value = SP__JOBD_SETTINGS__INIT;
+  *message = init_value;
+}
+size_t sp__jobd_settings__get_packed_size
+                     (const Sp__JobdSettings *message)
+{
+  assert(message->base.descriptor == &sp__jobd_settings__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t sp__jobd_settings__pack
+                     (const Sp__JobdSettings *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &sp__jobd_settings__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t sp__jobd_settings__pack_to_buffer
+                     (const Sp__JobdSettings *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &sp__jobd_settings__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Sp__JobdSettings *
+       sp__jobd_settings__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Sp__JobdSettings *)
+     protobuf_c_message_unpack (&sp__jobd_settings__descriptor,
+                                allocator, len, data);
+}
+void   sp__jobd_settings__free_unpacked
+                     (Sp__JobdSettings *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &sp__jobd_settings__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 char sp__entryd_settings__name__default_value[] = "entry";
 char sp__entryd_settings__data_centre__default_value[] = "dc1";
 char sp__entryd_settings__listen_address__default_value[] = "127.0.0.1";
@@ -1729,3 +1774,280 @@
   (ProtobufCMessageInit) sp__load_settings__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+char sp__jobd_settings__name__default_value[] = "entry";
+char sp__jobd_settings__frontend__default_value[] = "127.0.0.1:8400";
+char sp__jobd_settings__readiness__default_value[] = "127.0.0.1:8401";
+char sp__jobd_settings__store__default_value[] = "127.0.0.1:8402";
+char sp__jobd_settings__machines__default_value[] = "127.0.0.1:8403";
+char sp__jobd_settings__advice__default_value[] = "";
+char sp__jobd_settings__log_level__default_value[] = "info";
+static const uint32_t sp__jobd_settings__lease_ms__default_value = 5000u;
+static const uint32_t sp__jobd_settings__leader_timeout_ms__default_value = 2000u;
+static const uint32_t sp__jobd_settings__grace_ms__default_value = 6000u;
+static const uint32_t sp__jobd_settings__caller_connection_limit__default_value = 2000u;
+static const uint32_t sp__jobd_settings__body_limit_bytes__default_value = 262144u;
+static const uint32_t sp__jobd_settings__stop_ms__default_value = 400u;
+static const uint32_t sp__jobd_settings__status_ms__default_value = 120000u;
+static const uint32_t sp__jobd_settings__move_ms__default_value = 1500u;
+static const uint32_t sp__jobd_settings__maintenance_ms__default_value = 2000u;
+static const uint32_t sp__jobd_settings__notice_ms__default_value = 4500u;
+static const uint32_t sp__jobd_settings__seed__default_value = 0u;
+static const ProtobufCFieldDescriptor sp__jobd_settings__field_descriptors[18] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sp__JobdSettings, name),
+    NULL,
+    &sp__jobd_settings__name__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "frontend",
+    2,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sp__JobdSettings, frontend),
+    NULL,
+    &sp__jobd_settings__frontend__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "readiness",
+    3,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sp__JobdSettings, readiness),
+    NULL,
+    &sp__jobd_settings__readiness__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "store",
+    4,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sp__JobdSettings, store),
+    NULL,
+    &sp__jobd_settings__store__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "machines",
+    5,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sp__JobdSettings, machines),
+    NULL,
+    &sp__jobd_settings__machines__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "advice",
+    6,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sp__JobdSettings, advice),
+    NULL,
+    &sp__jobd_settings__advice__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lease_ms",
+    7,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Sp__JobdSettings, has_lease_ms),
+    offsetof(Sp__JobdSettings, lease_ms),
+    NULL,
+    &sp__jobd_settings__lease_ms__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leader_timeout_ms",
+    8,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Sp__JobdSettings, has_leader_timeout_ms),
+    offsetof(Sp__JobdSettings, leader_timeout_ms),
+    NULL,
+    &sp__jobd_settings__leader_timeout_ms__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "grace_ms",
+    9,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Sp__JobdSettings, has_grace_ms),
+    offsetof(Sp__JobdSettings, grace_ms),
+    NULL,
+    &sp__jobd_settings__grace_ms__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "caller_connection_limit",
+    10,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Sp__JobdSettings, has_caller_connection_limit),
+    offsetof(Sp__JobdSettings, caller_connection_limit),
+    NULL,
+    &sp__jobd_settings__caller_connection_limit__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "body_limit_bytes",
+    11,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Sp__JobdSettings, has_body_limit_bytes),
+    offsetof(Sp__JobdSettings, body_limit_bytes),
+    NULL,
+    &sp__jobd_settings__body_limit_bytes__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stop_ms",
+    12,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Sp__JobdSettings, has_stop_ms),
+    offsetof(Sp__JobdSettings, stop_ms),
+    NULL,
+    &sp__jobd_settings__stop_ms__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "status_ms",
+    13,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Sp__JobdSettings, has_status_ms),
+    offsetof(Sp__JobdSettings, status_ms),
+    NULL,
+    &sp__jobd_settings__status_ms__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "log_level",
+    14,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sp__JobdSettings, log_level),
+    NULL,
+    &sp__jobd_settings__log_level__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "move_ms",
+    15,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Sp__JobdSettings, has_move_ms),
+    offsetof(Sp__JobdSettings, move_ms),
+    NULL,
+    &sp__jobd_settings__move_ms__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "maintenance_ms",
+    16,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Sp__JobdSettings, has_maintenance_ms),
+    offsetof(Sp__JobdSettings, maintenance_ms),
+    NULL,
+    &sp__jobd_settings__maintenance_ms__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "notice_ms",
+    17,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Sp__JobdSettings, has_notice_ms),
+    offsetof(Sp__JobdSettings, notice_ms),
+    NULL,
+    &sp__jobd_settings__notice_ms__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "seed",
+    18,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Sp__JobdSettings, has_seed),
+    offsetof(Sp__JobdSettings, seed),
+    NULL,
+    &sp__jobd_settings__seed__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned sp__jobd_settings__field_indices_by_name[] = {
+  5,   /* field[5] = advice */
+  10,   /* field[10] = body_limit_bytes */
+  9,   /* field[9] = caller_connection_limit */
+  1,   /* field[1] = frontend */
+  8,   /* field[8] = grace_ms */
+  7,   /* field[7] = leader_timeout_ms */
+  6,   /* field[6] = lease_ms */
+  13,   /* field[13] = log_level */
+  4,   /* field[4] = machines */
+  15,   /* field[15] = maintenance_ms */
+  14,   /* field[14] = move_ms */
+  0,   /* field[0] = name */
+  16,   /* field[16] = notice_ms */
+  2,   /* field[2] = readiness */
+  17,   /* field[17] = seed */
+  12,   /* field[12] = status_ms */
+  11,   /* field[11] = stop_ms */
+  3,   /* field[3] = store */
+};
+static const ProtobufCIntRange sp__jobd_settings__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 18 }
+};
+const ProtobufCMessageDescriptor sp__jobd_settings__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "sp.JobdSettings",
+  "JobdSettings",
+  "Sp__JobdSettings",
+  "sp",
+  sizeof(Sp__JobdSettings),
+  18,
+  sp__jobd_settings__field_descriptors,
+  sp__jobd_settings__field_indices_by_name,
+  1,  sp__jobd_settings__number_ranges,
+  (ProtobufCMessageInit) sp__jobd_settings__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
--- a/protocols/settings.pb-c.h
+++ b/protocols/settings.pb-c.h
@@ -22,6 +22,7 @@
 typedef struct Sp__WorkerSettings Sp__WorkerSettings;
 typedef struct Sp__FaultsSettings Sp__FaultsSettings;
 typedef struct Sp__LoadSettings Sp__LoadSettings;
+typedef struct Sp__JobdSettings Sp__JobdSettings;
 
 
 /* --- enums --- */
@@ -586,6 +587,116 @@
     , sp__load_settings__entries__default_value, sp__load_settings__admins__default_value, 0, 0u, sp__load_settings__services__default_value, 0, 10u, 0, 2000u, 0, 300u, 0, 1u, 0, 3000u, sp__load_settings__workers__default_value, 0, 1u, sp__load_settings__output__default_value, 0, 4096u }
 
 
+struct  Sp__JobdSettings
+{
+  ProtobufCMessage base;
+  /*
+   * Name of this entry host.
+   */
+  char *name;
+  /*
+   * Address for callers, as IP:PORT.
+   */
+  char *frontend;
+  /*
+   * Address for health, readiness and metrics, as IP:PORT.
+   */
+  char *readiness;
+  /*
+   * Address of the platform's store, as IP:PORT.
+   */
+  char *store;
+  /*
+   * Address of the platform's machine list, as IP:PORT.
+   */
+  char *machines;
+  /*
+   * Address of the advice service, as IP:PORT; empty for none.
+   */
+  char *advice;
+  /*
+   * Time that a task may run without word from the scheduler; outlasts a change of leader.
+   * range 1000..60000 ms
+   */
+  protobuf_c_boolean has_lease_ms;
+  uint32_t lease_ms;
+  /*
+   * Time without a record of the leader after which another host takes over.
+   * range 500..60000 ms
+   */
+  protobuf_c_boolean has_leader_timeout_ms;
+  uint32_t leader_timeout_ms;
+  /*
+   * Time from SIGTERM to the end at the latest.
+   * range 100..600000 ms
+   */
+  protobuf_c_boolean has_grace_ms;
+  uint32_t grace_ms;
+  /*
+   * Most open caller connections.
+   * range 1..60000 connections
+   */
+  protobuf_c_boolean has_caller_connection_limit;
+  uint32_t caller_connection_limit;
+  /*
+   * Largest body of a request.
+   * range 1024..67108864 bytes
+   */
+  protobuf_c_boolean has_body_limit_bytes;
+  uint32_t body_limit_bytes;
+  /*
+   * Time that a task which is stopped may take to end.
+   * range 10..60000 ms
+   */
+  protobuf_c_boolean has_stop_ms;
+  uint32_t stop_ms;
+  /*
+   * Time that the state of an ended job is kept.
+   * range 1000..86400000 ms
+   */
+  protobuf_c_boolean has_status_ms;
+  uint32_t status_ms;
+  /*
+   * Lowest level that is logged: debug, info, warning or error.
+   */
+  char *log_level;
+  /*
+   * Time that a host needs to move to another pool.
+   * range 10..600000 ms
+   */
+  protobuf_c_boolean has_move_ms;
+  uint32_t move_ms;
+  /*
+   * Time that a host is away for its maintenance.
+   * range 10..600000 ms
+   */
+  protobuf_c_boolean has_maintenance_ms;
+  uint32_t maintenance_ms;
+  /*
+   * Time after a task's absence in which it still counts against its step's limit.
+   * range 0..600000 ms
+   */
+  protobuf_c_boolean has_notice_ms;
+  uint32_t notice_ms;
+  /*
+   * Seed of the random choices; 0 takes one from the system.
+   * range 0..4294967295 seed
+   */
+  protobuf_c_boolean has_seed;
+  uint32_t seed;
+};
+extern char sp__jobd_settings__name__default_value[];
+extern char sp__jobd_settings__frontend__default_value[];
+extern char sp__jobd_settings__readiness__default_value[];
+extern char sp__jobd_settings__store__default_value[];
+extern char sp__jobd_settings__machines__default_value[];
+extern char sp__jobd_settings__advice__default_value[];
+extern char sp__jobd_settings__log_level__default_value[];
+#define SP__JOBD_SETTINGS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&sp__jobd_settings__descriptor) \
+    , sp__jobd_settings__name__default_value, sp__jobd_settings__frontend__default_value, sp__jobd_settings__readiness__default_value, sp__jobd_settings__store__default_value, sp__jobd_settings__machines__default_value, sp__jobd_settings__advice__default_value, 0, 5000u, 0, 2000u, 0, 6000u, 0, 2000u, 0, 262144u, 0, 400u, 0, 120000u, sp__jobd_settings__log_level__default_value, 0, 1500u, 0, 2000u, 0, 4500u, 0, 0u }
+
+
 /* Sp__EntrydSettings methods */
 void   sp__entryd_settings__init
                      (Sp__EntrydSettings         *message);
@@ -719,6 +830,25 @@
 void   sp__load_settings__free_unpacked
                      (Sp__LoadSettings *message,
                       ProtobufCAllocator *allocator);
+/* Sp__JobdSettings methods */
+void   sp__jobd_settings__init
+                     (Sp__JobdSettings         *message);
+size_t sp__jobd_settings__get_packed_size
+                     (const Sp__JobdSettings   *message);
+size_t sp__jobd_settings__pack
+                     (const Sp__JobdSettings   *message,
+                      uint8_t             *out);
+size_t sp__jobd_settings__pack_to_buffer
+                     (const Sp__JobdSettings   *message,
+                      ProtobufCBuffer     *buffer);
+Sp__JobdSettings *
+       sp__jobd_settings__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   sp__jobd_settings__free_unpacked
+                     (Sp__JobdSettings *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Sp__EntrydSettings_Closure)
@@ -742,6 +872,9 @@
 typedef void (*Sp__LoadSettings_Closure)
                  (const Sp__LoadSettings *message,
                   void *closure_data);
+typedef void (*Sp__JobdSettings_Closure)
+                 (const Sp__JobdSettings *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -755,6 +888,7 @@
 extern const ProtobufCMessageDescriptor sp__worker_settings__descriptor;
 extern const ProtobufCMessageDescriptor sp__faults_settings__descriptor;
 extern const ProtobufCMessageDescriptor sp__load_settings__descriptor;
+extern const ProtobufCMessageDescriptor sp__jobd_settings__descriptor;
 
 PROTOBUF_C__END_DECLS
 
