--- a/jobd/leader.c
+++ b/jobd/leader.c
@@ -12,7 +12,7 @@
 enum
 {
   /* The leader shows that it lives this often; a timeout holds three of these. */
-  HEARTBEAT_MS = 400,
+  HEARTBEAT_MS = 350,
   /* Without a durable heartbeat for this long, no host is moved or maintained. */
   RENEWED_MS = 1500,
   /* Hosts claim at different moments, so that the first is seen by the others. */
@@ -93,6 +93,13 @@
   return jobd_now_ms (leader->jobd);
 }
 
+/* As leader_now_ms, for parts whose context is the leader. */
+static int64_t
+leader_clock (void *ctx)
+{
+  return leader_now_ms (ctx);
+}
+
 /* Makes the part that follows or leads. */
 struct leader *
 leader_create (struct jobd *jobd)
@@ -548,7 +555,7 @@
     .topic = STORE_TOPIC_REGISTRY,
     .wait_ms = REGISTRY_WAIT_MS,
     .gap_ms = REGISTRY_GAP_MS,
-    .now_ms = jobd_now_ms,
+    .now_ms = leader_clock,
     .record = leader_on_registry_record,
     .loaded = leader_on_registry_loaded,
     .ctx = leader,
--- a/lib/jobs/endpoint_orders.c
+++ b/lib/jobs/endpoint_orders.c
@@ -8,7 +8,7 @@
 {
   /* How long an endpoint may keep a hold open until something ends there. Three of these fit into
    * the shortest lease of the settings. */
-  HOLD_WAIT_MS = 1000,
+  HOLD_WAIT_MS = 800,
   /* Shorter where serving tasks share with filling ones, whose pace follows the figures. */
   HOLD_WAIT_SHARED_MS = 500,
   /* Ends that come together are taken by one hold. */
@@ -66,13 +66,15 @@
   int64_t until_ms = 0;
   int64_t wait_ms = 0;
 
-  if (endpoint->fenced && endpoint->n_tasks > 0)
+  /* A hold without an answer may still arrive: one to a silent endpoint would put off the moment at
+   * which its tasks have surely ended. */
+  if (endpoint->fenced && endpoint->n_tasks > 0 && endpoint->silent_since_ms == 0)
     {
       until_ms = endpoint_clock_at (endpoint, scheduler->now_ms) + scheduler->config.lease_ms;
       endpoint->until_ms = MAX (endpoint->until_ms, until_ms);
       endpoint->lapse_ms = MAX (endpoint->lapse_ms,
                                 scheduler->now_ms + scheduler->config.lease_ms * 102 / 100 + 300);
-      if (endpoint->ends_seen == endpoint->ends_durable && endpoint->silent_since_ms == 0)
+      if (endpoint->ends_seen == endpoint->ends_durable)
         wait_ms =
             endpoint->n_filling > 0 && endpoint->n_serving > 0 ? HOLD_WAIT_SHARED_MS : HOLD_WAIT_MS;
     }
