--- a/include/lib/jobs/job.h
+++ b/include/lib/jobs/job.h
@@ -32,7 +32,9 @@
   uint32_t occurrence;
   uint32_t step;
   uint32_t index;
-  uint32_t failures;
+  /* Attempts that failed, in no order; NULL if there are none. */
+  uint32_t *failed_attempts;
+  uint32_t n_failed;
   uint32_t ended_attempt;
   char *checkpoint;
   bool done;
@@ -103,6 +105,8 @@
 const Sp__JobStep *task_step (const struct task *task);
 struct task *job_task (const struct job *job, uint32_t occurrence, uint32_t step, uint32_t index);
 bool job_merge_progress (struct job *job, const Sp__JobProgress *progress);
+/* Counts a failed attempt. Gives false if it was counted before. */
+bool task_add_failure (struct task *task, uint32_t attempt);
 void task_set_checkpoint (struct task *task, const char *checkpoint);
 char *task_name (const struct task *task);
 int64_t job_chain_ms (const struct job *job);
--- a/lib/jobs/job.c
+++ b/lib/jobs/job.c
@@ -80,7 +80,10 @@
 job_destroy (struct job *job)
 {
   for (uint32_t i = 0; i < job->n_tasks; i++)
-    g_free (job->tasks[i].checkpoint);
+    {
+      g_free (job->tasks[i].checkpoint);
+      g_free (job->tasks[i].failed_attempts);
+    }
   g_free (job->tasks);
   if (job->definition)
     sp__job_definition__free_unpacked (job->definition, NULL);
@@ -160,13 +163,29 @@
   task->checkpoint = g_strdup (checkpoint);
 }
 
+/* Counts a failed attempt. A leader learns of ends from each endpoint by itself, so that a later
+ * attempt's may come first. */
+bool
+task_add_failure (struct task *task, uint32_t attempt)
+{
+  for (uint32_t i = 0; i < task->n_failed; i++)
+    {
+      if (task->failed_attempts[i] == attempt)
+        return false;
+    }
+  task->failed_attempts = g_renew (uint32_t, task->failed_attempts, task->n_failed + 1);
+  task->failed_attempts[task->n_failed++] = attempt;
+  return true;
+}
+
 /* Takes one task's durable progress. Nothing is ever taken back, so that an older record which is
  * read after a newer one does no harm. */
 static void
 task_merge_progress (struct task *task, const Sp__TaskProgress *progress)
 {
   task->done = task->done || progress->done;
-  task->failures = MAX (task->failures, progress->failures);
+  for (size_t i = 0; i < progress->n_failed_attempts; i++)
+    task_add_failure (task, progress->failed_attempts[i]);
   if (progress->ended_attempt < task->ended_attempt)
     return;
   task->ended_attempt = progress->ended_attempt;
--- a/lib/jobs/job_book.c
+++ b/lib/jobs/job_book.c
@@ -206,7 +206,7 @@
 static bool
 task_has_progress (const struct task *task)
 {
-  return task->done || task->failures > 0 || task->ended_attempt > 0;
+  return task->done || task->n_failed > 0 || task->ended_attempt > 0;
 }
 
 /* Makes a progress record of a job. The checkpoints of an ended job are left out. */
@@ -233,7 +233,8 @@
       sp__task_progress__init (entry);
       entry->task = i;
       entry->done = task->done;
-      entry->failures = task->failures;
+      entry->n_failed_attempts = task->n_failed;
+      entry->failed_attempts = task->failed_attempts;
       entry->ended_attempt = task->ended_attempt;
       if (task->checkpoint && !task->done)
         entry->checkpoint = task->checkpoint;
--- a/lib/jobs/task_run.c
+++ b/lib/jobs/task_run.c
@@ -213,35 +213,47 @@
     }
 }
 
+/* Counts a failed run against its task's attempts, once. */
+static void
+task_note_failure (struct scheduler *scheduler, struct endpoint *endpoint, struct task *task,
+                   uint32_t attempt)
+{
+  uint32_t limit = task->job->definition->max_attempts;
+
+  if (task_step (task)->long_running || !task_add_failure (task, attempt))
+    return;
+  endpoint_note_failure (scheduler, endpoint, task);
+  job_mark_dirty (scheduler, task->job);
+  if (limit > 0 && task->n_failed >= limit)
+    job_fail (scheduler, task->job);
+}
+
 /* Notes what an end means for the task and its job. */
 static void
 task_count_end (struct scheduler *scheduler, struct endpoint *endpoint, struct task *task,
                 const struct endpoint_end *end)
 {
-  const Sp__JobStep *step = task_step (task);
-
-  if (end->how == RUN_DONE)
+  if (end->attempt > task->ended_attempt)
+    {
+      task->ended_attempt = end->attempt;
+      task->attempt = MAX (task->attempt, end->attempt);
+      task_set_checkpoint (task, end->checkpoint);
+      job_mark_dirty (scheduler, task->job);
+    }
+  if (end->how == RUN_DONE && !task->done)
     {
       task_note_done (scheduler, task);
-      if (!step->long_running)
-        {
-          endpoint->failed_jobs = 0;
-          endpoint->last_failed_job = NULL;
-        }
+      endpoint->failed_jobs = 0;
+      endpoint->last_failed_job = NULL;
+      job_mark_dirty (scheduler, task->job);
     }
-  if (end->how != RUN_FAILED)
-    return;
-  endpoint_note_failure (scheduler, endpoint, task);
-  if (step->long_running)
-    return;
-  task->failures++;
-  if (task->job->definition->max_attempts > 0 &&
-      task->failures >= task->job->definition->max_attempts)
-    job_fail (scheduler, task->job);
+  if (end->how == RUN_FAILED)
+    task_note_failure (scheduler, endpoint, task, end->attempt);
 }
 
 /* Takes the end of a run that an endpoint lists. Ends are listed until acknowledged, to each leader
- * anew: one that was taken before changes nothing. */
+ * anew, and each endpoint's come by themselves: one that was taken before changes nothing, and one
+ * of an earlier attempt still counts. */
 void
 task_take_end (struct scheduler *scheduler, struct endpoint *endpoint,
                const struct endpoint_end *end)
@@ -253,14 +265,7 @@
     return;
   job = task->job;
   scheduler->counts.ends[end->how]++;
-  if (end->attempt > task->ended_attempt)
-    {
-      task->ended_attempt = end->attempt;
-      task->attempt = MAX (task->attempt, end->attempt);
-      task_set_checkpoint (task, end->checkpoint);
-      task_count_end (scheduler, endpoint, task, end);
-      job_mark_dirty (scheduler, job);
-    }
+  task_count_end (scheduler, endpoint, task, end);
   if (task->endpoint == endpoint && task->attempt <= end->attempt)
     task_release (scheduler, task);
   else if (task->done && task->endpoint)
--- a/lib/jobs/wave.c
+++ b/lib/jobs/wave.c
@@ -140,22 +140,18 @@
 {
   struct task *task = TAILQ_FIRST (&endpoint->tasks);
   bool may_empty = endpoint_can_be_emptied (scheduler, endpoint);
+  bool only_lasting = endpoint->n_tasks == endpoint->n_serving + endpoint->n_filling;
 
   while (task)
     {
       struct task *next = TAILQ_NEXT (task, endpoint_link);
       const Sp__JobStep *step = task_step (task);
       bool batch = !step->long_running;
+      bool batch_may_go = batch && (step->checkpointing || cordoned_ms > EVICT_AFTER_MS);
+      bool lasting_may_go = !batch && may_empty && only_lasting;
 
-      if (task->phase != TASK_RUNNING && task->phase != TASK_STARTING)
-        {
-          task = next;
-          continue;
-        }
-      if (batch && (step->checkpointing || cordoned_ms > EVICT_AFTER_MS))
-        task_stop (scheduler, task, "its host is to be maintained");
-      else if (!batch && may_empty &&
-               endpoint->n_tasks == endpoint->n_serving + endpoint->n_filling)
+      if ((batch_may_go || lasting_may_go) &&
+          (task->phase == TASK_RUNNING || task->phase == TASK_STARTING))
         task_stop (scheduler, task, "its host is to be maintained");
       task = next;
     }
--- a/protocols/job.pb-c.c
+++ b/protocols/job.pb-c.c
@@ -873,15 +873,15 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "failures",
+    "failed_attempts",
     3,
-    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Sp__TaskProgress, failures),
+    offsetof(Sp__TaskProgress, n_failed_attempts),
+    offsetof(Sp__TaskProgress, failed_attempts),
     NULL,
     NULL,
-    0,             /* flags */
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
@@ -913,7 +913,7 @@
   4,   /* field[4] = checkpoint */
   1,   /* field[1] = done */
   3,   /* field[3] = ended_attempt */
-  2,   /* field[2] = failures */
+  2,   /* field[2] = failed_attempts */
   0,   /* field[0] = task */
 };
 static const ProtobufCIntRange sp__task_progress__number_ranges[1 + 1] =
--- a/protocols/job.pb-c.h
+++ b/protocols/job.pb-c.h
@@ -141,7 +141,11 @@
   ProtobufCMessage base;
   uint32_t task;
   protobuf_c_boolean done;
-  uint32_t failures;
+  /*
+   * Attempts that failed. Ends may be learnt in any order.
+   */
+  size_t n_failed_attempts;
+  uint32_t *failed_attempts;
   /*
    * Highest attempt whose end has been taken.
    */
@@ -150,7 +154,7 @@
 };
 #define SP__TASK_PROGRESS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sp__task_progress__descriptor) \
-    , 0, 0, 0, 0, (char *)protobuf_c_empty_string }
+    , 0, 0, 0,NULL, 0, (char *)protobuf_c_empty_string }
 
 
 struct  Sp__JobProgress
