Finish waves: evict lasting tasks one by one, away from hosts that are due

Cause of 5 hosts left in each wave: hosts were only taken when all their lasting tasks could be away at once, and steps with two tasks on an endpoint and a limit of one never could.

--- a/include/lib/jobs/endpoint.h
+++ b/include/lib/jobs/endpoint.h
@@ -54,6 +54,9 @@
   /* No new tasks: the host is about to move or to be maintained. */
   bool cordoned;
   bool cordoned_for_wave;
+  int64_t cordoned_ms;
+  /* Its host is still to be maintained in a wave: what lasts is better placed elsewhere. */
+  bool maintenance_due;
 
   struct task_list tasks;
   unsigned n_tasks;
--- a/include/lib/jobs/host.h
+++ b/include/lib/jobs/host.h
@@ -56,6 +56,8 @@
   TAILQ_ENTRY (host) link;
   char *id;
   char *pool;
+  /* Pool that it was ordered to; NULL once the order was answered. */
+  char *target_pool;
   char *endpoint_id;
   char *rack;
   enum host_state state;
--- a/lib/jobs/placement.c
+++ b/lib/jobs/placement.c
@@ -11,6 +11,10 @@
   SCORE_OTHER_RACK = 4 * SCORE_ENDPOINT,
   SCORE_FILLS_BESIDE_SERVING = 2 * SCORE_ENDPOINT,
   SCORE_OPENS_IDLE = SCORE_ENDPOINT,
+  /* An endpoint with more tasks of a step than may be away at once takes long to empty. */
+  SCORE_OVER_AWAY_LIMIT = 2 * SCORE_ENDPOINT,
+  /* A lasting task would have to be moved again. */
+  SCORE_MAINTENANCE_DUE = 8 * SCORE_ENDPOINT,
   GANG_MAX = 256,
 };
 
@@ -52,6 +56,10 @@
     score += SCORE_OTHER_RACK;
   if (endpoint->n_tasks == 0)
     score += SCORE_OPENS_IDLE;
+  if (step->long_running && endpoint->maintenance_due)
+    score += SCORE_MAINTENANCE_DUE;
+  if (step->away_limit > 0 && endpoint_count_step (endpoint, task) >= step->away_limit)
+    score += SCORE_OVER_AWAY_LIMIT;
   if (step->fills)
     score += endpoint->n_serving > 0 ? SCORE_FILLS_BESIDE_SERVING : 0;
   else if (step->target_ms > 0)
@@ -226,6 +234,7 @@
 {
   g_autoptr (GArray) order = g_array_new (FALSE, FALSE, sizeof (struct job_order));
   struct job *job;
+  bool starved = false;
 
   pool->changed = false;
   TAILQ_FOREACH (job, &pool->jobs, pool_link)
@@ -240,7 +249,16 @@
     }
   g_array_sort (order, job_order_compare);
   for (guint i = 0; i < order->len; i++)
-    job_place (scheduler, pool, g_array_index (order, struct job_order, i).job);
+    {
+      const struct job_order *entry = &g_array_index (order, struct job_order, i);
+
+      job_place (scheduler, pool, entry->job);
+      starved = starved || (entry->lasts && entry->job->n_ready > 0);
+    }
+  if (!starved)
+    pool->starved_since_ms = 0;
+  else if (pool->starved_since_ms == 0)
+    pool->starved_since_ms = scheduler->now_ms;
   /* What was started here has marked the pool again. */
   pool->changed = false;
 }
--- a/lib/jobs/pool_size.c
+++ b/lib/jobs/pool_size.c
@@ -17,6 +17,8 @@
   IDLE_FOR_PEER_MS = 200,
   IDLE_FOR_STANDBY_MS = 1500,
   RETRY_MS = 500,
+  /* A lasting task that waits for this long needs a host more than its pool has. */
+  STARVED_MS = 250,
   /* A host stays where it came for this long. */
   STAY_MS = 3000,
 };
@@ -41,6 +43,7 @@
 {
   g_free (host->id);
   g_free (host->pool);
+  g_free (host->target_pool);
   g_free (host->endpoint_id);
   g_free (host->rack);
   g_free (host);
@@ -149,16 +152,21 @@
   return (unsigned) n;
 }
 
-/* Tells whether a host counts for its pool: it serves, or will soon. */
+/* Tells whether a host counts for a pool: it serves there, or will soon. */
 static bool
-host_counts (const struct scheduler *scheduler, const struct host *host)
+host_counts (const struct scheduler *scheduler, const struct host *host, const struct pool *pool)
 {
   const struct endpoint *endpoint = host_endpoint (scheduler, host);
 
+  if (strcmp (host->target_pool ? host->target_pool : host->pool, pool->name) != 0)
+    return false;
+  if (host->target_pool)
+    return true;
+
   if (host->state == HOST_MOVING || host->state == HOST_IN_MAINTENANCE)
     return true;
-  return host->state == HOST_UP &&
-         (!endpoint || (!endpoint->draining && endpoint->silent_since_ms == 0));
+  return host->state == HOST_UP && (!endpoint || (!endpoint->draining && !endpoint->cordoned &&
+                                                  endpoint->silent_since_ms == 0));
 }
 
 /* Counts a pool's hosts. */
@@ -169,7 +177,7 @@
   unsigned n = 0;
 
   TAILQ_FOREACH (host, &scheduler->hosts, link)
-    n += strcmp (host->pool, pool->name) == 0 && host_counts (scheduler, host);
+    n += host_counts (scheduler, host, pool);
   return n;
 }
 
@@ -215,6 +223,8 @@
 
   if (endpoint)
     endpoint->cordoned = true;
+  g_free (host->target_pool);
+  host->target_pool = g_strdup (pool->name);
   host->order_in_flight = true;
   scheduler->counts.moves++;
   scheduler->ops.move_host (scheduler->ops.ctx, host, pool->name);
@@ -263,6 +273,25 @@
     }
 }
 
+/* Tells whether a lasting task has waited in vain, with no host on its way. */
+static bool
+pool_is_starved (const struct scheduler *scheduler, const struct pool *pool)
+{
+  const struct host *host;
+
+  if (pool->starved_since_ms == 0 || scheduler->now_ms - pool->starved_since_ms < STARVED_MS)
+    return false;
+  TAILQ_FOREACH (host, &scheduler->hosts, link)
+    {
+      bool on_its_way = host->target_pool || host->state == HOST_MOVING ||
+                        (host->state == HOST_UP && !host_endpoint (scheduler, host));
+
+      if (on_its_way && host_counts (scheduler, host, pool))
+        return false;
+    }
+  return true;
+}
+
 /* Gives the size of a pool's hosts, of any host if it has none. */
 static struct resources
 pool_host_size (const struct scheduler *scheduler, const struct pool *pool)
@@ -294,6 +323,10 @@
 
       pool_sum_need (pool);
       pool->hosts_wanted = hosts_for (&pool->need, &size);
+      /* Room that is there in all may be in too small pieces, or on endpoints that the spread of a
+       * step forbids. */
+      if (pool_is_starved (scheduler, pool))
+        pool->hosts_wanted = MAX (pool->hosts_wanted, pool_count_hosts (scheduler, pool) + 1);
       if (pool->standby)
         standby = pool;
     }
@@ -341,6 +374,7 @@
 
   host->next_order_ms = scheduler->now_ms + RETRY_MS;
   host->order_unsure = result == HOST_ORDER_UNKNOWN;
+  g_clear_pointer (&host->target_pool, g_free);
   if (result == HOST_ORDER_FENCED)
     scheduler_depose (scheduler, "an order for a host was fenced off");
   if (endpoint)
@@ -363,6 +397,8 @@
   host->order_done_ms = now_ms;
   host->moved_ms = now_ms;
   host->state = HOST_MOVING;
+  g_free (host->pool);
+  host->pool = g_steal_pointer (&host->target_pool);
   host_emptied (scheduler, host);
 }
 
--- a/lib/jobs/scheduler_state.h
+++ b/lib/jobs/scheduler_state.h
@@ -23,9 +23,8 @@
   /* Need of the tasks that run or could, and how many hosts that makes. */
   struct resources need;
   unsigned hosts_wanted;
-  /* Since when the pool has had more hosts than it needs; 0 if it has not. */
-  int64_t surplus_since_ms;
-  int64_t last_want_ms;
+  /* Since when lasting tasks have waited for room; 0 if none does. */
+  int64_t starved_since_ms;
 };
 
 /* A maintenance wave under way. */
@@ -110,8 +109,6 @@
 void scheduler_run_waves (struct scheduler *scheduler);
 struct host *scheduler_host (const struct scheduler *scheduler, const char *id);
 struct endpoint *host_endpoint (const struct scheduler *scheduler, const struct host *host);
-unsigned step_tasks_away (const struct scheduler *scheduler, const struct task *task);
-bool endpoint_can_be_emptied (const struct scheduler *scheduler, const struct endpoint *endpoint);
 void wave_destroy (struct wave *wave);
 void pool_host_destroy (struct host *host);
 
--- a/lib/jobs/task_run.c
+++ b/lib/jobs/task_run.c
@@ -38,11 +38,12 @@
   scheduler_pool (scheduler, job->definition->pool)->changed = true;
 }
 
-/* Tells whether a lasting task does its work. */
+/* Tells whether a lasting task does its work, as far as its endpoint can be heard. */
 bool
 task_is_at_work (const struct task *task)
 {
-  return task->phase == TASK_RUNNING && task->progress_percent >= PERCENT_AT_WORK;
+  return task->phase == TASK_RUNNING && task->endpoint->silent_since_ms == 0 &&
+         task->progress_percent >= PERCENT_AT_WORK;
 }
 
 /* Gives a lease from now on the endpoint's clock and notes when it has surely lapsed. */
--- a/lib/jobs/wave.c
+++ b/lib/jobs/wave.c
@@ -12,8 +12,6 @@
   PACE_PERMILLE = 700,
   /* A batch task that has not ended after this is stopped, so that a host gets empty. */
   EVICT_AFTER_MS = 1500,
-  /* A host that may be emptied at once, beyond those that are away. */
-  CORDONED_EXTRA = 1,
 };
 
 /* Frees a wave. */
@@ -95,63 +93,37 @@
   return n;
 }
 
-/* Counts the tasks of a task's step that are away: not at work, or only just back. */
-unsigned
-step_tasks_away (const struct scheduler *scheduler, const struct task *task)
+/* Tells whether a task may be stopped now by its step's limit of tasks away. Those that are not at
+ * work for whatever cause count as away. */
+static bool
+task_may_be_away (const struct task *task)
 {
   const struct task *first = job_task (task->job, task->occurrence, task->step, 0);
-  unsigned n = 0;
-
-  for (uint32_t i = 0; i < task_step (task)->n_tasks; i++)
-    {
-      const struct task *other = &first[i];
-
-      if (other == task)
-        continue;
-      n += !task_is_at_work (other) ||
-           (other->away_since_ms > 0 &&
-            scheduler->now_ms - other->away_since_ms < scheduler->config.notice_ms);
-    }
-  return n;
+  const Sp__JobStep *step = task_step (task);
+  unsigned away = 1;
+
+  if (step->away_limit == 0)
+    return true;
+  for (uint32_t i = 0; i < step->n_tasks; i++)
+    away += &first[i] != task && !task_is_at_work (&first[i]);
+  return away <= step->away_limit;
 }
 
-/* Tells whether all lasting tasks of an endpoint may be away at once. */
-bool
-endpoint_can_be_emptied (const struct scheduler *scheduler, const struct endpoint *endpoint)
-{
-  const struct task *task;
-
-  TAILQ_FOREACH (task, &endpoint->tasks, endpoint_link)
-    {
-      const Sp__JobStep *step = task_step (task);
-      unsigned here = endpoint_count_step (endpoint, task);
-
-      if (!step->long_running || step->away_limit == 0 || !task_is_at_work (task))
-        continue;
-      if (step_tasks_away (scheduler, task) + here > step->away_limit)
-        return false;
-    }
-  return true;
-}
-
-/* Stops what keeps a cordoned endpoint from being empty. */
+/* Stops what keeps a cordoned endpoint from being empty. Lasting tasks go one by one, as their
+ * steps allow; the next may go once the last is at work elsewhere. */
 static void
 endpoint_evict (struct scheduler *scheduler, struct endpoint *endpoint, int64_t cordoned_ms)
 {
   struct task *task = TAILQ_FIRST (&endpoint->tasks);
-  bool may_empty = endpoint_can_be_emptied (scheduler, endpoint);
-  bool only_lasting = endpoint->n_tasks == endpoint->n_serving + endpoint->n_filling;
 
   while (task)
     {
       struct task *next = TAILQ_NEXT (task, endpoint_link);
       const Sp__JobStep *step = task_step (task);
-      bool batch = !step->long_running;
-      bool batch_may_go = batch && (step->checkpointing || cordoned_ms > EVICT_AFTER_MS);
-      bool lasting_may_go = !batch && may_empty && only_lasting;
+      bool may_go = step->long_running ? task_may_be_away (task)
+                                       : step->checkpointing || cordoned_ms > EVICT_AFTER_MS;
 
-      if ((batch_may_go || lasting_may_go) &&
-          (task->phase == TASK_RUNNING || task->phase == TASK_STARTING))
+      if (may_go && (task->phase == TASK_RUNNING || task->phase == TASK_STARTING))
         task_stop (scheduler, task, "its host is to be maintained");
       task = next;
     }
@@ -179,7 +151,7 @@
         host_maintain (scheduler, host, wave);
       return;
     }
-  endpoint_evict (scheduler, endpoint, scheduler->now_ms - endpoint->idle_since_ms);
+  endpoint_evict (scheduler, endpoint, scheduler->now_ms - endpoint->cordoned_ms);
 }
 
 /* Tells whether a host stands in a standby pool, where nothing runs. */
@@ -196,57 +168,62 @@
   return false;
 }
 
-/* Tells what emptying a host would cost; -1 if it can't be maintained now. */
-static int64_t
-host_cost (const struct scheduler *scheduler, const struct host *host)
+/* What stands in the way of a host's maintenance. */
+enum host_burden
+{
+  /* Nothing runs there. */
+  BURDEN_NONE,
+  /* Lasting tasks that may be away now. Their steps allow few at a time, so that these hosts take
+   * the longest and begin first. */
+  BURDEN_LASTING,
+  /* Batch tasks, which end by themselves. */
+  BURDEN_BATCH,
+  /* It can't be maintained now. */
+  BURDEN_FORBIDS,
+};
+
+/* Tells what stands in the way of a host's maintenance. */
+static enum host_burden
+host_burden (const struct scheduler *scheduler, const struct host *host)
 {
-  enum
-  {
-    COST_POOL = 1,
-    COST_TASK = 10,
-    COST_LASTING = 1000,
-  };
   const struct endpoint *endpoint = host_endpoint (scheduler, host);
-  bool standby = host_is_standby (scheduler, host);
-  int64_t cost = standby ? 0 : COST_POOL;
 
   if (host->state != HOST_UP || host->order_in_flight || scheduler->now_ms < host->next_order_ms)
-    return -1;
+    return BURDEN_FORBIDS;
   /* What runs on an endpoint that hasn't answered yet isn't known. */
   if (!endpoint || !endpoint->fenced)
-    return standby || host->order_unsure ? cost : -1;
-  if (endpoint->draining || (endpoint->cordoned && !endpoint->cordoned_for_wave))
-    return -1;
-  if (endpoint->cordoned_for_wave)
-    return 0;
-  if (!endpoint_can_be_emptied (scheduler, endpoint))
-    return -1;
-  return cost + COST_TASK * endpoint->n_tasks +
-         COST_LASTING * (endpoint->n_serving + endpoint->n_filling);
+    return host_is_standby (scheduler, host) || host->order_unsure ? BURDEN_NONE : BURDEN_FORBIDS;
+  if (endpoint->draining || endpoint->cordoned)
+    return BURDEN_FORBIDS;
+  if (endpoint->n_serving + endpoint->n_filling > 0)
+    return BURDEN_LASTING;
+  return endpoint->n_tasks > 0 ? BURDEN_BATCH : BURDEN_NONE;
 }
 
-/* Picks the host that is cheapest to empty. */
+/* Picks the next host: the lightest burden, and of the same the one with the fewest tasks. */
 static struct host *
-wave_pick (const struct scheduler *scheduler, const struct wave *wave)
+wave_pick (const struct scheduler *scheduler, const struct wave *wave, enum host_burden most)
 {
   struct host *host;
   struct host *best = NULL;
-  int64_t best_cost = -1;
+  enum host_burden best_burden = BURDEN_FORBIDS;
+  unsigned best_tasks = 0;
 
   TAILQ_FOREACH (host, &scheduler->hosts, link)
     {
       const struct endpoint *endpoint = host_endpoint (scheduler, host);
-      int64_t cost;
+      unsigned n_tasks = endpoint ? endpoint->n_tasks : 0;
+      enum host_burden burden;
 
-      if (!g_hash_table_contains (wave->left, host->id) ||
-          (endpoint && endpoint->cordoned_for_wave))
+      if (!g_hash_table_contains (wave->left, host->id))
+        continue;
+      burden = host_burden (scheduler, host);
+      if (burden > most || burden > best_burden ||
+          (best && burden == best_burden && n_tasks >= best_tasks))
         continue;
-      cost = host_cost (scheduler, host);
-      if (cost >= 0 && (!best || cost < best_cost))
-        {
-          best = host;
-          best_cost = cost;
-        }
+      best = host;
+      best_burden = burden;
+      best_tasks = n_tasks;
     }
   return best;
 }
@@ -279,58 +256,68 @@
   return (int64_t) g_hash_table_size (wave->begun) * plan_ms < (int64_t) total * spent_ms;
 }
 
-/* Goes on with one wave. */
+/* Cordons a host and begins to empty it, or maintains it at once. */
 static void
-wave_run (struct scheduler *scheduler, struct wave *wave)
+wave_take (struct scheduler *scheduler, struct wave *wave, struct host *host)
+{
+  struct endpoint *endpoint = host_endpoint (scheduler, host);
+
+  if (endpoint)
+    {
+      endpoint->cordoned = true;
+      endpoint->cordoned_for_wave = true;
+      endpoint->cordoned_ms = scheduler->now_ms;
+    }
+  wave_work_on (scheduler, wave, host);
+}
+
+/* Goes on with the hosts that are being emptied; counts them. */
+static unsigned
+wave_continue (struct scheduler *scheduler, struct wave *wave, unsigned *away)
 {
-  unsigned away = wave_count_away (scheduler, wave);
-  unsigned emptying = 0;
   struct host *host;
+  unsigned emptying = 0;
 
-  wave_drop_gone (scheduler, wave);
   TAILQ_FOREACH (host, &scheduler->hosts, link)
     {
       struct endpoint *endpoint = host_endpoint (scheduler, host);
+      bool left = g_hash_table_contains (wave->left, host->id);
 
-      if (!endpoint || !endpoint->cordoned_for_wave || host->order_in_flight ||
-          !g_hash_table_contains (wave->left, host->id))
+      if (endpoint)
+        endpoint->maintenance_due = left;
+      if (!left || !endpoint || !endpoint->cordoned_for_wave || host->order_in_flight)
         continue;
-      emptying++;
-      if (away < wave->most_at_once || endpoint->n_tasks > 0)
-        {
-          wave_work_on (scheduler, wave, host);
-          away += host->order_in_flight;
-        }
+      if (endpoint->n_tasks > 0 || *away < wave->most_at_once)
+        wave_work_on (scheduler, wave, host);
+      if (host->order_in_flight)
+        (*away)++;
+      else
+        emptying++;
     }
-  while (away + emptying < wave->most_at_once + CORDONED_EXTRA)
+  return emptying;
+}
+
+/* Goes on with one wave. */
+static void
+wave_run (struct scheduler *scheduler, struct wave *wave)
+{
+  unsigned away = wave_count_away (scheduler, wave);
+  unsigned emptying;
+
+  wave_drop_gone (scheduler, wave);
+  emptying = wave_continue (scheduler, wave, &away);
+  while (away + emptying < wave->most_at_once)
     {
-      struct endpoint *endpoint;
+      struct host *host = wave_pick (
+          scheduler, wave, wave_is_behind (scheduler, wave) ? BURDEN_BATCH : BURDEN_LASTING);
 
-      host = wave_pick (scheduler, wave);
       if (!host)
         break;
-      endpoint = host_endpoint (scheduler, host);
-      if (endpoint && endpoint->n_tasks > 0 && !wave_is_behind (scheduler, wave))
-        break;
-      if (!endpoint || endpoint->n_tasks == 0)
-        {
-          if (away >= wave->most_at_once)
-            break;
-          if (endpoint)
-            endpoint->cordoned = endpoint->cordoned_for_wave = true;
-          wave_work_on (scheduler, wave, host);
-          if (!host->order_in_flight)
-            {
-              emptying++;
-              continue;
-            }
-          away++;
-          continue;
-        }
-      endpoint->cordoned = endpoint->cordoned_for_wave = true;
-      endpoint->idle_since_ms = scheduler->now_ms;
-      emptying++;
-      wave_work_on (scheduler, wave, host);
+      wave_take (scheduler, wave, host);
+      if (host->order_in_flight)
+        away++;
+      else
+        emptying++;
     }
 }
 
