Know an inheritance by pool, and believe the machine list about hosts that are down

Cause: after a takeover no inherited task of any pool started for 4 s while one endpoint of any pool was dark. What a former leader started in a pool can only run on that pool's endpoints. Hosts that the list shows as down run nothing, which is known long before their leases lapse.

--- a/include/lib/jobs/endpoint.h
+++ b/include/lib/jobs/endpoint.h
@@ -47,6 +47,8 @@
   struct resources used;
   bool listed;
   bool draining;
+  /* Its host is down by the machine list. */
+  bool down;
   int64_t remaining_ms;
   int64_t born_ms;
   /* Has answered under our fence in this life. */
--- a/include/lib/jobs/scheduler.h
+++ b/include/lib/jobs/scheduler.h
@@ -91,6 +91,8 @@
   void (*maintain_host) (void *ctx, struct host *host, uint32_t wave);
   /* A wave's hosts have all been maintained, or it has begun. */
   void (*wave_state) (void *ctx, uint32_t wave, bool completed);
+  /* A line for the log: what was decided or is believed from now on, and why. */
+  void (*note) (void *ctx, const char *line);
   /* Another leader has taken over: the owner destroys the scheduler in a later turn. */
   void (*deposed) (void *ctx, const char *why);
   void *ctx;
--- a/jobd/ingress.c
+++ b/jobd/ingress.c
@@ -134,8 +134,8 @@
   log_info ("ingress", "%s: job=%s offset=%" G_GINT64_FORMAT " key=%s",
             durable ? "record durable" : "record refused", exchange->id, durable ? offset : -1,
             exchange->key);
-  /* A leader learns of jobs in the journal's order only: the claim of its successor may stand before
-   * this one, which then is the successor's to start. */
+  /* A leader learns of jobs in the journal's order only: the claim of its successor may stand
+   * before this one, which then is the successor's to start. */
   if (durable && !leader_is_leading (jobd->leader))
     job_book_apply (&jobd->book, exchange->key, value, len, offset, jobd_now_ms (jobd));
   if (request && durable)
--- a/jobd/leader.c
+++ b/jobd/leader.c
@@ -329,8 +329,9 @@
 {
   struct leader *leader = ctx;
 
-  log_info ("scheduler", "stop: task=%s attempt=%u endpoint=%s known=%d", task, attempt,
-            endpoint->id, known != NULL);
+  if (!known)
+    log_info ("scheduler", "stopping a stray run: task=%s attempt=%u endpoint=%s", task, attempt,
+              endpoint->id);
   orders_stop (leader->orders, endpoint, task, attempt, known);
 }
 
@@ -398,6 +399,13 @@
   free (value);
 }
 
+static void
+leader_note (void *ctx, const char *line)
+{
+  (void) ctx;
+  log_info ("scheduler", "%s", line);
+}
+
 static void
 leader_on_deposed (void *ctx, const char *why)
 {
@@ -548,6 +556,7 @@
     .move_host = leader_move_host,
     .maintain_host = leader_maintain_host,
     .wave_state = leader_tell_wave,
+    .note = leader_note,
     .deposed = leader_on_deposed,
     .ctx = leader,
   };
--- a/lib/jobs/endpoint_orders.c
+++ b/lib/jobs/endpoint_orders.c
@@ -25,8 +25,11 @@
 void
 endpoint_set_silent (struct scheduler *scheduler, struct endpoint *endpoint)
 {
-  if (endpoint->silent_since_ms == 0)
-    endpoint->silent_since_ms = scheduler->now_ms;
+  if (endpoint->silent_since_ms > 0)
+    return;
+  endpoint->silent_since_ms = scheduler->now_ms;
+  scheduler_note (scheduler, "endpoint silent: endpoint=%s tasks=%u lapse_in_ms=%" G_GINT64_FORMAT,
+                  endpoint->id, endpoint->n_tasks, endpoint->lapse_ms - scheduler->now_ms);
 }
 
 /* Tells whether an endpoint may get new tasks. */
@@ -41,7 +44,8 @@
 void
 endpoint_reset (struct scheduler *scheduler, struct endpoint *endpoint, const char *why)
 {
-  (void) why;
+  scheduler_note (scheduler, "endpoint lost: endpoint=%s tasks=%u reason=\"%s\"", endpoint->id,
+                  endpoint->n_tasks, why);
   while (!TAILQ_EMPTY (&endpoint->tasks))
     {
       scheduler->counts.lapses++;
@@ -193,6 +197,10 @@
           !report_lists (report, task))
         {
           scheduler->counts.lapses++;
+          scheduler_note (scheduler,
+                          "run not listed any more: task=%s.%u.%u.%u attempt=%u endpoint=%s",
+                          task->job->id, task->occurrence, task->step, task->index, task->attempt,
+                          endpoint->id);
           task_release (scheduler, task);
         }
       task = next;
@@ -229,7 +237,11 @@
       endpoint->born_ms = report->born_ms;
       acked = 0;
     }
+  if (endpoint->silent_since_ms > 0)
+    scheduler_note (scheduler, "endpoint answers again: endpoint=%s silent_ms=%" G_GINT64_FORMAT,
+                    endpoint->id, scheduler->now_ms - endpoint->silent_since_ms);
   endpoint->silent_since_ms = 0;
+  endpoint->down = false;
   endpoint->fenced = true;
   endpoint->clock_ms = report->clock_ms;
   endpoint->clock_read_ms = scheduler->now_ms;
--- a/lib/jobs/placement.c
+++ b/lib/jobs/placement.c
@@ -241,7 +241,7 @@
     {
       struct job_order entry = { .job = job };
 
-      if (job->n_ready == 0 || (job->inherited && !scheduler->inheritance_known))
+      if (job->n_ready == 0 || (job->inherited && !pool->inheritance_known))
         continue;
       entry.lasts = job_lasts (job);
       entry.late = job_is_late (job, scheduler->now_ms);
--- a/lib/jobs/pool_size.c
+++ b/lib/jobs/pool_size.c
@@ -56,6 +56,33 @@
   return host->endpoint_id ? g_hash_table_lookup (scheduler->endpoints, host->endpoint_id) : NULL;
 }
 
+/* Tells whether nothing can run unseen in a pool. */
+bool
+scheduler_pool_known (const struct scheduler *scheduler, const char *name)
+{
+  const struct pool *pool;
+
+  TAILQ_FOREACH (pool, &scheduler->pools, link)
+    {
+      if (strcmp (pool->name, name) == 0)
+        return pool->inheritance_known;
+    }
+  return false;
+}
+
+/* The platform says that a host is down: what ran there is gone. */
+static void
+host_note_down (struct scheduler *scheduler, const struct host *host)
+{
+  struct endpoint *endpoint = host_endpoint (scheduler, host);
+
+  if (!endpoint || endpoint->down)
+    return;
+  endpoint->down = true;
+  if (endpoint->n_tasks > 0)
+    endpoint_reset (scheduler, endpoint, "its host is down");
+}
+
 /* Takes one entry of the machine list. */
 static void
 host_update (struct host *host, const struct host_entry *entry)
@@ -101,7 +128,15 @@
       if (host->order_in_flight || host->order_done_ms > sent_ms)
         host->listed = true;
       else
-        host_update (host, &entries[i]);
+        {
+          if (host->state != entries[i].state)
+            scheduler_note (scheduler, "host changed: host=%s state=%d was=%d pool=%s endpoint=%s",
+                            entries[i].id, entries[i].state, host->state, entries[i].pool,
+                            entries[i].endpoint ? entries[i].endpoint : "none");
+          if (entries[i].state == HOST_DOWN)
+            host_note_down (scheduler, host);
+          host_update (host, &entries[i]);
+        }
     }
   for (host = TAILQ_FIRST (&scheduler->hosts); host; host = next)
     {
@@ -193,9 +228,9 @@
     return false;
   if (standby)
     return true;
-  return endpoint && endpoint->fenced && endpoint->n_tasks == 0 && !endpoint->draining &&
-         !endpoint->cordoned_for_wave && endpoint->silent_since_ms == 0 &&
-         scheduler->now_ms - endpoint->idle_since_ms >= idle_ms &&
+  return endpoint && endpoint->fenced && scheduler_pool_known (scheduler, host->pool) &&
+         endpoint->n_tasks == 0 && !endpoint->draining && !endpoint->cordoned_for_wave &&
+         endpoint->silent_since_ms == 0 && scheduler->now_ms - endpoint->idle_since_ms >= idle_ms &&
          scheduler->now_ms - host->moved_ms >= STAY_MS &&
          endpoint->ends_acked >= endpoint->ends_seen;
 }
@@ -315,7 +350,7 @@
   struct pool *pool;
   struct pool *standby = NULL;
 
-  if (!scheduler->renewed || !scheduler->hosts_listed || !scheduler->inheritance_known)
+  if (!scheduler->renewed || !scheduler->hosts_listed)
     return;
   TAILQ_FOREACH (pool, &scheduler->pools, link)
     {
--- a/lib/jobs/scheduler.c
+++ b/lib/jobs/scheduler.c
@@ -1,11 +1,13 @@
 #include "scheduler_state.h"
 
+#include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
 
 enum
 {
   PERMILLE = 1000,
+  NOTE_BYTES = 320,
   /* The endpoints' clocks may be 2% slow. */
   SLOW_CLOCK_PERMILLE = 20,
   /* Allowance for an order that was under way when its sender lost the leadership. */
@@ -43,6 +45,21 @@
   scheduler_pool (scheduler, name)->standby = standby;
 }
 
+/* Writes a line to the log. */
+void
+scheduler_note (struct scheduler *scheduler, const char *format, ...)
+{
+  char line[NOTE_BYTES];
+  va_list args;
+
+  if (!scheduler->ops.note)
+    return;
+  va_start (args, format);
+  vsnprintf (line, sizeof line, format, args);
+  va_end (args);
+  scheduler->ops.note (scheduler->ops.ctx, line);
+}
+
 /* Stops giving orders, because another leader has taken over. */
 void
 scheduler_depose (struct scheduler *scheduler, const char *why)
@@ -378,8 +395,11 @@
   struct endpoint *endpoint = g_hash_table_lookup (scheduler->endpoints, id);
 
   scheduler->now_ms = now_ms;
-  if (endpoint)
-    endpoint->listed = false;
+  if (!endpoint)
+    return;
+  endpoint->listed = false;
+  scheduler_note (scheduler, "endpoint not listed any more: endpoint=%s draining=%d tasks=%u", id,
+                  endpoint->draining, endpoint->n_tasks);
 }
 
 /* The whole registry has been read. */
@@ -396,10 +416,10 @@
   scheduler->renewed = renewed;
 }
 
-/* Tells whether each endpoint that may run an earlier leader's tasks has answered, or else its
- * lease must have lapsed. */
+/* Tells whether each endpoint of a pool that may run an earlier leader's tasks has answered. What a
+ * host ran in another pool ended when it was moved. */
 static bool
-scheduler_all_endpoints_known (const struct scheduler *scheduler)
+pool_endpoints_are_known (const struct scheduler *scheduler, const struct pool *pool)
 {
   GHashTableIter each;
   gpointer value;
@@ -412,34 +432,34 @@
     {
       const struct endpoint *endpoint = value;
 
-      if (!endpoint->fenced)
+      if (!endpoint->fenced && !endpoint->down && strcmp (endpoint->pool, pool->name) == 0)
         return false;
     }
   TAILQ_FOREACH (host, &scheduler->hosts, link)
     {
-      if (host->state == HOST_UP && host->endpoint_id &&
+      if (host->state == HOST_UP && host->endpoint_id && strcmp (host->pool, pool->name) == 0 &&
           !g_hash_table_contains (scheduler->endpoints, host->endpoint_id))
         return false;
     }
   return true;
 }
 
-/* Finds out whether tasks of an earlier leader may still run unseen. */
+/* Finds out whether tasks of an earlier leader may still run unseen in a pool: until its endpoints
+ * have all answered, or any lease of that leader's has lapsed. */
 static void
-scheduler_review_inheritance (struct scheduler *scheduler)
+pool_review_inheritance (struct scheduler *scheduler, struct pool *pool)
 {
   int64_t longest_ms =
       scheduler->config.lease_ms * (PERMILLE + SLOW_CLOCK_PERMILLE) / PERMILLE + INHERIT_MARGIN_MS;
-  struct pool *pool;
+  int64_t spent_ms = scheduler->now_ms - scheduler->claimed_ms;
 
-  if (scheduler->inheritance_known)
+  if (pool->inheritance_known ||
+      (!pool_endpoints_are_known (scheduler, pool) && spent_ms < longest_ms))
     return;
-  if (!scheduler_all_endpoints_known (scheduler) &&
-      scheduler->now_ms - scheduler->claimed_ms < longest_ms)
-    return;
-  scheduler->inheritance_known = true;
-  TAILQ_FOREACH (pool, &scheduler->pools, link)
-    pool->changed = true;
+  pool->inheritance_known = true;
+  pool->changed = true;
+  scheduler_note (scheduler, "inheritance known: pool=%s after_ms=%" G_GINT64_FORMAT, pool->name,
+                  spent_ms);
 }
 
 /* Looks after all endpoints; frees those that are gone for good. */
@@ -540,11 +560,11 @@
     return;
   scheduler_tick_endpoints (scheduler);
   scheduler_tick_tasks (scheduler);
-  scheduler_review_inheritance (scheduler);
   scheduler_review_jobs (scheduler);
   scheduler_drop_ended (scheduler);
   TAILQ_FOREACH (pool, &scheduler->pools, link)
     {
+      pool_review_inheritance (scheduler, pool);
       if (pool->changed)
         pool_place (scheduler, pool);
     }
--- a/lib/jobs/scheduler_state.h
+++ b/lib/jobs/scheduler_state.h
@@ -23,6 +23,8 @@
   /* Need of the tasks that run or could, and how many hosts that makes. */
   struct resources need;
   unsigned hosts_wanted;
+  /* No earlier leader's task of this pool can run unseen any more. */
+  bool inheritance_known;
   /* Since when lasting tasks have waited for room; 0 if none does. */
   int64_t starved_since_ms;
 };
@@ -54,8 +56,6 @@
   /* Id to struct endpoint. */
   GHashTable *endpoints;
   bool registry_read;
-  /* No earlier leader's task can run unseen any more. */
-  bool inheritance_known;
   struct pool_list pools;
   struct host_list hosts;
   bool hosts_listed;
@@ -72,6 +72,7 @@
 
 /* scheduler.c */
 struct pool *scheduler_pool (struct scheduler *scheduler, const char *name);
+void scheduler_note (struct scheduler *scheduler, const char *format, ...) G_GNUC_PRINTF (2, 3);
 void scheduler_depose (struct scheduler *scheduler, const char *why);
 void job_mark_dirty (struct scheduler *scheduler, struct job *job);
 void job_review (struct scheduler *scheduler, struct job *job);
@@ -107,6 +108,7 @@
 /* pool_size.c, wave.c */
 void scheduler_size_pools (struct scheduler *scheduler);
 void scheduler_run_waves (struct scheduler *scheduler);
+bool scheduler_pool_known (const struct scheduler *scheduler, const char *name);
 struct host *scheduler_host (const struct scheduler *scheduler, const char *id);
 struct endpoint *host_endpoint (const struct scheduler *scheduler, const struct host *host);
 void wave_destroy (struct wave *wave);
--- a/lib/jobs/task_run.c
+++ b/lib/jobs/task_run.c
@@ -137,11 +137,13 @@
 void
 task_stop (struct scheduler *scheduler, struct task *task, const char *why)
 {
-  (void) why;
   if (task->phase == TASK_READY)
     task_set_phase (scheduler, task, TASK_BLOCKED);
   if (task->phase != TASK_STARTING && task->phase != TASK_RUNNING)
     return;
+  scheduler_note (scheduler, "stopping: task=%s.%u.%u.%u attempt=%u endpoint=%s reason=\"%s\"",
+                  task->job->id, task->occurrence, task->step, task->index, task->attempt,
+                  task->endpoint->id, why);
   task_set_phase (scheduler, task, TASK_STOPPING);
   task->confirmed_ms = 0;
   task->next_order_ms = scheduler->now_ms;
@@ -172,6 +174,8 @@
 {
   if (job_is_over (job))
     return;
+  scheduler_note (scheduler, "job failed: job=%s max_attempts=%u", job->id,
+                  job->definition->max_attempts);
   job->next_state = SP__JOB_STATE__JOB_FAILED;
   job_mark_dirty (scheduler, job);
   for (uint32_t i = 0; i < job->n_tasks; i++)
@@ -214,6 +218,15 @@
     }
 }
 
+/* Gives the word for how a run ended. */
+static const char *
+run_end_name (enum run_end how)
+{
+  static const char *const names[] = { "done", "failed", "stopped", "lapsed", "broken", "alone" };
+
+  return names[how];
+}
+
 /* Counts a failed run against its task's attempts, once. */
 static void
 task_note_failure (struct scheduler *scheduler, struct endpoint *endpoint, struct task *task,
@@ -266,6 +279,9 @@
     return;
   job = task->job;
   scheduler->counts.ends[end->how]++;
+  scheduler_note (scheduler,
+                  "ended: task=%s attempt=%u endpoint=%s how=%s number=%" G_GUINT64_FORMAT,
+                  end->task, end->attempt, endpoint->id, run_end_name (end->how), end->number);
   task_count_end (scheduler, endpoint, task, end);
   if (task->endpoint == endpoint && task->attempt <= end->attempt)
     task_release (scheduler, task);
@@ -300,9 +316,13 @@
 
 /* A start that was certainly not carried out: the task waits again. */
 static void
-task_start_refused (struct scheduler *scheduler, struct task *task, int64_t avoid_ms)
+task_start_refused (struct scheduler *scheduler, struct task *task, enum order_result result,
+                    int64_t avoid_ms)
 {
   scheduler->counts.starts_failed++;
+  scheduler_note (scheduler, "start refused: task=%s.%u.%u.%u attempt=%u endpoint=%s result=%d",
+                  task->job->id, task->occurrence, task->step, task->index, task->attempt,
+                  task->endpoint->id, result);
   task->endpoint->avoid_until_ms =
       MAX (task->endpoint->avoid_until_ms, scheduler->now_ms + avoid_ms);
   task->endpoint->next_hold_ms = scheduler->now_ms;
@@ -354,6 +374,10 @@
       break;
     case ORDER_UNKNOWN:
       task->start_tries++;
+      scheduler_note (scheduler,
+                      "start without an answer: task=%s.%u.%u.%u attempt=%u endpoint=%s try=%u",
+                      task->job->id, task->occurrence, task->step, task->index, attempt,
+                      endpoint->id, task->start_tries);
       task->next_order_ms = now_ms + START_RETRY_MS;
       break;
     case ORDER_FENCED:
@@ -366,17 +390,17 @@
       break;
     case ORDER_NOT_SENT:
       endpoint_set_silent (scheduler, endpoint);
-      task_start_refused (scheduler, task, AVOID_FULL_MS);
+      task_start_refused (scheduler, task, result, AVOID_FULL_MS);
       break;
     case ORDER_OTHER_LIFE:
     case ORDER_UNHEALTHY:
     case ORDER_INVALID:
-      task_start_refused (scheduler, task, AVOID_UNHEALTHY_MS);
+      task_start_refused (scheduler, task, result, AVOID_UNHEALTHY_MS);
       break;
     case ORDER_LATE:
     case ORDER_NO_ROOM:
     case ORDER_NO_TICKET:
-      task_start_refused (scheduler, task, AVOID_FULL_MS);
+      task_start_refused (scheduler, task, result, AVOID_FULL_MS);
       break;
     }
 }
--- a/lib/jobs/wave.c
+++ b/lib/jobs/wave.c
@@ -191,7 +191,7 @@
   if (host->state != HOST_UP || host->order_in_flight || scheduler->now_ms < host->next_order_ms)
     return BURDEN_FORBIDS;
   /* What runs on an endpoint that hasn't answered yet isn't known. */
-  if (!endpoint || !endpoint->fenced)
+  if (!endpoint || !endpoint->fenced || !scheduler_pool_known (scheduler, host->pool))
     return host_is_standby (scheduler, host) || host->order_unsure ? BURDEN_NONE : BURDEN_FORBIDS;
   if (endpoint->draining || endpoint->cordoned)
     return BURDEN_FORBIDS;
@@ -346,7 +346,7 @@
 {
   struct wave *wave;
 
-  if (!scheduler->renewed || !scheduler->hosts_listed || !scheduler->inheritance_known)
+  if (!scheduler->renewed || !scheduler->hosts_listed)
     return;
   TAILQ_FOREACH (wave, &scheduler->waves, link)
     {
