--- a/include/lib/jobs/endpoint.h
+++ b/include/lib/jobs/endpoint.h
@@ -51,6 +51,9 @@
   bool down;
   int64_t remaining_ms;
   int64_t born_ms;
+  /* What orders carry now. It rises with the leader's epoch, and with each life of the endpoint, so
+   * that an order meant for a former life does nothing once the new one has been reached. */
+  uint64_t fence;
   /* Has answered under our fence in this life. */
   bool fenced;
   /* No new tasks: the host is about to move or to be maintained. */
@@ -64,6 +67,9 @@
   unsigned n_tasks;
   unsigned n_serving;
   unsigned n_filling;
+  /* Runs that it listed last and that none of our tasks accounts for; they take room until they are
+   * stopped. */
+  unsigned n_strays;
   int64_t idle_since_ms;
 
   /* Orders. calls counts those under way, that keep the struct alive. */
--- a/include/lib/jobs/scheduler.h
+++ b/include/lib/jobs/scheduler.h
@@ -103,6 +103,7 @@
   uint64_t epoch;
   /* Offset of the claim: jobs defined before it may have been started by an earlier leader. */
   int64_t claim_offset;
+  /* Time that a task may run without word from the leader. */
   int64_t lease_ms;
   int64_t stop_ms;
   int64_t move_ms;
@@ -128,17 +129,17 @@
 void scheduler_job_forgotten (struct scheduler *scheduler, struct job *job);
 
 void scheduler_start_done (struct scheduler *scheduler, struct endpoint *endpoint,
-                           struct task *task, uint32_t attempt, enum order_result result,
-                           int64_t clock_ms, int64_t now_ms);
+                           struct task *task, uint32_t attempt, uint64_t fence,
+                           enum order_result result, int64_t clock_ms, int64_t now_ms);
 void scheduler_stop_done (struct scheduler *scheduler, struct endpoint *endpoint,
-                          struct task *known, uint32_t attempt, enum order_result result,
-                          int64_t now_ms);
-/* report is NULL unless result is ORDER_DONE. */
-void scheduler_hold_done (struct scheduler *scheduler, struct endpoint *endpoint,
+                          struct task *known, uint32_t attempt, uint64_t fence,
+                          enum order_result result, int64_t now_ms);
+/* fence is what the order carried. report is NULL unless result is ORDER_DONE. */
+void scheduler_hold_done (struct scheduler *scheduler, struct endpoint *endpoint, uint64_t fence,
                           enum order_result result, const struct endpoint_report *report,
                           uint64_t acked, int64_t sent_ms, int64_t now_ms);
 void scheduler_pace_done (struct scheduler *scheduler, struct endpoint *endpoint, struct task *task,
-                          int percent, enum order_result result);
+                          int percent, uint64_t fence, enum order_result result);
 
 /* Hosts of the machine list and waves of maintenance. */
 void scheduler_hosts_listed (struct scheduler *scheduler, const struct host_entry *entries,
--- a/lib/jobs/endpoint_orders.c
+++ b/lib/jobs/endpoint_orders.c
@@ -21,6 +21,17 @@
   STALL_MS = 2500,
 };
 
+/* An endpoint has refused an order for its fence: another leader has taken over, unless the
+ * endpoint's fence was raised after the order was sent. */
+void
+order_fenced (struct scheduler *scheduler, struct endpoint *endpoint, uint64_t fence,
+              const char *why)
+{
+  if (fence >= endpoint->fence)
+    scheduler_depose (scheduler, why);
+  endpoint->next_hold_ms = scheduler->now_ms;
+}
+
 /* Notes that an endpoint does not answer. */
 void
 endpoint_set_silent (struct scheduler *scheduler, struct endpoint *endpoint)
@@ -37,7 +48,38 @@
 endpoint_is_usable (const struct scheduler *scheduler, const struct endpoint *endpoint)
 {
   return endpoint->listed && endpoint->fenced && !endpoint->draining && !endpoint->cordoned &&
-         endpoint->silent_since_ms == 0 && scheduler->now_ms >= endpoint->avoid_until_ms;
+         endpoint->silent_since_ms == 0 && endpoint->n_strays == 0 &&
+         scheduler->now_ms >= endpoint->avoid_until_ms;
+}
+
+/* Forgets what an endpoint has said, so that the next report counts from the start. */
+static void
+endpoint_forget_life (struct scheduler *scheduler, struct endpoint *endpoint)
+{
+  endpoint->fenced = false;
+  endpoint->ends_seen = 0;
+  endpoint->ends_flushing = 0;
+  endpoint->ends_durable = 0;
+  endpoint->ends_acked = 0;
+  endpoint->until_ms = 0;
+  endpoint->clock_ms = 0;
+  endpoint->failed_jobs = 0;
+  endpoint->n_strays = 0;
+  endpoint->next_hold_ms = scheduler->now_ms;
+}
+
+/* An endpoint has begun a new life. What ran in the former one is gone, but a start that was under
+ * way may have reached the new one: its report tells. */
+void
+endpoint_begin_life (struct scheduler *scheduler, struct endpoint *endpoint, int64_t born_ms)
+{
+  if (endpoint->born_ms > 0)
+    scheduler_note (scheduler,
+                    "endpoint began a new life: endpoint=%s tasks=%u born_ms=%" G_GINT64_FORMAT,
+                    endpoint->id, endpoint->n_tasks, born_ms);
+  endpoint->born_ms = born_ms;
+  endpoint->fence++;
+  endpoint_forget_life (scheduler, endpoint);
 }
 
 /* Takes all tasks off an endpoint on which nothing of them can run any more. */
@@ -51,16 +93,8 @@
       scheduler->counts.lapses++;
       task_release (scheduler, TAILQ_FIRST (&endpoint->tasks));
     }
-  endpoint->fenced = false;
-  endpoint->ends_seen = 0;
-  endpoint->ends_flushing = 0;
-  endpoint->ends_durable = 0;
-  endpoint->ends_acked = 0;
-  endpoint->until_ms = 0;
   endpoint->lapse_ms = 0;
-  endpoint->clock_ms = 0;
-  endpoint->failed_jobs = 0;
-  endpoint->next_hold_ms = scheduler->now_ms;
+  endpoint_forget_life (scheduler, endpoint);
 }
 
 /* Sends a hold: it extends the lease of all that runs there and waits for an end. */
@@ -96,7 +130,7 @@
     return false;
   if (!endpoint->fenced || endpoint->n_tasks > 0 || endpoint->silent_since_ms > 0)
     return endpoint->listed || endpoint->n_tasks > 0;
-  return endpoint->ends_acked < endpoint->ends_durable;
+  return endpoint->ends_acked < endpoint->ends_durable || endpoint->n_strays > 0;
 }
 
 /* Stops tasks that stand still, so that they run elsewhere. */
@@ -135,19 +169,31 @@
     endpoint_send_hold (scheduler, endpoint);
 }
 
+/* Tells whether a run that this leader did not start is to be taken over: nothing else is known to
+ * run of its task. One of a job that is over is taken over as well, to be stopped. */
+static bool
+run_is_adoptable (const struct task *task, const struct endpoint_run *run)
+{
+  return task && task->job->scheduled && !task->done && !task->endpoint &&
+         run->attempt > task->ended_attempt;
+}
+
 /* Takes one run that an endpoint lists. A run that should not be is stopped. */
 static void
 endpoint_take_run (struct scheduler *scheduler, struct endpoint *endpoint,
                    const struct endpoint_run *run, int64_t sent_ms)
 {
   struct task *task = scheduler_find_task (scheduler, run->task);
-  bool wanted = task && task->job->scheduled && !task->done && !job_is_over (task->job);
 
-  if (wanted && !task->endpoint && run->attempt > task->ended_attempt &&
-      (task->phase == TASK_READY || task->phase == TASK_BLOCKED))
-    task_adopt (scheduler, task, endpoint, run, sent_ms);
+  if (run_is_adoptable (task, run))
+    {
+      task_adopt (scheduler, task, endpoint, run, sent_ms);
+      if (job_is_over (task->job))
+        task_stop (scheduler, task, "its job is over");
+    }
   if (!task || task->endpoint != endpoint || task->attempt != run->attempt)
     {
+      endpoint->n_strays++;
       endpoint->calls++;
       scheduler->counts.stops++;
       scheduler->ops.stop (scheduler->ops.ctx, endpoint, run->task, run->attempt, NULL);
@@ -232,9 +278,7 @@
 
   if (report->born_ms > 0 && report->born_ms != endpoint->born_ms)
     {
-      if (endpoint->born_ms > 0)
-        endpoint_reset (scheduler, endpoint, "new life in a report");
-      endpoint->born_ms = report->born_ms;
+      endpoint_begin_life (scheduler, endpoint, report->born_ms);
       acked = 0;
     }
   if (endpoint->silent_since_ms > 0)
@@ -250,6 +294,7 @@
   if (!was_fenced)
     endpoint->lapse_ms = scheduler->now_ms + scheduler->config.lease_ms * 102 / 100 + 300;
   endpoint_take_ends (scheduler, endpoint, report);
+  endpoint->n_strays = 0;
   for (size_t i = 0; i < report->n_runs; i++)
     endpoint_take_run (scheduler, endpoint, &report->runs[i], sent_ms);
   endpoint_release_missing (scheduler, endpoint, report, sent_ms);
@@ -259,7 +304,7 @@
 
 /* An endpoint has answered a hold, or has not. */
 void
-scheduler_hold_done (struct scheduler *scheduler, struct endpoint *endpoint,
+scheduler_hold_done (struct scheduler *scheduler, struct endpoint *endpoint, uint64_t fence,
                      enum order_result result, const struct endpoint_report *report, uint64_t acked,
                      int64_t sent_ms, int64_t now_ms)
 {
@@ -268,7 +313,7 @@
   endpoint->hold_in_flight = false;
   if (result == ORDER_FENCED)
     {
-      scheduler_depose (scheduler, "a hold was fenced off");
+      order_fenced (scheduler, endpoint, fence, "a hold was fenced off");
       return;
     }
   if (result != ORDER_DONE || !report)
--- a/lib/jobs/pacing.c
+++ b/lib/jobs/pacing.c
@@ -67,12 +67,12 @@
 /* An endpoint has answered an order of pace, or has not. */
 void
 scheduler_pace_done (struct scheduler *scheduler, struct endpoint *endpoint, struct task *task,
-                     int percent, enum order_result result)
+                     int percent, uint64_t fence, enum order_result result)
 {
   endpoint->calls--;
   task->pace_in_flight = false;
   if (result == ORDER_FENCED)
-    scheduler_depose (scheduler, "an order of pace was fenced off");
+    order_fenced (scheduler, endpoint, fence, "an order of pace was fenced off");
   if (result == ORDER_DONE && task->endpoint == endpoint)
     task->pace_ordered_percent = percent;
 }
--- a/lib/jobs/scheduler.c
+++ b/lib/jobs/scheduler.c
@@ -8,6 +8,8 @@
 {
   PERMILLE = 1000,
   NOTE_BYTES = 320,
+  /* Room for an endpoint's lives between the fences of two epochs. */
+  LIVES_PER_EPOCH = 1 << 20,
   /* The endpoints' clocks may be 2% slow. */
   SLOW_CLOCK_PERMILLE = 20,
   /* Allowance for an order that was under way when its sender lost the leadership. */
@@ -372,15 +374,12 @@
   if (!endpoint)
     {
       endpoint = endpoint_create (entry->id, now_ms);
+      endpoint->fence = scheduler->config.epoch * LIVES_PER_EPOCH;
       endpoint->born_ms = entry->born_ms;
       g_hash_table_insert (scheduler->endpoints, endpoint->id, endpoint);
     }
   if (entry->born_ms > endpoint->born_ms)
-    {
-      if (endpoint->born_ms > 0)
-        endpoint_reset (scheduler, endpoint, "new life in the registry");
-      endpoint->born_ms = entry->born_ms;
-    }
+    endpoint_begin_life (scheduler, endpoint, entry->born_ms);
   was_draining = endpoint->draining;
   endpoint_update (endpoint, entry);
   if (endpoint->draining && !was_draining)
--- a/lib/jobs/scheduler_state.h
+++ b/lib/jobs/scheduler_state.h
@@ -94,6 +94,9 @@
 bool task_is_at_work (const struct task *task);
 
 /* endpoint_orders.c */
+void order_fenced (struct scheduler *scheduler, struct endpoint *endpoint, uint64_t fence,
+                   const char *why);
+void endpoint_begin_life (struct scheduler *scheduler, struct endpoint *endpoint, int64_t born_ms);
 void endpoint_reset (struct scheduler *scheduler, struct endpoint *endpoint, const char *why);
 void endpoint_tick (struct scheduler *scheduler, struct endpoint *endpoint);
 void endpoint_set_silent (struct scheduler *scheduler, struct endpoint *endpoint);
--- a/lib/jobs/task_run.c
+++ b/lib/jobs/task_run.c
@@ -162,7 +162,7 @@
     task->away_since_ms = scheduler->now_ms;
   if (task->done)
     task_set_phase (scheduler, task, TASK_DONE);
-  else if (job_is_over (task->job))
+  else if (job_is_over (task->job) || !step_is_open (task->job, task->occurrence, task->step))
     task_set_phase (scheduler, task, TASK_BLOCKED);
   else
     task_set_phase (scheduler, task, TASK_READY);
@@ -339,7 +339,8 @@
 /* An endpoint has answered a start, or has not. */
 void
 scheduler_start_done (struct scheduler *scheduler, struct endpoint *endpoint, struct task *task,
-                      uint32_t attempt, enum order_result result, int64_t clock_ms, int64_t now_ms)
+                      uint32_t attempt, uint64_t fence, enum order_result result, int64_t clock_ms,
+                      int64_t now_ms)
 {
   enum
   {
@@ -361,7 +362,7 @@
     {
       task->next_order_ms = now_ms;
       if (result == ORDER_FENCED)
-        scheduler_depose (scheduler, "a start was fenced off");
+        order_fenced (scheduler, endpoint, fence, "a start was fenced off");
       return;
     }
   switch (result)
@@ -381,7 +382,9 @@
       task->next_order_ms = now_ms + START_RETRY_MS;
       break;
     case ORDER_FENCED:
-      scheduler_depose (scheduler, "a start was fenced off");
+      order_fenced (scheduler, endpoint, fence, "a start was fenced off");
+      if (!scheduler->deposed)
+        task_start_refused (scheduler, task, result, AVOID_FULL_MS);
       break;
     case ORDER_OLD:
       task_set_phase (scheduler, task, TASK_STOPPING);
@@ -409,12 +412,12 @@
  * never began. */
 void
 scheduler_stop_done (struct scheduler *scheduler, struct endpoint *endpoint, struct task *known,
-                     uint32_t attempt, enum order_result result, int64_t now_ms)
+                     uint32_t attempt, uint64_t fence, enum order_result result, int64_t now_ms)
 {
   scheduler->now_ms = now_ms;
   endpoint->calls--;
   if (result == ORDER_FENCED)
-    scheduler_depose (scheduler, "a stop was fenced off");
+    order_fenced (scheduler, endpoint, fence, "a stop was fenced off");
   endpoint->next_hold_ms = MIN (endpoint->next_hold_ms, now_ms);
   if (!known || known->attempt != attempt)
     return;
--- /dev/null
+++ b/tests/jobs/test_job.c
@@ -0,0 +1,224 @@
+#include <string.h>
+
+#include "lib/jobs/job_book.h"
+#include "lib/jobs/queue_table.h"
+#include "suite.h"
+
+/* Jobs as the journal keeps them, and the queues of a configuration. */
+
+enum
+{
+  NOW_MS = 1000,
+};
+
+/* Takes a record into a book. */
+static void
+apply (struct job_book *book, const Sp__JobRecord *record, int64_t offset)
+{
+  g_autofree char *key = job_record_key (record);
+  g_autoptr (GBytes) value = job_record_pack (record);
+  gsize len;
+  const void *data = g_bytes_get_data (value, &len);
+
+  CU_ASSERT_EQUAL (job_book_apply (book, key, data, len, offset, NOW_MS), 0);
+}
+
+/* Takes the definition of a job with one step of some tasks. */
+static void
+define (struct job_book *book, const char *id, uint32_t n_tasks, int64_t offset)
+{
+  Sp__JobStep step = SP__JOB_STEP__INIT;
+  Sp__JobStep *steps[] = { &step };
+  Sp__JobDefinition definition = SP__JOB_DEFINITION__INIT;
+  Sp__JobRecord record = SP__JOB_RECORD__INIT;
+
+  step.n_tasks = n_tasks;
+  definition.id = (char *) id;
+  definition.queue = (char *) "q";
+  definition.n_steps = 1;
+  definition.steps = steps;
+  record.body_case = SP__JOB_RECORD__BODY_DEFINITION;
+  record.definition = &definition;
+  apply (book, &record, offset);
+}
+
+/* Takes a progress record of a job's first task. */
+static void
+progress (struct job_book *book, const char *id, Sp__JobState state, bool done, uint32_t ended,
+          uint32_t failed)
+{
+  Sp__TaskProgress task = SP__TASK_PROGRESS__INIT;
+  Sp__TaskProgress *tasks[] = { &task };
+  Sp__JobProgress body = SP__JOB_PROGRESS__INIT;
+  Sp__JobRecord record = SP__JOB_RECORD__INIT;
+
+  task.done = done;
+  task.ended_attempt = ended;
+  task.n_failed_attempts = failed > 0;
+  task.failed_attempts = &failed;
+  body.id = (char *) id;
+  body.state = state;
+  body.n_tasks = 1;
+  body.tasks = tasks;
+  record.body_case = SP__JOB_RECORD__BODY_PROGRESS;
+  record.progress = &body;
+  apply (book, &record, 0);
+}
+
+/* The first definition of an id stays; a repeat that arrives later changes nothing. */
+static void
+test_first_definition_stays (void)
+{
+  struct job_book book;
+
+  job_book_init (&book);
+  define (&book, "a", 2, 7);
+  define (&book, "a", 5, 9);
+  CU_ASSERT_EQUAL (job_book_find (&book, "a")->n_tasks, 2);
+  CU_ASSERT_EQUAL (job_book_find (&book, "a")->offset, 7);
+  job_book_finish (&book);
+}
+
+/* Progress that is read again, older after newer, takes nothing back. */
+static void
+test_progress_never_goes_back (void)
+{
+  struct job_book book;
+  const struct job *job;
+
+  job_book_init (&book);
+  define (&book, "a", 1, 0);
+  job = job_book_find (&book, "a");
+  progress (&book, "a", SP__JOB_STATE__JOB_RUNNING, true, 3, 2);
+  progress (&book, "a", SP__JOB_STATE__JOB_QUEUED, false, 1, 1);
+  progress (&book, "a", SP__JOB_STATE__JOB_QUEUED, false, 1, 1);
+  CU_ASSERT_TRUE (job->tasks[0].done);
+  CU_ASSERT_EQUAL (job->tasks[0].ended_attempt, 3);
+  CU_ASSERT_EQUAL (job->tasks[0].n_failed, 2);
+  CU_ASSERT_EQUAL (job->state, SP__JOB_STATE__JOB_RUNNING);
+  progress (&book, "a", SP__JOB_STATE__JOB_COMPLETED, true, 3, 0);
+  progress (&book, "a", SP__JOB_STATE__JOB_FAILED, true, 3, 0);
+  CU_ASSERT_EQUAL (job->state, SP__JOB_STATE__JOB_COMPLETED);
+  job_book_finish (&book);
+}
+
+/* Only jobs that wait count as pending, by queue. */
+static void
+test_pending (void)
+{
+  struct job_book book;
+
+  job_book_init (&book);
+  define (&book, "a", 1, 0);
+  define (&book, "b", 1, 1);
+  CU_ASSERT_EQUAL (job_book_pending (&book, "q"), 2);
+  CU_ASSERT_EQUAL (job_book_pending (&book, "other"), 0);
+  progress (&book, "a", SP__JOB_STATE__JOB_RUNNING, false, 0, 0);
+  CU_ASSERT_EQUAL (job_book_pending (&book, "q"), 1);
+  job_book_finish (&book);
+}
+
+/* A job is forgotten with its last record, and only then. */
+static void
+test_forgotten (void)
+{
+  struct job_book book;
+  g_auto (GStrv) keys = job_record_keys_of ("a");
+
+  job_book_init (&book);
+  define (&book, "a", 1, 0);
+  for (char **key = keys; *key; key++)
+    {
+      CU_ASSERT_PTR_NOT_NULL (job_book_find (&book, "a"));
+      job_book_apply (&book, *key, NULL, 0, 1, NOW_MS);
+    }
+  CU_ASSERT_PTR_NULL (job_book_find (&book, "a"));
+  job_book_finish (&book);
+}
+
+/* A record that can't be read changes nothing and is said to be one. */
+static void
+test_unreadable (void)
+{
+  struct job_book book;
+
+  job_book_init (&book);
+  CU_ASSERT_NOT_EQUAL (job_book_apply (&book, "d/a", "\xff\xff\xff", 3, 0, NOW_MS), 0);
+  CU_ASSERT_EQUAL (g_hash_table_size (book.jobs), 0);
+  job_book_finish (&book);
+}
+
+/* Jobs that can't be kept are told apart. */
+static void
+test_validity (void)
+{
+  static const struct
+  {
+    uint32_t n_tasks;
+    uint32_t repeats;
+    uint32_t depends_on;
+    bool depends;
+    bool valid;
+  } cases[] = {
+    { 1, 0, 0, false, true },     { 0, 0, 0, false, false },     { 1, 0, 0, true, false },
+    { 20000, 0, 0, false, true }, { 20000, 2, 0, false, false },
+  };
+
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      Sp__JobStep step = SP__JOB_STEP__INIT;
+      Sp__JobStep *steps[] = { &step };
+      Sp__JobDefinition definition = SP__JOB_DEFINITION__INIT;
+      uint32_t depends_on = cases[i].depends_on;
+      const char *error;
+
+      step.n_tasks = cases[i].n_tasks;
+      step.n_depends_on = cases[i].depends;
+      step.depends_on = &depends_on;
+      definition.repeats = cases[i].repeats;
+      definition.n_steps = 1;
+      definition.steps = steps;
+      CU_ASSERT_EQUAL (job_definition_is_valid (&definition, &error), cases[i].valid);
+      CU_ASSERT_EQUAL (error == NULL, cases[i].valid);
+    }
+}
+
+/* The longest prefix wins, and the host must be the same, with or without a port. */
+static void
+test_queues (void)
+{
+  struct queue_table *table = queue_table_create ();
+  struct job_queue shorter = { .host = "h.example", .prefix = "/a/", .pool = "p" };
+  struct job_queue longer = { .host = "h.example", .prefix = "/a/b/", .pool = "q" };
+  const struct job_queue *found;
+  const char *rest;
+
+  queue_table_add (table, &shorter);
+  queue_table_add (table, &longer);
+  found = queue_table_find (table, "h.example:80", "/a/b/0123", &rest);
+  SUITE_REQUIRE (found != NULL);
+  CU_ASSERT_STRING_EQUAL (found->pool, "q");
+  CU_ASSERT_STRING_EQUAL (rest, "0123");
+  found = queue_table_find (table, "H.EXAMPLE", "/a/0123", &rest);
+  SUITE_REQUIRE (found != NULL);
+  CU_ASSERT_STRING_EQUAL (found->pool, "p");
+  CU_ASSERT_PTR_NULL (queue_table_find (table, "h.example.org", "/a/0123", &rest));
+  CU_ASSERT_PTR_NULL (queue_table_find (table, "h.example", "/c/0123", &rest));
+  queue_table_destroy (table);
+}
+
+static const struct suite_test tests[] = {
+  { "the first definition stays", test_first_definition_stays },
+  { "progress never goes back", test_progress_never_goes_back },
+  { "pending", test_pending },
+  { "forgotten", test_forgotten },
+  { "unreadable", test_unreadable },
+  { "validity", test_validity },
+  { "queues", test_queues },
+};
+
+int
+main (void)
+{
+  return suite_run ("job", tests, sizeof tests / sizeof tests[0]);
+}
--- /dev/null
+++ b/tests/jobs/test_pools.c
@@ -0,0 +1,96 @@
+#include <string.h>
+
+#include "suite.h"
+#include "world.h"
+
+/* Hosts go where they are needed. */
+
+/* Counts the hosts of a pool that serve or are on their way. */
+static unsigned
+count_hosts (const struct world *world, const char *pool)
+{
+  unsigned n = 0;
+
+  for (unsigned i = 0; i < world->n_hosts; i++)
+    n += strcmp (world->hosts[i].pool, pool) == 0;
+  return n;
+}
+
+static Sp__JobStep
+make_step (uint32_t n_tasks)
+{
+  Sp__JobStep step = SP__JOB_STEP__INIT;
+
+  step.n_tasks = n_tasks;
+  step.cpu_milli = 1000;
+  step.memory_mb = 1000;
+  step.estimate_ms = 3000;
+  return step;
+}
+
+/* Demand turns: the busy pool gets the standby hosts and the idle ones of the other, no more than
+ * it needs, and gives them back. */
+static void
+test_turning_demand (void)
+{
+  struct world *world = world_create (1);
+  Sp__JobStep step = make_step (60);
+
+  world_add_pool (world, "spare", true);
+  world_add_hosts (world, "one", 4);
+  world_add_hosts (world, "two", 4);
+  world_add_hosts (world, "spare", 2);
+  world->work_ms = 3000;
+  world_lead (world);
+  world_run (world, 4000);
+  world_submit (world, "job", "one", &step, 1, 3);
+  world_run (world, 2500);
+  /* 60 cores at 85% of 10 a host: 8 hosts. */
+  CU_ASSERT_EQUAL (count_hosts (world, "one"), 8);
+  CU_ASSERT_EQUAL (count_hosts (world, "two"), 2);
+  world_run (world, 12000);
+  CU_ASSERT_EQUAL (world_state (world, "job"), SP__JOB_STATE__JOB_COMPLETED);
+  CU_ASSERT_EQUAL (count_hosts (world, "one"), 2);
+  CU_ASSERT (world->moves <= 30);
+  CU_ASSERT_EQUAL (world_violations (world), 0);
+  world_destroy (world);
+}
+
+/* A lasting task that finds no room on any one endpoint gets a host more, though there is room
+ * enough in all (LOST on derwent-claims). */
+static void
+test_room_in_pieces (void)
+{
+  struct world *world = world_create (1);
+  Sp__JobStep small = make_step (3);
+  Sp__JobStep large = make_step (1);
+
+  world_add_pool (world, "spare", true);
+  world_add_hosts (world, "one", 3);
+  world_add_hosts (world, "spare", 1);
+  small.long_running = true;
+  small.spread_limit = 1;
+  small.memory_mb = 50000;
+  large.long_running = true;
+  large.memory_mb = 60000;
+  world_lead (world);
+  world_run (world, 100);
+  world_submit (world, "small", "one", &small, 1, 3);
+  world_run (world, 1000);
+  world_submit (world, "large", "one", &large, 1, 3);
+  world_run (world, 3000);
+  CU_ASSERT_PTR_NOT_NULL (world_find_run (world, "large.0.0.0", NULL));
+  CU_ASSERT_EQUAL (count_hosts (world, "one"), 4);
+  world_destroy (world);
+}
+
+static const struct suite_test tests[] = {
+  { "turning demand", test_turning_demand },
+  { "room in pieces", test_room_in_pieces },
+};
+
+int
+main (void)
+{
+  return suite_run ("pools", tests, sizeof tests / sizeof tests[0]);
+}
