--- a/lib/jobs/endpoint_orders.c
+++ b/lib/jobs/endpoint_orders.c
@@ -278,7 +278,13 @@
 
   if (report->born_ms > 0 && report->born_ms != endpoint->born_ms)
     {
+      bool first_contact = endpoint->born_ms == 0;
+
       endpoint_begin_life (scheduler, endpoint, report->born_ms);
+      /* The new life has not seen the fence that voids orders for the former one: what it says counts
+       * from the next report on. */
+      if (!first_contact)
+        return;
       acked = 0;
     }
   if (endpoint->silent_since_ms > 0)
@@ -316,6 +322,9 @@
       order_fenced (scheduler, endpoint, fence, "a hold was fenced off");
       return;
     }
+  /* Its fence was raised since: what it said may be of a former life. */
+  if (result == ORDER_DONE && fence < endpoint->fence)
+    return;
   if (result != ORDER_DONE || !report)
     {
       endpoint_set_silent (scheduler, endpoint);
--- a/lib/jobs/task_run.c
+++ b/lib/jobs/task_run.c
@@ -161,7 +161,10 @@
   if (task_step (task)->long_running)
     task->away_since_ms = scheduler->now_ms;
   if (task->done)
-    task_set_phase (scheduler, task, TASK_DONE);
+    {
+      task_set_phase (scheduler, task, TASK_DONE);
+      job_review (scheduler, task->job);
+    }
   else if (job_is_over (task->job) || !step_is_open (task->job, task->occurrence, task->step))
     task_set_phase (scheduler, task, TASK_BLOCKED);
   else
