--- a/include/common/settings.h
+++ b/include/common/settings.h
@@ -29,6 +29,7 @@
 extern const struct settings_schema faults_schema;
 extern const struct settings_schema load_schema;
 extern const struct settings_schema jobd_schema;
+extern const struct settings_schema cluster_schema;
 
 enum settings_result
 {
--- a/jobd/leader.c
+++ b/jobd/leader.c
@@ -285,8 +285,10 @@
     return now_ms - MAX (healthy_ms, leader->seen_ms) >
            (jobd->book.leader_node ? leader->jitter_ms * RESIGNED_JITTER_MS / CLAIM_JITTER_MS
                                    : leader->jitter_ms);
-  /* A leader of this name is an earlier life of this process. */
-  if (strcmp (jobd->book.leader_node, jobd->settings->name) == 0)
+  /* A leader of this name is an earlier life of this process, unless it is this one, which may have
+   * been replaced and not have read so yet. */
+  if (strcmp (jobd->book.leader_node, jobd->settings->name) == 0 &&
+      jobd->book.leader_epoch > leader->epoch)
     return true;
   return now_ms - MAX (healthy_ms, leader->seen_ms) >
          jobd->settings->leader_timeout_ms + leader->jitter_ms;
--- a/protocols/settings.pb-c.c
+++ b/protocols/settings.pb-c.c
@@ -367,6 +367,51 @@
   assert(message->base.descriptor == &sp__jobd_settings__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   sp__cluster_settings__init
+                     (Sp__ClusterSettings         *message)
+{
+  static const Sp__ClusterSettings init_value = SP__CLUSTER_SETTINGS__INIT;
+  *message = init_value;
+}
+size_t sp__cluster_settings__get_packed_size
+                     (const Sp__ClusterSettings *message)
+{
+  assert(message->base.descriptor == &sp__cluster_settings__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t sp__cluster_settings__pack
+                     (const Sp__ClusterSettings *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &sp__cluster_settings__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t sp__cluster_settings__pack_to_buffer
+                     (const Sp__ClusterSettings *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &sp__cluster_settings__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Sp__ClusterSettings *
+       sp__cluster_settings__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Sp__ClusterSettings *)
+     protobuf_c_message_unpack (&sp__cluster_settings__descriptor,
+                                allocator, len, data);
+}
+void   sp__cluster_settings__free_unpacked
+                     (Sp__ClusterSettings *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &sp__cluster_settings__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 char sp__entryd_settings__name__default_value[] = "entry";
 char sp__entryd_settings__data_centre__default_value[] = "dc1";
 char sp__entryd_settings__listen_address__default_value[] = "127.0.0.1";
@@ -2051,3 +2096,126 @@
   (ProtobufCMessageInit) sp__jobd_settings__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+char sp__cluster_settings__listen_address__default_value[] = "127.0.0.1";
+char sp__cluster_settings__pools__default_value[] = "one=3,two=3,spare=2";
+char sp__cluster_settings__log_level__default_value[] = "info";
+static const uint32_t sp__cluster_settings__port__default_value = 8500u;
+static const uint32_t sp__cluster_settings__work_ms__default_value = 500u;
+static const uint32_t sp__cluster_settings__move_ms__default_value = 1000u;
+static const uint32_t sp__cluster_settings__heartbeat_ms__default_value = 500u;
+static const ProtobufCFieldDescriptor sp__cluster_settings__field_descriptors[7] =
+{
+  {
+    "listen_address",
+    1,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sp__ClusterSettings, listen_address),
+    NULL,
+    &sp__cluster_settings__listen_address__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "port",
+    2,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Sp__ClusterSettings, has_port),
+    offsetof(Sp__ClusterSettings, port),
+    NULL,
+    &sp__cluster_settings__port__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pools",
+    3,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sp__ClusterSettings, pools),
+    NULL,
+    &sp__cluster_settings__pools__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "work_ms",
+    4,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Sp__ClusterSettings, has_work_ms),
+    offsetof(Sp__ClusterSettings, work_ms),
+    NULL,
+    &sp__cluster_settings__work_ms__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "move_ms",
+    5,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Sp__ClusterSettings, has_move_ms),
+    offsetof(Sp__ClusterSettings, move_ms),
+    NULL,
+    &sp__cluster_settings__move_ms__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "heartbeat_ms",
+    6,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Sp__ClusterSettings, has_heartbeat_ms),
+    offsetof(Sp__ClusterSettings, heartbeat_ms),
+    NULL,
+    &sp__cluster_settings__heartbeat_ms__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "log_level",
+    7,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sp__ClusterSettings, log_level),
+    NULL,
+    &sp__cluster_settings__log_level__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned sp__cluster_settings__field_indices_by_name[] = {
+  5,   /* field[5] = heartbeat_ms */
+  0,   /* field[0] = listen_address */
+  6,   /* field[6] = log_level */
+  4,   /* field[4] = move_ms */
+  2,   /* field[2] = pools */
+  1,   /* field[1] = port */
+  3,   /* field[3] = work_ms */
+};
+static const ProtobufCIntRange sp__cluster_settings__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor sp__cluster_settings__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "sp.ClusterSettings",
+  "ClusterSettings",
+  "Sp__ClusterSettings",
+  "sp",
+  sizeof(Sp__ClusterSettings),
+  7,
+  sp__cluster_settings__field_descriptors,
+  sp__cluster_settings__field_indices_by_name,
+  1,  sp__cluster_settings__number_ranges,
+  (ProtobufCMessageInit) sp__cluster_settings__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
--- a/protocols/settings.pb-c.h
+++ b/protocols/settings.pb-c.h
@@ -23,6 +23,7 @@
 typedef struct Sp__FaultsSettings Sp__FaultsSettings;
 typedef struct Sp__LoadSettings Sp__LoadSettings;
 typedef struct Sp__JobdSettings Sp__JobdSettings;
+typedef struct Sp__ClusterSettings Sp__ClusterSettings;
 
 
 /* --- enums --- */
@@ -697,6 +698,54 @@
     , sp__jobd_settings__name__default_value, sp__jobd_settings__frontend__default_value, sp__jobd_settings__readiness__default_value, sp__jobd_settings__store__default_value, sp__jobd_settings__machines__default_value, sp__jobd_settings__advice__default_value, 0, 3500u, 0, 1300u, 0, 6000u, 0, 2000u, 0, 262144u, 0, 400u, 0, 120000u, sp__jobd_settings__log_level__default_value, 0, 1500u, 0, 2000u, 0, 4500u, 0, 0u }
 
 
+struct  Sp__ClusterSettings
+{
+  ProtobufCMessage base;
+  /*
+   * IP number on which to listen.
+   */
+  char *listen_address;
+  /*
+   * Port of the store; the machine list has the next one, the endpoints those from 10 after it on.
+   * range 1..65000 port
+   */
+  protobuf_c_boolean has_port;
+  uint32_t port;
+  /*
+   * Pools and their numbers of hosts, as NAME=NUMBER, separated by commas. The last one is the standby pool.
+   */
+  char *pools;
+  /*
+   * Time that a task takes.
+   * range 1..600000 ms
+   */
+  protobuf_c_boolean has_work_ms;
+  uint32_t work_ms;
+  /*
+   * Time that a host takes to move, or to be maintained.
+   * range 1..600000 ms
+   */
+  protobuf_c_boolean has_move_ms;
+  uint32_t move_ms;
+  /*
+   * Time between two entries of an endpoint in the registry.
+   * range 10..60000 ms
+   */
+  protobuf_c_boolean has_heartbeat_ms;
+  uint32_t heartbeat_ms;
+  /*
+   * Lowest level that is logged: debug, info, warning or error.
+   */
+  char *log_level;
+};
+extern char sp__cluster_settings__listen_address__default_value[];
+extern char sp__cluster_settings__pools__default_value[];
+extern char sp__cluster_settings__log_level__default_value[];
+#define SP__CLUSTER_SETTINGS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&sp__cluster_settings__descriptor) \
+    , sp__cluster_settings__listen_address__default_value, 0, 8500u, sp__cluster_settings__pools__default_value, 0, 500u, 0, 1000u, 0, 500u, sp__cluster_settings__log_level__default_value }
+
+
 /* Sp__EntrydSettings methods */
 void   sp__entryd_settings__init
                      (Sp__EntrydSettings         *message);
@@ -849,6 +898,25 @@
 void   sp__jobd_settings__free_unpacked
                      (Sp__JobdSettings *message,
                       ProtobufCAllocator *allocator);
+/* Sp__ClusterSettings methods */
+void   sp__cluster_settings__init
+                     (Sp__ClusterSettings         *message);
+size_t sp__cluster_settings__get_packed_size
+                     (const Sp__ClusterSettings   *message);
+size_t sp__cluster_settings__pack
+                     (const Sp__ClusterSettings   *message,
+                      uint8_t             *out);
+size_t sp__cluster_settings__pack_to_buffer
+                     (const Sp__ClusterSettings   *message,
+                      ProtobufCBuffer     *buffer);
+Sp__ClusterSettings *
+       sp__cluster_settings__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   sp__cluster_settings__free_unpacked
+                     (Sp__ClusterSettings *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Sp__EntrydSettings_Closure)
@@ -875,6 +943,9 @@
 typedef void (*Sp__JobdSettings_Closure)
                  (const Sp__JobdSettings *message,
                   void *closure_data);
+typedef void (*Sp__ClusterSettings_Closure)
+                 (const Sp__ClusterSettings *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -889,6 +960,7 @@
 extern const ProtobufCMessageDescriptor sp__faults_settings__descriptor;
 extern const ProtobufCMessageDescriptor sp__load_settings__descriptor;
 extern const ProtobufCMessageDescriptor sp__jobd_settings__descriptor;
+extern const ProtobufCMessageDescriptor sp__cluster_settings__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/protocols/settings_table.c
+++ b/protocols/settings_table.c
@@ -180,3 +180,19 @@
   sizeof jobd_fields / sizeof jobd_fields[0],
 };
 
+static const struct setting_info cluster_fields[] = {
+  { "listen_address", "IP number on which to listen.", "", 0u, 0u },
+  { "port", "Port of the store; the machine list has the next one, the endpoints those from 10 after it on.", "port", 1u, 65000u },
+  { "pools", "Pools and their numbers of hosts, as NAME=NUMBER, separated by commas. The last one is the standby pool.", "", 0u, 0u },
+  { "work_ms", "Time that a task takes.", "ms", 1u, 600000u },
+  { "move_ms", "Time that a host takes to move, or to be maintained.", "ms", 1u, 600000u },
+  { "heartbeat_ms", "Time between two entries of an endpoint in the registry.", "ms", 10u, 60000u },
+  { "log_level", "Lowest level that is logged: debug, info, warning or error.", "", 0u, 0u },
+};
+
+const struct settings_schema cluster_schema = {
+  &sp__cluster_settings__descriptor,
+  cluster_fields,
+  sizeof cluster_fields / sizeof cluster_fields[0],
+};
+
--- /dev/null
+++ b/standin/cluster.h
@@ -0,0 +1,139 @@
+#ifndef SESAMEPICK_STANDIN_CLUSTER_H
+#define SESAMEPICK_STANDIN_CLUSTER_H
+
+#include <ev.h>
+#include <glib.h>
+#include <jansson.h>
+#include <stdbool.h>
+#include <stdint.h>
+#include <sys/queue.h>
+
+#include "common/clock.h"
+#include "common/http_server.h"
+#include "settings.pb-c.h"
+
+/* A stand-in of the users' platform, by its published protocol: metadata store, machine list, and
+ * endpoints that run tasks under leases and fences. All in one process and in memory, with faults
+ * on demand. */
+
+enum store_condition
+{
+  STORE_UP,
+  /* Answers 503. */
+  STORE_BUSY,
+  /* Never answers. */
+  STORE_SILENT,
+};
+
+struct cluster;
+
+/* A task's run on an endpoint. */
+struct cluster_run
+{
+  LIST_ENTRY (cluster_run) link;
+  char *task;
+  uint32_t attempt;
+  int64_t start_ms;
+  int64_t end_ms;
+  bool lasts;
+  bool stopping;
+};
+
+/* One life of a host as an endpoint. */
+struct cluster_endpoint
+{
+  LIST_ENTRY (cluster_endpoint) link;
+  struct cluster *cluster;
+  struct http_server *server;
+  unsigned host;
+  char *id;
+  uint16_t port;
+  uint64_t fence;
+  int64_t born_ms;
+  int64_t until_ms;
+  int64_t next_beat_ms;
+  unsigned sequence;
+  uint64_t last_end;
+  bool dark;
+  bool ended;
+  LIST_HEAD (, cluster_run) runs;
+  /* Rows [number, task, attempt, how, checkpoint]. */
+  json_t *finished;
+  /* Task to the highest attempt that ended or was stopped here. */
+  GHashTable *highest;
+  LIST_HEAD (, cluster_hold) holds;
+};
+
+LIST_HEAD (cluster_endpoint_list, cluster_endpoint);
+
+enum cluster_host_state
+{
+  CLUSTER_HOST_UP,
+  CLUSTER_HOST_MOVING,
+  CLUSTER_HOST_UPKEEP,
+};
+
+struct cluster_host
+{
+  char *id;
+  char *pool;
+  enum cluster_host_state state;
+  int64_t back_ms;
+  unsigned lives;
+  uint64_t token;
+  GHashTable *waves;
+  struct cluster_endpoint *endpoint;
+};
+
+struct cluster
+{
+  const Sp__ClusterSettings *settings;
+  struct ev_loop *loop;
+  struct clock clock;
+  ev_timer tick;
+  struct http_server *store_server;
+  struct http_server *machine_server;
+  /* Name to struct topic. */
+  GHashTable *topics;
+  LIST_HEAD (, open_read) reads;
+  enum store_condition store;
+  GPtrArray *hosts;
+  char *standby;
+  struct cluster_endpoint_list endpoints;
+  /* Tasks that ended done, each with the id of its endpoint. */
+  GHashTable *done;
+  uint64_t starts;
+  uint64_t doubled;
+  uint64_t after_done;
+  uint64_t moves;
+  uint64_t upkeeps;
+  unsigned most_in_upkeep;
+};
+
+int64_t cluster_now_ms (struct cluster *cluster);
+void answer_json (struct http_request *request, int status, json_t *json);
+
+void cluster_store_init (struct cluster *cluster);
+void cluster_store_finish (struct cluster *cluster);
+void cluster_store_handle (void *ctx, struct http_request *request);
+void cluster_store_gone (void *ctx, struct http_request *request);
+void cluster_store_tick (struct cluster *cluster);
+/* Writes the newest value of a key; NULL drops it. */
+void cluster_store_put (struct cluster *cluster, const char *topic, const char *key,
+                        const char *value);
+/* Value of a key, or NULL; free with g_free. */
+char *cluster_store_get (struct cluster *cluster, const char *topic, const char *key);
+
+bool cluster_hosts_init (struct cluster *cluster);
+void cluster_hosts_finish (struct cluster *cluster);
+void cluster_hosts_handle (void *ctx, struct http_request *request);
+void cluster_hosts_tick (struct cluster *cluster);
+
+/* Starts an endpoint on a host; NULL if its port is taken. */
+struct cluster_endpoint *cluster_endpoint_create (struct cluster *cluster, unsigned host);
+/* Ends it with all that runs there; it is freed later. */
+void cluster_endpoint_end (struct cluster_endpoint *endpoint);
+void cluster_endpoint_destroy (struct cluster_endpoint *endpoint);
+void cluster_endpoints_tick (struct cluster *cluster);
+
+#endif
--- /dev/null
+++ b/standin/cluster_hosts.c
@@ -0,0 +1,214 @@
+#include <string.h>
+
+#include "cluster.h"
+
+/* The machine list, moves between pools and maintenance. */
+
+/* Gives the list's word for a state. */
+static const char *
+state_word (enum cluster_host_state state)
+{
+  static const char *const words[] = { "up", "moving", "upkeep" };
+
+  return words[state];
+}
+
+static void
+host_free (gpointer data)
+{
+  struct cluster_host *host = data;
+
+  g_free (host->id);
+  g_free (host->pool);
+  g_hash_table_destroy (host->waves);
+  g_free (host);
+}
+
+/* Makes the hosts of the settings, in their pools. Gives false for a list that can't be read. */
+bool
+cluster_hosts_init (struct cluster *cluster)
+{
+  g_auto (GStrv) pools = g_strsplit (cluster->settings->pools, ",", -1);
+
+  cluster->hosts = g_ptr_array_new_with_free_func (host_free);
+  LIST_INIT (&cluster->endpoints);
+  for (char **pool = pools; *pool; pool++)
+    {
+      g_auto (GStrv) parts = g_strsplit (*pool, "=", 2);
+
+      if (!parts[0] || !parts[1])
+        return false;
+      g_free (cluster->standby);
+      cluster->standby = g_strdup (parts[0]);
+      for (int64_t n = g_ascii_strtoll (parts[1], NULL, 10); n > 0; n--)
+        {
+          struct cluster_host *host = g_new0 (struct cluster_host, 1);
+
+          host->id = g_strdup_printf ("m-%u", cluster->hosts->len);
+          host->pool = g_strdup (parts[0]);
+          host->waves = g_hash_table_new (g_direct_hash, g_direct_equal);
+          g_ptr_array_add (cluster->hosts, host);
+        }
+    }
+  return true;
+}
+
+void
+cluster_hosts_finish (struct cluster *cluster)
+{
+  while (!LIST_EMPTY (&cluster->endpoints))
+    cluster_endpoint_destroy (LIST_FIRST (&cluster->endpoints));
+  g_ptr_array_free (cluster->hosts, TRUE);
+  g_free (cluster->standby);
+}
+
+/* Brings hosts back, and starts endpoints on those outside the standby pool. */
+void
+cluster_hosts_tick (struct cluster *cluster)
+{
+  for (guint i = 0; i < cluster->hosts->len; i++)
+    {
+      struct cluster_host *host = g_ptr_array_index (cluster->hosts, i);
+
+      if (host->state != CLUSTER_HOST_UP && cluster->clock.now_ms < host->back_ms)
+        continue;
+      host->state = CLUSTER_HOST_UP;
+      if (!host->endpoint && strcmp (host->pool, cluster->standby) != 0)
+        host->endpoint = cluster_endpoint_create (cluster, i);
+    }
+}
+
+/* Answers with all hosts. */
+static void
+hosts_list (const struct cluster *cluster, struct http_request *request)
+{
+  json_t *list = json_array ();
+
+  for (guint i = 0; i < cluster->hosts->len; i++)
+    {
+      const struct cluster_host *host = g_ptr_array_index (cluster->hosts, i);
+
+      json_array_append_new (list, json_pack ("{s:s,s:s,s:s,s:s,s:[s],s:{s:i,s:i,s:i},s:s?}",
+                                              "machine", host->id, "pool", host->pool, "state",
+                                              state_word (host->state), "zone", "z", "labels", "a",
+                                              "capacity", "cpu", 8000, "mem_mb", 16000, "gpu", 0,
+                                              "id", host->endpoint ? host->endpoint->id : NULL));
+    }
+  answer_json (request, 200, json_pack ("{s:o,s:n}", "machines", list, "next_token"));
+}
+
+/* Finds a host. */
+static struct cluster_host *
+cluster_host (const struct cluster *cluster, const char *id)
+{
+  for (guint i = 0; i < cluster->hosts->len; i++)
+    {
+      struct cluster_host *host = g_ptr_array_index (cluster->hosts, i);
+
+      if (g_strcmp0 (host->id, id) == 0)
+        return host;
+    }
+  return NULL;
+}
+
+/* Takes a host away for a while. */
+static void
+host_leave (struct cluster *cluster, struct cluster_host *host, enum cluster_host_state state)
+{
+  host->state = state;
+  host->back_ms = cluster->clock.now_ms + cluster->settings->move_ms;
+  if (host->endpoint)
+    cluster_endpoint_end (host->endpoint);
+  host->endpoint = NULL;
+}
+
+/* Counts the hosts that are maintained now. */
+static unsigned
+count_in_upkeep (const struct cluster *cluster)
+{
+  unsigned n = 0;
+
+  for (guint i = 0; i < cluster->hosts->len; i++)
+    n += ((struct cluster_host *) g_ptr_array_index (cluster->hosts, i))->state ==
+         CLUSTER_HOST_UPKEEP;
+  return n;
+}
+
+/* Moves a host. Gives NULL, or the reason why not. */
+static const char *
+host_move (struct cluster *cluster, struct cluster_host *host, const char *pool)
+{
+  if (strcmp (host->pool, pool) == 0)
+    return NULL;
+  if (host->state != CLUSTER_HOST_UP)
+    return "busy";
+  g_free (host->pool);
+  host->pool = g_strdup (pool);
+  host_leave (cluster, host, CLUSTER_HOST_MOVING);
+  cluster->moves++;
+  return NULL;
+}
+
+/* Maintains a host. Gives NULL, or the reason why not. */
+static const char *
+host_maintain (struct cluster *cluster, struct cluster_host *host, int64_t wave)
+{
+  if (g_hash_table_contains (host->waves, GINT_TO_POINTER (wave)))
+    return NULL;
+  if (host->state != CLUSTER_HOST_UP)
+    return "busy";
+  g_hash_table_add (host->waves, GINT_TO_POINTER (wave));
+  host_leave (cluster, host, CLUSTER_HOST_UPKEEP);
+  cluster->upkeeps++;
+  cluster->most_in_upkeep = MAX (cluster->most_in_upkeep, count_in_upkeep (cluster));
+  return NULL;
+}
+
+/* Carries an order for a host out, unless one with a higher token came before. */
+static void
+hosts_order (struct cluster *cluster, struct http_request *request, const json_t *body)
+{
+  const char *token_text = http_request_header (request, "X-Fencing-Token");
+  uint64_t token = token_text ? g_ascii_strtoull (token_text, NULL, 10) : 0;
+  const char *pool = json_string_value (json_object_get (body, "pool"));
+  struct cluster_host *host =
+      cluster_host (cluster, json_string_value (json_object_get (body, "machine")));
+  const char *reason = "fence";
+
+  if (!host)
+    {
+      answer_json (request, 400, json_pack ("{s:s}", "error", "no such machine"));
+      return;
+    }
+  if (token >= host->token)
+    {
+      host->token = token;
+      reason =
+          pool ? host_move (cluster, host, pool)
+               : host_maintain (cluster, host, json_integer_value (json_object_get (body, "wave")));
+    }
+  if (reason)
+    answer_json (request, 409, json_pack ("{s:s}", "reason", reason));
+  else
+    answer_json (request, 200, json_object ());
+}
+
+/* A request to the machine list has arrived. */
+void
+cluster_hosts_handle (void *ctx, struct http_request *request)
+{
+  struct cluster *cluster = ctx;
+  size_t len;
+  const void *data = http_request_body (request, &len);
+  json_t *body;
+
+  cluster_now_ms (cluster);
+  if (strcmp (http_request_method (request), "GET") == 0)
+    {
+      hosts_list (cluster, request);
+      return;
+    }
+  body = json_loadb (data, len, 0, NULL);
+  hosts_order (cluster, request, body);
+  json_decref (body);
+}
--- /dev/null
+++ b/standin/cluster_main.c
@@ -0,0 +1,205 @@
+#include <string.h>
+
+#include "cluster.h"
+#include "common/log.h"
+#include "common/program.h"
+
+enum
+{
+  BODY_LIMIT_BYTES = 4 * 1024 * 1024,
+  CONNECTIONS = 1024,
+};
+
+#define TICK_S 0.005
+
+/* Gives the time, read anew. */
+int64_t
+cluster_now_ms (struct cluster *cluster)
+{
+  clock_update (&cluster->clock);
+  return cluster->clock.now_ms;
+}
+
+/* Answers with JSON and frees it. */
+void
+answer_json (struct http_request *request, int status, json_t *json)
+{
+  char *text = json_dumps (json, JSON_COMPACT);
+
+  http_request_answer_text (request, status, "application/json", text);
+  free (text);
+  json_decref (json);
+}
+
+/* Answers with the counts of what must not happen, and of what did. */
+static void
+cluster_report (const struct cluster *cluster, struct http_request *request)
+{
+  answer_json (request, 200,
+               json_pack ("{s:I,s:I,s:I,s:I,s:I,s:i}", "starts", (json_int_t) cluster->starts,
+                          "doubled", (json_int_t) cluster->doubled, "after_done",
+                          (json_int_t) cluster->after_done, "moves", (json_int_t) cluster->moves,
+                          "upkeeps", (json_int_t) cluster->upkeeps, "most_in_upkeep",
+                          (int) cluster->most_in_upkeep));
+}
+
+/* Takes faults: {"store":"up|busy|silent"}, {"dark":"HOST"}, {"light":"HOST"}. */
+static void
+cluster_take_faults (struct cluster *cluster, struct http_request *request, const json_t *body)
+{
+  const char *store = json_string_value (json_object_get (body, "store"));
+  const char *dark = json_string_value (json_object_get (body, "dark"));
+  const char *light = json_string_value (json_object_get (body, "light"));
+
+  if (store)
+    cluster->store = strcmp (store, "up") == 0     ? STORE_UP
+                     : strcmp (store, "busy") == 0 ? STORE_BUSY
+                                                   : STORE_SILENT;
+  for (guint i = 0; i < cluster->hosts->len; i++)
+    {
+      struct cluster_host *host = g_ptr_array_index (cluster->hosts, i);
+
+      if (host->endpoint && g_strcmp0 (host->id, dark) == 0)
+        host->endpoint->dark = true;
+      if (host->endpoint && g_strcmp0 (host->id, light) == 0)
+        host->endpoint->dark = false;
+    }
+  answer_json (request, 200, json_object ());
+}
+
+/* Writes an operator's record: {"key":...,"value":{...}}. Its status is read by GET /operator. */
+static void
+cluster_operate (struct cluster *cluster, struct http_request *request, const json_t *body)
+{
+  const char *key = json_string_value (json_object_get (body, "key"));
+  char *value = json_dumps (json_object_get (body, "value"), JSON_COMPACT);
+
+  if (key && value)
+    cluster_store_put (cluster, "keyed.op", key, value);
+  free (value);
+  answer_json (request, key ? 200 : 400, json_object ());
+}
+
+/* Reads what the system wrote for operators. */
+static void
+cluster_status (struct cluster *cluster, struct http_request *request)
+{
+  const char *key = http_request_query (request, "key");
+  g_autofree char *value = key ? cluster_store_get (cluster, "keyed.status", key) : NULL;
+
+  http_request_answer_text (request, value ? 200 : 404, "application/json", value ? value : "{}");
+}
+
+/* A request has arrived: of the test, or to the store. */
+static void
+cluster_on_request (void *ctx, struct http_request *request)
+{
+  struct cluster *cluster = ctx;
+  const char *path = http_request_path (request);
+  size_t len;
+  const void *data = http_request_body (request, &len);
+  json_t *body;
+
+  if (g_str_has_prefix (path, "/v1/"))
+    {
+      cluster_store_handle (cluster, request);
+      return;
+    }
+  http_request_set_data (request, NULL);
+  body = json_loadb (data, len, 0, NULL);
+  if (strcmp (path, "/report") == 0)
+    cluster_report (cluster, request);
+  else if (strcmp (path, "/faults") == 0)
+    cluster_take_faults (cluster, request, body);
+  else if (strcmp (path, "/operator") == 0)
+    cluster_operate (cluster, request, body);
+  else if (g_str_has_prefix (path, "/status"))
+    cluster_status (cluster, request);
+  else
+    answer_json (request, 404, json_pack ("{s:s}", "error", "no such page"));
+  json_decref (body);
+}
+
+/* Lets time pass. */
+static void
+cluster_on_tick (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  struct cluster *cluster = timer->data;
+
+  (void) loop;
+  (void) events;
+  cluster_now_ms (cluster);
+  cluster_hosts_tick (cluster);
+  cluster_endpoints_tick (cluster);
+  cluster_store_tick (cluster);
+}
+
+/* Ends the loop on a signal. */
+static void
+cluster_stop (struct ev_loop *loop, ev_signal *signal, int events)
+{
+  (void) signal;
+  (void) events;
+  ev_break (loop, EVBREAK_ALL);
+}
+
+/* Opens the ports of the store and of the machine list. */
+static bool
+cluster_listen (struct cluster *cluster)
+{
+  struct http_server_config config = {
+    .address = cluster->settings->listen_address,
+    .port = (uint16_t) cluster->settings->port,
+    .body_limit = BODY_LIMIT_BYTES,
+    .connection_limit = CONNECTIONS,
+    .handle = cluster_on_request,
+    .gone = cluster_store_gone,
+    .ctx = cluster,
+  };
+
+  cluster->store_server = http_server_create (cluster->loop, &config);
+  config.port++;
+  config.handle = cluster_hosts_handle;
+  config.gone = NULL;
+  cluster->machine_server = http_server_create (cluster->loop, &config);
+  return cluster->store_server && cluster->machine_server;
+}
+
+/* Runs the stand-in until SIGTERM or SIGINT. */
+int
+main (int argc, char **argv)
+{
+  Sp__ClusterSettings settings = SP__CLUSTER_SETTINGS__INIT;
+  struct cluster cluster = { .settings = &settings, .loop = ev_default_loop (0) };
+  enum program_exit started =
+      program_start (&cluster_schema, &settings.base, "standin-cluster",
+                     "A stand-in of the users' platform for tests.", argc, argv);
+  ev_signal term;
+  ev_signal interrupt;
+
+  if (started != PROGRAM_STARTED)
+    return started;
+  cluster_now_ms (&cluster);
+  cluster.done = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  cluster_store_init (&cluster);
+  if (!cluster_hosts_init (&cluster) || !cluster_listen (&cluster))
+    {
+      log_error ("main", "Can't start: pools \"%s\", port %u.", settings.pools, settings.port);
+      return PROGRAM_EXIT_BAD_SETTINGS;
+    }
+  ev_signal_init (&term, cluster_stop, SIGTERM);
+  ev_signal_start (cluster.loop, &term);
+  ev_signal_init (&interrupt, cluster_stop, SIGINT);
+  ev_signal_start (cluster.loop, &interrupt);
+  ev_timer_init (&cluster.tick, cluster_on_tick, TICK_S, TICK_S);
+  cluster.tick.data = &cluster;
+  ev_timer_start (cluster.loop, &cluster.tick);
+  log_info ("main", "Ready on port %u.", settings.port);
+  ev_run (cluster.loop, 0);
+  http_server_destroy (cluster.store_server);
+  http_server_destroy (cluster.machine_server);
+  cluster_hosts_finish (&cluster);
+  cluster_store_finish (&cluster);
+  g_hash_table_destroy (cluster.done);
+  return 0;
+}
--- /dev/null
+++ b/standin/cluster_store.c
@@ -0,0 +1,397 @@
+#include <string.h>
+
+#include "cluster.h"
+
+/* The metadata store: keyed topics of one partition each. */
+
+enum
+{
+  HEAD_BYTES = 16,
+  LENGTH_BYTES = 4,
+  PAGE_ITEMS = 500,
+  REPEATS = 5,
+};
+
+struct record
+{
+  char *key;
+  GBytes *value;
+};
+
+/* What a producer wrote last. */
+struct producer
+{
+  uint64_t epoch;
+  uint64_t sequence;
+  /* Offsets of its last appends, the newest last. */
+  int64_t offsets[REPEATS];
+  unsigned n_offsets;
+};
+
+struct topic
+{
+  GPtrArray *records;
+  /* Key to the index of its newest record, plus one. */
+  GHashTable *newest;
+  GHashTable *producers;
+};
+
+/* A read that waits for a record. */
+struct open_read
+{
+  LIST_ENTRY (open_read) link;
+  struct http_request *request;
+  struct topic *topic;
+  int64_t from;
+  int64_t end_ms;
+};
+
+static void
+record_destroy (gpointer data)
+{
+  struct record *record = data;
+
+  g_free (record->key);
+  g_bytes_unref (record->value);
+  g_free (record);
+}
+
+static void
+topic_destroy (gpointer data)
+{
+  struct topic *topic = data;
+
+  g_ptr_array_free (topic->records, TRUE);
+  g_hash_table_destroy (topic->newest);
+  g_hash_table_destroy (topic->producers);
+  g_free (topic);
+}
+
+void
+cluster_store_init (struct cluster *cluster)
+{
+  cluster->topics = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, topic_destroy);
+  LIST_INIT (&cluster->reads);
+}
+
+void
+cluster_store_finish (struct cluster *cluster)
+{
+  while (!LIST_EMPTY (&cluster->reads))
+    {
+      struct open_read *read = LIST_FIRST (&cluster->reads);
+
+      LIST_REMOVE (read, link);
+      g_free (read);
+    }
+  g_hash_table_destroy (cluster->topics);
+}
+
+/* Finds a topic, or makes it. */
+static struct topic *
+cluster_topic (struct cluster *cluster, const char *name)
+{
+  struct topic *topic = g_hash_table_lookup (cluster->topics, name);
+
+  if (topic)
+    return topic;
+  topic = g_new0 (struct topic, 1);
+  topic->records = g_ptr_array_new_with_free_func (record_destroy);
+  topic->newest = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  topic->producers = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  g_hash_table_insert (cluster->topics, g_strdup (name), topic);
+  return topic;
+}
+
+/* Adds a record. */
+static void
+topic_add (struct topic *topic, const char *key, const void *value, size_t len)
+{
+  struct record *record = g_new (struct record, 1);
+
+  record->key = g_strdup (key);
+  record->value = g_bytes_new (value, len);
+  g_ptr_array_add (topic->records, record);
+  if (len == 0)
+    g_hash_table_remove (topic->newest, key);
+  else
+    g_hash_table_replace (topic->newest, g_strdup (key), GUINT_TO_POINTER (topic->records->len));
+}
+
+/* Answers a read with all records from its offset on. */
+static void
+read_answer (struct http_request *request, const struct topic *topic, int64_t from)
+{
+  GByteArray *body = g_byte_array_new ();
+  uint64_t end = GUINT64_TO_BE ((uint64_t) topic->records->len);
+  uint64_t first = 0;
+  struct http_response response = { .status = 200 };
+
+  g_byte_array_append (body, (const guint8 *) &end, sizeof end);
+  g_byte_array_append (body, (const guint8 *) &first, sizeof first);
+  for (guint i = (guint) from; i < topic->records->len; i++)
+    {
+      const struct record *record = g_ptr_array_index (topic->records, i);
+      guint8 key_len = (guint8) strlen (record->key);
+      gsize len;
+      const void *value = g_bytes_get_data (record->value, &len);
+      uint32_t size = GUINT32_TO_BE ((uint32_t) (1 + key_len + len));
+
+      g_byte_array_append (body, (const guint8 *) &size, sizeof size);
+      g_byte_array_append (body, &key_len, 1);
+      g_byte_array_append (body, (const guint8 *) record->key, key_len);
+      g_byte_array_append (body, value, (guint) len);
+    }
+  response.body = body->data;
+  response.body_len = body->len;
+  http_request_answer (request, &response);
+  g_byte_array_unref (body);
+}
+
+/* Answers the reads for which there is a record now, and those whose time is over. */
+void
+cluster_store_tick (struct cluster *cluster)
+{
+  struct open_read *read = LIST_FIRST (&cluster->reads);
+  int64_t now_ms = cluster_now_ms (cluster);
+
+  while (read)
+    {
+      struct open_read *next = LIST_NEXT (read, link);
+
+      if (cluster->store == STORE_UP &&
+          ((int64_t) read->topic->records->len > read->from || now_ms >= read->end_ms))
+        {
+          LIST_REMOVE (read, link);
+          read_answer (read->request, read->topic, read->from);
+          g_free (read);
+        }
+      read = next;
+    }
+}
+
+/* Takes the records of an append. */
+static bool
+topic_take (struct topic *topic, const uint8_t *body, size_t len)
+{
+  size_t at = 0;
+
+  while (at + LENGTH_BYTES < len)
+    {
+      uint32_t wire;
+      size_t size;
+      size_t key_len;
+      g_autofree char *key = NULL;
+
+      memcpy (&wire, body + at, sizeof wire);
+      size = GUINT32_FROM_BE (wire);
+      at += LENGTH_BYTES;
+      if (size == 0 || size > len - at || 1 + (size_t) body[at] > size)
+        return false;
+      key_len = body[at];
+      key = g_strndup ((const char *) body + at + 1, key_len);
+      topic_add (topic, key, body + at + 1 + key_len, size - 1 - key_len);
+      at += size;
+    }
+  return at == len;
+}
+
+/* Checks a producer's epoch and sequence. Gives true if its records are to be taken; otherwise the
+ * request is answered. */
+static bool
+producer_check (struct http_request *request, const struct topic *topic, struct producer *producer,
+                uint64_t epoch, uint64_t sequence)
+{
+  uint64_t back = producer->sequence - sequence;
+
+  if (epoch < producer->epoch)
+    {
+      answer_json (request, 409, json_pack ("{s:s}", "reason", "fenced"));
+      return false;
+    }
+  if (epoch > producer->epoch || producer->n_offsets == 0 || sequence == producer->sequence + 1)
+    return true;
+  if (back < producer->n_offsets)
+    answer_json (request, 200,
+                 json_pack ("{s:I,s:I}", "offset",
+                            (json_int_t) producer->offsets[producer->n_offsets - 1 - back], "end",
+                            (json_int_t) topic->records->len));
+  else
+    answer_json (
+        request, 409,
+        json_pack ("{s:s,s:I}", "reason", "seq", "sequence", (json_int_t) producer->sequence + 1));
+  return false;
+}
+
+/* Notes what a producer has written. */
+static void
+producer_note (struct producer *producer, uint64_t epoch, uint64_t sequence, int64_t offset)
+{
+  if (epoch > producer->epoch)
+    producer->n_offsets = 0;
+  if (producer->n_offsets == REPEATS)
+    memmove (producer->offsets, producer->offsets + 1, (REPEATS - 1) * sizeof *producer->offsets);
+  else
+    producer->n_offsets++;
+  producer->offsets[producer->n_offsets - 1] = offset;
+  producer->epoch = epoch;
+  producer->sequence = sequence;
+}
+
+/* Appends records. */
+static void
+store_append_request (struct topic *topic, struct http_request *request)
+{
+  const char *name = http_request_query (request, "producer");
+  const char *epoch_text = http_request_query (request, "epoch");
+  const char *sequence_text = http_request_query (request, "sequence");
+  uint64_t epoch = epoch_text ? g_ascii_strtoull (epoch_text, NULL, 10) : 0;
+  uint64_t sequence = sequence_text ? g_ascii_strtoull (sequence_text, NULL, 10) : 0;
+  int64_t offset = topic->records->len;
+  struct producer *producer = NULL;
+  size_t len;
+  const uint8_t *body = http_request_body (request, &len);
+
+  if (name)
+    {
+      producer = g_hash_table_lookup (topic->producers, name);
+      if (!producer)
+        {
+          producer = g_new0 (struct producer, 1);
+          g_hash_table_insert (topic->producers, g_strdup (name), producer);
+        }
+      if (!producer_check (request, topic, producer, epoch, sequence))
+        return;
+    }
+  if (!topic_take (topic, body, len))
+    {
+      answer_json (request, 400, json_pack ("{s:s}", "error", "not a list of records"));
+      return;
+    }
+  if (producer)
+    producer_note (producer, epoch, sequence, offset);
+  answer_json (request, 200,
+               json_pack ("{s:I,s:I}", "offset", (json_int_t) offset, "end",
+                          (json_int_t) topic->records->len));
+}
+
+/* Reads records, or waits for one. */
+static void
+store_read_request (struct cluster *cluster, struct topic *topic, struct http_request *request)
+{
+  const char *from_text = http_request_query (request, "from");
+  const char *wait_text = http_request_query (request, "wait_ms");
+  int64_t from = from_text ? g_ascii_strtoll (from_text, NULL, 10) : 0;
+  int64_t wait_ms = wait_text ? g_ascii_strtoll (wait_text, NULL, 10) : 0;
+  struct open_read *read;
+
+  if (from < (int64_t) topic->records->len || wait_ms == 0)
+    {
+      read_answer (request, topic, from);
+      return;
+    }
+  read = g_new0 (struct open_read, 1);
+  read->request = request;
+  read->topic = topic;
+  read->from = from;
+  read->end_ms = cluster_now_ms (cluster) + wait_ms;
+  http_request_set_data (request, read);
+  LIST_INSERT_HEAD (&cluster->reads, read, link);
+}
+
+/* Answers with the newest record of each key. */
+static void
+store_newest_request (struct topic *topic, struct http_request *request)
+{
+  const char *after = http_request_query (request, "depends_on");
+  GList *keys = g_list_sort (g_hash_table_get_keys (topic->newest), (GCompareFunc) strcmp);
+  json_t *items = json_array ();
+  bool more = false;
+
+  for (GList *each = keys; each; each = each->next)
+    {
+      guint at = GPOINTER_TO_UINT (g_hash_table_lookup (topic->newest, each->data)) - 1;
+      const struct record *record = g_ptr_array_index (topic->records, at);
+      gsize len;
+      const guchar *value = g_bytes_get_data (record->value, &len);
+      g_autofree char *text = NULL;
+
+      if (after && strcmp (each->data, after) <= 0)
+        continue;
+      if (json_array_size (items) == PAGE_ITEMS)
+        {
+          more = true;
+          break;
+        }
+      text = g_base64_encode (value, len);
+      json_array_append_new (items, json_pack ("{s:s,s:s,s:I}", "key", each->data, "value", text,
+                                               "offset", (json_int_t) at));
+    }
+  g_list_free (keys);
+  answer_json (request, 200,
+               json_pack ("{s:o,s:b,s:I}", "items", items, "has_more", more, "end",
+                          (json_int_t) topic->records->len));
+}
+
+/* A request to the store has arrived. */
+void
+cluster_store_handle (void *ctx, struct http_request *request)
+{
+  struct cluster *cluster = ctx;
+  const char *path = http_request_path (request);
+  const char *name = http_request_query (request, "topic");
+  struct topic *topic;
+
+  http_request_set_data (request, NULL);
+  if (cluster->store == STORE_SILENT)
+    return;
+  if (cluster->store == STORE_BUSY || !name)
+    {
+      answer_json (request, name ? 503 : 400, json_pack ("{s:s}", "error", "refused"));
+      return;
+    }
+  topic = cluster_topic (cluster, name);
+  if (g_str_has_prefix (path, "/v1/log-append"))
+    store_append_request (topic, request);
+  else if (g_str_has_prefix (path, "/v1/log-read"))
+    store_read_request (cluster, topic, request);
+  else if (g_str_has_prefix (path, "/v1/log-newest"))
+    store_newest_request (topic, request);
+  else
+    answer_json (request, 404, json_pack ("{s:s}", "error", "no such call"));
+}
+
+/* A caller has hung up. */
+void
+cluster_store_gone (void *ctx, struct http_request *request)
+{
+  struct open_read *read = http_request_data (request);
+
+  (void) ctx;
+  if (!read)
+    return;
+  LIST_REMOVE (read, link);
+  g_free (read);
+}
+
+void
+cluster_store_put (struct cluster *cluster, const char *topic, const char *key, const char *value)
+{
+  topic_add (cluster_topic (cluster, topic), key, value, value ? strlen (value) : 0);
+}
+
+char *
+cluster_store_get (struct cluster *cluster, const char *topic, const char *key)
+{
+  struct topic *found = cluster_topic (cluster, topic);
+  guint at = GPOINTER_TO_UINT (g_hash_table_lookup (found->newest, key));
+  const struct record *record;
+  gsize len;
+  const char *value;
+
+  if (at == 0)
+    return NULL;
+  record = g_ptr_array_index (found->records, at - 1);
+  value = g_bytes_get_data (record->value, &len);
+  return g_strndup (value, len);
+}
--- /dev/null
+++ b/tests/jobd/hosts.c
@@ -0,0 +1,211 @@
+#include "hosts.h"
+
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+
+enum
+{
+  URL_BYTES = 256,
+  CALL_MS = 3500,
+  READY_MS = 15000,
+  POLL_MS = 25,
+  PORTS_A_HOST = 2,
+  FIRST_HOST_PORT = 60,
+};
+
+#define CONFIG                                                                                     \
+  "{\"key\":\"config\",\"value\":{\"version\":7,\"routes\":["                                      \
+  "{\"name\":\"a\",\"host\":\"jobs.example\",\"path_prefix\":\"/one/\",\"service\":\"one\","       \
+  "\"priority\":0,\"max_attempts\":3,\"slack_factor\":2.0,\"target_latency_ms\":600},"             \
+  "{\"name\":\"b\",\"host\":\"jobs.example\",\"path_prefix\":\"/two/\",\"service\":\"two\","       \
+  "\"priority\":0,\"max_attempts\":3,\"slack_factor\":2.0,\"target_latency_ms\":600}],"            \
+  "\"services\":[{\"name\":\"one\",\"standby\":false},{\"name\":\"two\",\"standby\":false},"       \
+  "{\"name\":\"spare\",\"standby\":true}]}}"
+
+/* Ports of a host: callers, then readiness. */
+static uint16_t
+hosts_port (const struct hosts *hosts, unsigned n)
+{
+  return (uint16_t) (hosts->port + FIRST_HOST_PORT + n * PORTS_A_HOST);
+}
+
+void
+hosts_start_jobd (struct hosts *hosts, unsigned n)
+{
+  char words[6][64];
+  char name[16];
+
+  snprintf (name, sizeof name, "jobd%u", n);
+  snprintf (words[0], sizeof words[0], "--name=%s", name);
+  snprintf (words[1], sizeof words[1], "--frontend=127.0.0.1:%u", hosts_port (hosts, n));
+  snprintf (words[2], sizeof words[2], "--readiness=127.0.0.1:%u", hosts_port (hosts, n) + 1U);
+  snprintf (words[3], sizeof words[3], "--store=127.0.0.1:%u", hosts->port);
+  snprintf (words[4], sizeof words[4], "--machines=127.0.0.1:%u", hosts->port + 1U);
+  snprintf (words[5], sizeof words[5], "--seed=%u", n + 1);
+  hosts->jobds[n] = process_create (
+      name, "jobd/sesamepick-jobd",
+      (const char *[]){ words[0], words[1], words[2], words[3], words[4], words[5], NULL });
+}
+
+void
+hosts_start (struct hosts *hosts, unsigned port_block)
+{
+  char port[32];
+
+  hosts->port = process_port_block (port_block);
+  snprintf (port, sizeof port, "--port=%u", hosts->port);
+  hosts->cluster = process_create ("cluster", "standin/standin-cluster",
+                                   (const char *[]){ port, "--pools=one=4,two=4,spare=2", NULL });
+  for (unsigned n = 0; n < HOSTS; n++)
+    hosts_start_jobd (hosts, n);
+  test_sleep_ms (300);
+  hosts_tell (hosts, "/operator", CONFIG);
+}
+
+void
+hosts_end (struct hosts *hosts)
+{
+  (void) hosts;
+  process_end_all ();
+}
+
+bool
+hosts_wait_ready (struct hosts *hosts, unsigned n, int64_t limit_ms)
+{
+  char url[URL_BYTES];
+
+  snprintf (url, sizeof url, "http://127.0.0.1:%u/v1/readyz", hosts_port (hosts, n) + 1U);
+  return test_wait_ready (url, limit_ms > 0 ? limit_ms : READY_MS);
+}
+
+int
+hosts_leader (struct hosts *hosts)
+{
+  for (unsigned n = 0; n < HOSTS; n++)
+    {
+      char url[URL_BYTES];
+
+      snprintf (url, sizeof url, "http://127.0.0.1:%u", hosts_port (hosts, n) + 1U);
+      if (process_runs (hosts->jobds[n]) && fetch_metric (url, "sesamepick_jobd_leading") == 1)
+        return (int) n;
+    }
+  return -1;
+}
+
+int
+hosts_wait_leader (struct hosts *hosts, int64_t limit_ms)
+{
+  int64_t end_ms = test_now_ms () + limit_ms;
+  int leader = hosts_leader (hosts);
+
+  while (leader < 0 && test_now_ms () < end_ms)
+    {
+      test_sleep_ms (POLL_MS);
+      leader = hosts_leader (hosts);
+    }
+  return leader;
+}
+
+int
+hosts_call (struct hosts *hosts, unsigned n, const char *method, const char *path, const char *body,
+            json_t **answer)
+{
+  struct fetched fetched;
+  char url[URL_BYTES];
+  const char *headers[] = { "Host: jobs.example", "Content-Type: application/json",
+                            "X-Deadline-Ms: 3000", NULL };
+  int status;
+
+  snprintf (url, sizeof url, "http://127.0.0.1:%u%s", hosts_port (hosts, n), path);
+  fetch (&fetched, method, url, headers, body, CALL_MS);
+  status = fetched.status;
+  if (answer)
+    *answer = fetched.body ? json_loadb (fetched.body, fetched.body_len, 0, NULL) : NULL;
+  fetched_clear (&fetched);
+  return status;
+}
+
+char *
+hosts_state (struct hosts *hosts, unsigned n, const char *id)
+{
+  g_autofree char *path = g_strdup_printf ("/one/%s", id);
+  json_t *answer = NULL;
+  const char *state;
+  char *copy;
+
+  hosts_call (hosts, n, "GET", path, NULL, &answer);
+  state = json_string_value (json_object_get (answer, "state"));
+  copy = state ? strdup (state) : NULL;
+  json_decref (answer);
+  return copy;
+}
+
+bool
+hosts_wait_state (struct hosts *hosts, unsigned n, const char *id, const char *state,
+                  int64_t limit_ms)
+{
+  int64_t end_ms = test_now_ms () + limit_ms;
+  bool reached = false;
+
+  while (!reached && test_now_ms () < end_ms)
+    {
+      char *present = hosts_state (hosts, n, id);
+
+      reached = g_strcmp0 (present, state) == 0;
+      free (present);
+      if (!reached)
+        test_sleep_ms (POLL_MS);
+    }
+  return reached;
+}
+
+void
+hosts_tell (struct hosts *hosts, const char *path, const char *body)
+{
+  struct fetched fetched;
+  char url[URL_BYTES];
+
+  snprintf (url, sizeof url, "http://127.0.0.1:%u%s", hosts->port, path);
+  fetch (&fetched, "POST", url, NULL, body, CALL_MS);
+  fetched_clear (&fetched);
+}
+
+int64_t
+hosts_report (struct hosts *hosts, const char *name)
+{
+  struct fetched fetched;
+  char url[URL_BYTES];
+  json_t *report;
+  int64_t count = -1;
+
+  snprintf (url, sizeof url, "http://127.0.0.1:%u/report", hosts->port);
+  fetch (&fetched, "GET", url, NULL, NULL, CALL_MS);
+  report = fetched.body ? json_loadb (fetched.body, fetched.body_len, 0, NULL) : NULL;
+  if (json_is_integer (json_object_get (report, name)))
+    count = json_integer_value (json_object_get (report, name));
+  json_decref (report);
+  fetched_clear (&fetched);
+  return count;
+}
+
+bool
+hosts_wait_status (struct hosts *hosts, const char *key, const char *text, int64_t limit_ms)
+{
+  int64_t end_ms = test_now_ms () + limit_ms;
+  bool found = false;
+  char url[URL_BYTES];
+
+  snprintf (url, sizeof url, "http://127.0.0.1:%u/status?key=%s", hosts->port, key);
+  while (!found && test_now_ms () < end_ms)
+    {
+      struct fetched fetched;
+
+      fetch (&fetched, "GET", url, NULL, NULL, CALL_MS);
+      found = fetched.body && strstr (fetched.body, text);
+      fetched_clear (&fetched);
+      if (!found)
+        test_sleep_ms (POLL_MS);
+    }
+  return found;
+}
--- /dev/null
+++ b/tests/jobd/test_jobd.c
@@ -0,0 +1,278 @@
+#include <glib.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "hosts.h"
+#include "suite.h"
+
+/* Jobs from callers to endpoints and back, by real processes, through kills, stops and a store that
+ * is away. The stand-in counts tasks that run twice or after their end. */
+
+enum
+{
+  PORT_BLOCK = 93,
+  JOBS = 12,
+  DONE_MS = 20000,
+  LEADER_MS = 8000,
+};
+
+#define TWO_STEPS                                                                                  \
+  "{\"spec\":\"s\",\"steps\":[{\"count\":3,\"cpu\":1000,\"mem_mb\":500,\"estimate_ms\":500},"      \
+  "{\"count\":2,\"cpu\":1000,\"mem_mb\":500,\"estimate_ms\":500,\"depends_on\":[0]}]}"
+#define LASTING                                                                                    \
+  "{\"spec\":\"lasts\",\"steps\":[{\"count\":2,\"cpu\":1000,\"mem_mb\":500,\"long_running\":true," \
+  "\"anti_affinity\":1,\"may_miss\":1}]}"
+
+static struct hosts hosts;
+static unsigned next_id = 1;
+
+/* Gives a fresh id; free with g_free. */
+static char *
+make_id (void)
+{
+  return g_strdup_printf ("%016x", next_id++);
+}
+
+/* Hands a job in, at another host after each refusal, as callers do. */
+static bool
+submit (const char *id, const char *body, unsigned first_host)
+{
+  g_autofree char *path = g_strdup_printf ("/one/%s", id);
+
+  for (unsigned try = 0; try < 2 * HOSTS; try++)
+    {
+      if (hosts_call (&hosts, (first_host + try) % HOSTS, "POST", path, body, NULL) == 200)
+        return true;
+      test_sleep_ms (200);
+    }
+  return false;
+}
+
+/* Hands several jobs in, spread over the hosts. */
+static void
+submit_jobs (char **ids, unsigned n)
+{
+  for (unsigned i = 0; i < n; i++)
+    {
+      ids[i] = make_id ();
+      CU_ASSERT_TRUE (submit (ids[i], TWO_STEPS, i));
+    }
+}
+
+/* Waits until all are shown as completed, at a host that is up. */
+static void
+wait_jobs (char **ids, unsigned n, unsigned host)
+{
+  for (unsigned i = 0; i < n; i++)
+    {
+      CU_ASSERT_TRUE (hosts_wait_state (&hosts, host, ids[i], "completed", DONE_MS));
+      g_free (ids[i]);
+    }
+}
+
+/* Checks that no task has run twice. */
+static void
+check_once (void)
+{
+  CU_ASSERT_EQUAL (hosts_report (&hosts, "doubled"), 0);
+  CU_ASSERT_EQUAL (hosts_report (&hosts, "after_done"), 0);
+}
+
+/* A job that one host takes is done, and each host shows its state. */
+static void
+test_calm (void)
+{
+  g_autofree char *id = make_id ();
+
+  CU_ASSERT_TRUE (submit (id, TWO_STEPS, 0));
+  CU_ASSERT_TRUE (submit (id, TWO_STEPS, 1));
+  for (unsigned n = 0; n < HOSTS; n++)
+    CU_ASSERT_TRUE (hosts_wait_state (&hosts, n, id, "completed", DONE_MS));
+  CU_ASSERT_EQUAL (hosts_report (&hosts, "starts"), 5);
+  check_once ();
+}
+
+/* What can't be taken gets a clear answer. */
+static void
+test_answers (void)
+{
+  static const struct
+  {
+    const char *method;
+    const char *path;
+    const char *body;
+    int status;
+  } cases[] = {
+    { "POST", "/none/00000000000000aa", TWO_STEPS, 404 },
+    { "POST", "/one/xyz", TWO_STEPS, 400 },
+    { "POST", "/one/00000000000000ab", "{", 400 },
+    { "POST", "/one/00000000000000ac", "{\"spec\":\"s\",\"steps\":[]}", 400 },
+    { "POST", "/one/00000000000000ad",
+      "{\"spec\":\"s\",\"steps\":[{\"count\":1,\"depends_on\":[0]}]}", 400 },
+    { "GET", "/one/00000000000000ae", NULL, 410 },
+    { "DELETE", "/one/00000000000000af", NULL, 410 },
+    { "GET", "/one/", NULL, 200 },
+    { "PUT", "/one/00000000000000aa", "{}", 405 },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      int status =
+          hosts_call (&hosts, i % HOSTS, cases[i].method, cases[i].path, cases[i].body, NULL);
+
+      if (status != cases[i].status)
+        printf ("%s %s gave %d ", cases[i].method, cases[i].path, status);
+      CU_ASSERT_EQUAL (status, cases[i].status);
+    }
+}
+
+/* A lasting job runs until it is cancelled. */
+static void
+test_lasting (void)
+{
+  g_autofree char *id = make_id ();
+  g_autofree char *path = g_strdup_printf ("/one/%s", id);
+
+  CU_ASSERT_TRUE (submit (id, LASTING, 0));
+  CU_ASSERT_TRUE (hosts_wait_state (&hosts, 1, id, "running", DONE_MS));
+  CU_ASSERT_EQUAL (hosts_call (&hosts, 2, "DELETE", path, NULL, NULL), 200);
+  CU_ASSERT_TRUE (hosts_wait_state (&hosts, 0, id, "cancelled", DONE_MS));
+  check_once ();
+}
+
+/* The leader is killed: another takes over, and each accepted job is done once. */
+static void
+test_leader_killed (void)
+{
+  char *ids[JOBS];
+  int leader = hosts_wait_leader (&hosts, LEADER_MS);
+
+  SUITE_REQUIRE (leader >= 0);
+  submit_jobs (ids, JOBS);
+  process_destroy (hosts.jobds[leader]);
+  hosts_start_jobd (&hosts, (unsigned) leader);
+  wait_jobs (ids, JOBS, ((unsigned) leader + 1) % HOSTS);
+  CU_ASSERT_TRUE (hosts_wait_ready (&hosts, (unsigned) leader, 0));
+  check_once ();
+}
+
+/* The leader is frozen beyond its right and wakes up: nothing of what it believes does harm. */
+static void
+test_leader_frozen (void)
+{
+  char *ids[JOBS];
+  int leader = hosts_wait_leader (&hosts, LEADER_MS);
+
+  SUITE_REQUIRE (leader >= 0);
+  submit_jobs (ids, JOBS);
+  process_signal (hosts.jobds[leader], SIGSTOP);
+  test_sleep_ms (3000);
+  process_signal (hosts.jobds[leader], SIGCONT);
+  wait_jobs (ids, JOBS, ((unsigned) leader + 1) % HOSTS);
+  CU_ASSERT_NOT_EQUAL (hosts_wait_leader (&hosts, LEADER_MS), leader);
+  check_once ();
+}
+
+/* The leader is stopped as planned: it hands over at once. */
+static void
+test_leader_stopped (void)
+{
+  char *ids[JOBS];
+  int leader = hosts_wait_leader (&hosts, LEADER_MS);
+
+  SUITE_REQUIRE (leader >= 0);
+  submit_jobs (ids, JOBS);
+  process_signal (hosts.jobds[leader], SIGTERM);
+  CU_ASSERT_EQUAL (process_wait (hosts.jobds[leader], 6000), 0);
+  hosts_start_jobd (&hosts, (unsigned) leader);
+  wait_jobs (ids, JOBS, ((unsigned) leader + 1) % HOSTS);
+  CU_ASSERT_TRUE (hosts_wait_ready (&hosts, (unsigned) leader, 0));
+  check_once ();
+}
+
+/* The store is away: what was accepted goes on, what is not stored is not said to be, and a host
+ * that can accept nothing is not ready. */
+static void
+test_store_away (void)
+{
+  static const char *const conditions[] = { "{\"store\":\"busy\"}", "{\"store\":\"silent\"}" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (conditions); i++)
+    {
+      char *ids[JOBS];
+      g_autofree char *refused = make_id ();
+      g_autofree char *path = g_strdup_printf ("/one/%s", refused);
+      int status;
+
+      submit_jobs (ids, JOBS);
+      hosts_tell (&hosts, "/faults", conditions[i]);
+      status = hosts_call (&hosts, 0, "POST", path, TWO_STEPS, NULL);
+      CU_ASSERT (status == 503 || status == 504);
+      test_sleep_ms (3000);
+      CU_ASSERT_FALSE (hosts_wait_ready (&hosts, 1, 100));
+      hosts_tell (&hosts, "/faults", "{\"store\":\"up\"}");
+      wait_jobs (ids, JOBS, 0);
+      for (unsigned n = 0; n < HOSTS; n++)
+        CU_ASSERT_TRUE (hosts_wait_ready (&hosts, n, 0));
+      check_once ();
+    }
+}
+
+/* An endpoint goes dark with what runs there: it runs elsewhere, and never in two places. */
+static void
+test_endpoint_dark (void)
+{
+  char *ids[JOBS];
+
+  submit_jobs (ids, JOBS);
+  hosts_tell (&hosts, "/faults", "{\"dark\":\"m-0\"}");
+  hosts_tell (&hosts, "/faults", "{\"dark\":\"m-1\"}");
+  wait_jobs (ids, JOBS, 0);
+  hosts_tell (&hosts, "/faults", "{\"light\":\"m-0\"}");
+  hosts_tell (&hosts, "/faults", "{\"light\":\"m-1\"}");
+  check_once ();
+}
+
+/* A wave of maintenance is carried out within its limit while jobs run, and its operator is told.
+ */
+static void
+test_wave (void)
+{
+  char *ids[JOBS];
+
+  hosts_tell (&hosts, "/operator",
+              "{\"key\":\"wave/1\",\"value\":{\"wave\":1,\"machines\":[\"m-0\",\"m-1\",\"m-5\","
+              "\"m-8\"],\"duration_s\":20,\"cap\":2}}");
+  submit_jobs (ids, JOBS);
+  CU_ASSERT_TRUE (hosts_wait_status (&hosts, "wave/1", "completed", DONE_MS));
+  wait_jobs (ids, JOBS, 0);
+  CU_ASSERT_EQUAL (hosts_report (&hosts, "upkeeps"), 4);
+  CU_ASSERT (hosts_report (&hosts, "most_in_upkeep") <= 2);
+  check_once ();
+}
+
+static const struct suite_test tests[] = {
+  { "calm", test_calm },
+  { "answers", test_answers },
+  { "lasting", test_lasting },
+  { "leader killed", test_leader_killed },
+  { "leader frozen", test_leader_frozen },
+  { "leader stopped", test_leader_stopped },
+  { "store away", test_store_away },
+  { "endpoint dark", test_endpoint_dark },
+  { "wave", test_wave },
+};
+
+int
+main (void)
+{
+  int code;
+
+  hosts_start (&hosts, PORT_BLOCK);
+  for (unsigned n = 0; n < HOSTS; n++)
+    hosts_wait_ready (&hosts, n, 0);
+  code = suite_run ("jobd", tests, sizeof tests / sizeof tests[0]);
+  hosts_end (&hosts);
+  return code;
+}
