Refuse requests whose framing two parsers could read differently

Length with encoding, two lengths or hosts, other encodings, no host: 400 and the connection closed, on the product's interface and the platform's.

--- a/common/http_server.c
+++ b/common/http_server.c
@@ -285,6 +285,73 @@
   return MHD_queue_response (request->mhd, (unsigned) request->status, request->response);
 }
 
+/* What a request's headers say of its framing. */
+struct framing
+{
+  unsigned n_lengths;
+  unsigned n_encodings;
+  unsigned n_hosts;
+  bool odd_encoding;
+  bool zero_byte;
+};
+
+/* Takes one header into account. */
+static enum MHD_Result
+framing_visit (void *ctx, enum MHD_ValueKind kind, const char *name, size_t name_len,
+               const char *value, size_t value_len)
+{
+  struct framing *framing = ctx;
+
+  (void) kind;
+  if (strlen (name) != name_len || (value && strlen (value) != value_len))
+    framing->zero_byte = true;
+  if (g_ascii_strcasecmp (name, MHD_HTTP_HEADER_CONTENT_LENGTH) == 0)
+    framing->n_lengths++;
+  if (g_ascii_strcasecmp (name, MHD_HTTP_HEADER_HOST) == 0)
+    framing->n_hosts++;
+  if (g_ascii_strcasecmp (name, MHD_HTTP_HEADER_TRANSFER_ENCODING) == 0)
+    {
+      framing->n_encodings++;
+      framing->odd_encoding = !value || g_ascii_strcasecmp (value, "chunked") != 0;
+    }
+  return MHD_YES;
+}
+
+/* Tells whether proxies could differ on where the request ends or on what host it is meant for
+ * (RFC 9112, sections 3.2 and 6.3). */
+static bool
+request_framing_is_doubtful (const struct http_request *request, const char *version)
+{
+  struct framing framing = { 0 };
+
+  MHD_get_connection_values_n (request->mhd, MHD_HEADER_KIND, framing_visit, &framing);
+  if (framing.zero_byte || framing.odd_encoding || framing.n_lengths > 1 ||
+      framing.n_encodings > 1 || framing.n_hosts > 1)
+    return true;
+  if (framing.n_lengths > 0 && framing.n_encodings > 0)
+    return true;
+  return framing.n_hosts == 0 && strcmp (version, MHD_HTTP_VERSION_1_1) == 0;
+}
+
+/* Refuses a request whose framing is doubtful; its connection is closed, since what follows on it
+ * may be a part of its body. */
+static enum MHD_Result
+request_refuse_framing (struct http_request *request)
+{
+  static const char text[] = "The request's framing is not valid.\n";
+  struct http_header close_header = { MHD_HTTP_HEADER_CONNECTION, "close" };
+  struct http_response response = {
+    .status = MHD_HTTP_BAD_REQUEST,
+    .headers = &close_header,
+    .n_headers = 1,
+    .body = text,
+    .body_len = sizeof text - 1,
+  };
+
+  http_request_answer (request, &response);
+  return MHD_queue_response (request->mhd, (unsigned) request->status, request->response);
+}
+
 /* libmicrohttpd's handler: called when the head is there, for each part of the body, when the
  * request is whole, and again after a resume. */
 static enum MHD_Result
@@ -296,10 +363,11 @@
   (void) ctx;
   (void) mhd;
   (void) url;
-  (void) version;
   if (!request->method)
     {
       request->method = method;
+      if (request_framing_is_doubtful (request, version))
+        return request_refuse_framing (request);
       return request_announces_too_much (request) ? request_refuse_size (request) : MHD_YES;
     }
   if (request->state == REQUEST_ABANDONED)
@@ -341,9 +409,9 @@
   return MHD_start_daemon (
       MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ERROR_LOG, config->port, NULL, NULL,
       server_on_request, server, MHD_OPTION_EXTERNAL_LOGGER, server_on_log, server,
-      MHD_OPTION_SOCK_ADDR, (struct sockaddr *) &address, MHD_OPTION_LISTEN_BACKLOG_SIZE,
-      (unsigned) LISTEN_BACKLOG, MHD_OPTION_CONNECTION_LIMIT, config->connection_limit,
-      MHD_OPTION_CONNECTION_TIMEOUT, (unsigned) CONNECTION_IDLE_S,
+      MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_SOCK_ADDR, (struct sockaddr *) &address,
+      MHD_OPTION_LISTEN_BACKLOG_SIZE, (unsigned) LISTEN_BACKLOG, MHD_OPTION_CONNECTION_LIMIT,
+      config->connection_limit, MHD_OPTION_CONNECTION_TIMEOUT, (unsigned) CONNECTION_IDLE_S,
       MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t) CONNECTION_MEMORY_BYTES,
       MHD_OPTION_URI_LOG_CALLBACK, server_on_request_line, server, MHD_OPTION_NOTIFY_COMPLETED,
       server_on_completed, server, MHD_OPTION_NOTIFY_CONNECTION, server_on_connection, server,
