Waves keep their time over takeovers and leave hosts alone while pools lack them

Cause of 3 hosts left after a takeover: the new leader counted the wave's time from its own start, and hosts whose lasting tasks have no target counted as busy with batch tasks.

--- a/include/lib/jobs/endpoint.h
+++ b/include/lib/jobs/endpoint.h
@@ -65,6 +65,7 @@
 
   struct task_list tasks;
   unsigned n_tasks;
+  unsigned n_lasting;
   unsigned n_serving;
   unsigned n_filling;
   /* Runs that it listed last and that none of our tasks accounts for; they take room until they are
--- a/lib/jobs/endpoint.c
+++ b/lib/jobs/endpoint.c
@@ -101,6 +101,7 @@
   task->endpoint = endpoint;
   TAILQ_INSERT_TAIL (&endpoint->tasks, task, endpoint_link);
   endpoint->n_tasks++;
+  endpoint->n_lasting += step->long_running;
   endpoint->n_filling += step->fills;
   endpoint->n_serving += step->target_ms > 0 && !step->fills;
   endpoint->used.cpu_milli += need.cpu_milli;
@@ -119,6 +120,7 @@
   TAILQ_REMOVE (&endpoint->tasks, task, endpoint_link);
   task->endpoint = NULL;
   endpoint->n_tasks--;
+  endpoint->n_lasting -= step->long_running;
   endpoint->n_filling -= step->fills;
   endpoint->n_serving -= step->target_ms > 0 && !step->fills;
   endpoint->used.cpu_milli -= need.cpu_milli;
--- a/lib/jobs/pool_size.c
+++ b/lib/jobs/pool_size.c
@@ -400,6 +400,7 @@
       if (pool->standby)
         standby = pool;
     }
+  scheduler->short_of_hosts = false;
   TAILQ_FOREACH (pool, &scheduler->pools, link)
     {
       unsigned have = pool_count_hosts (scheduler, pool);
@@ -413,6 +414,8 @@
           host_move (scheduler, host, pool);
           have++;
         }
+      scheduler->short_of_hosts =
+          scheduler->short_of_hosts || (!pool->standby && have < pool->hosts_wanted);
     }
   TAILQ_FOREACH (pool, &scheduler->pools, link)
     {
--- a/lib/jobs/scheduler.c
+++ b/lib/jobs/scheduler.c
@@ -606,6 +606,7 @@
   g_autofree char **hosts = (char **) g_hash_table_get_keys_as_array (wave->begun, &n);
 
   progress.wave = wave->number;
+  progress.start_ms = wave->start_wall_ms;
   progress.n_hosts = n;
   progress.hosts = hosts;
   record.body_case = SP__JOB_RECORD__BODY_WAVE;
--- a/lib/jobs/scheduler_state.h
+++ b/lib/jobs/scheduler_state.h
@@ -38,8 +38,11 @@
   GHashTable *left;
   GHashTable *begun;
   unsigned most_at_once;
+  /* When it was asked for, on this leader's clock and as time of day. */
   int64_t start_ms;
+  int64_t start_wall_ms;
   int64_t duration_ms;
+  int64_t next_note_ms;
   bool dirty;
   bool announced;
   bool completed;
@@ -59,6 +62,8 @@
   struct pool_list pools;
   struct host_list hosts;
   bool hosts_listed;
+  /* A pool needs more hosts than it has. */
+  bool short_of_hosts;
   struct wave_list waves;
   bool renewed;
   bool deposed;
--- a/lib/jobs/wave.c
+++ b/lib/jobs/wave.c
@@ -12,6 +12,8 @@
   PACE_PERMILLE = 700,
   /* A batch task that has not ended after this is stopped, so that a host gets empty. */
   EVICT_AFTER_MS = 1500,
+  /* How often the log tells how a wave stands. */
+  NOTE_MS = 2000,
 };
 
 /* Frees a wave. */
@@ -48,6 +50,7 @@
 {
   struct wave *wave = scheduler_wave (scheduler, progress->wave);
 
+  wave->start_wall_ms = progress->start_ms;
   for (size_t i = 0; i < progress->n_hosts; i++)
     {
       g_hash_table_remove (wave->left, progress->hosts[i]);
@@ -64,7 +67,13 @@
   scheduler->now_ms = now_ms;
   if (wave->start_ms > 0)
     return;
-  wave->start_ms = now_ms;
+  if (wave->start_wall_ms == 0)
+    {
+      wave->start_wall_ms = scheduler->wall_ms;
+      wave->dirty = true;
+    }
+  /* Under an earlier leader, by another host's clock; one that jumped must not stop the wave. */
+  wave->start_ms = now_ms - CLAMP (scheduler->wall_ms - wave->start_wall_ms, 0, order->duration_ms);
   wave->duration_ms = order->duration_ms;
   wave->most_at_once = MAX (order->most_at_once, 1);
   for (size_t i = 0; i < order->n_hosts; i++)
@@ -195,7 +204,7 @@
     return host_is_standby (scheduler, host) || host->order_unsure ? BURDEN_NONE : BURDEN_FORBIDS;
   if (endpoint->draining || endpoint->cordoned)
     return BURDEN_FORBIDS;
-  if (endpoint->n_serving + endpoint->n_filling > 0)
+  if (endpoint->n_lasting > 0)
     return BURDEN_LASTING;
   return endpoint->n_tasks > 0 ? BURDEN_BATCH : BURDEN_NONE;
 }
@@ -297,19 +306,60 @@
   return emptying;
 }
 
+/* Writes now and then how a wave stands and what keeps each host that is left. */
+static void
+wave_note (struct scheduler *scheduler, struct wave *wave, unsigned away, unsigned emptying)
+{
+  static const char *const burdens[] = { "none", "lasting", "batch", "forbidden" };
+  GHashTableIter each;
+  gpointer key;
+
+  if (scheduler->now_ms < wave->next_note_ms)
+    return;
+  wave->next_note_ms = scheduler->now_ms + NOTE_MS;
+  scheduler_note (scheduler,
+                  "wave: wave=%u left=%u begun=%u away=%u emptying=%u limit=%u behind=%d",
+                  wave->number, g_hash_table_size (wave->left), g_hash_table_size (wave->begun),
+                  away, emptying, wave->most_at_once, wave_is_behind (scheduler, wave));
+  g_hash_table_iter_init (&each, wave->left);
+  while (g_hash_table_iter_next (&each, &key, NULL))
+    {
+      const struct host *host = scheduler_host (scheduler, key);
+      const struct endpoint *endpoint = host_endpoint (scheduler, host);
+
+      scheduler_note (
+          scheduler,
+          "wave host: host=%s state=%d burden=%s tasks=%u lasting=%u cordoned=%d unsure=%d",
+          host->id, host->state, burdens[host_burden (scheduler, host)],
+          endpoint ? endpoint->n_tasks : 0, endpoint ? endpoint->n_lasting : 0,
+          endpoint ? endpoint->cordoned : 0, host->order_unsure);
+    }
+}
+
+/* Gives the heaviest burden that a host may have to be taken now. While pools lack hosts, none is
+ * taken unless the wave would fall behind; lasting tasks take the longest and begin in time. */
+static enum host_burden
+wave_burden_limit (const struct scheduler *scheduler, const struct wave *wave)
+{
+  if (wave_is_behind (scheduler, wave))
+    return BURDEN_BATCH;
+  return scheduler->short_of_hosts ? BURDEN_FORBIDS : BURDEN_LASTING;
+}
+
 /* Goes on with one wave. */
 static void
 wave_run (struct scheduler *scheduler, struct wave *wave)
 {
   unsigned away = wave_count_away (scheduler, wave);
+  enum host_burden limit = wave_burden_limit (scheduler, wave);
   unsigned emptying;
 
   wave_drop_gone (scheduler, wave);
   emptying = wave_continue (scheduler, wave, &away);
+  wave_note (scheduler, wave, away, emptying);
   while (away + emptying < wave->most_at_once)
     {
-      struct host *host = wave_pick (
-          scheduler, wave, wave_is_behind (scheduler, wave) ? BURDEN_BATCH : BURDEN_LASTING);
+      struct host *host = limit == BURDEN_FORBIDS ? NULL : wave_pick (scheduler, wave, limit);
 
       if (!host)
         break;
--- a/protocols/job.pb-c.c
+++ b/protocols/job.pb-c.c
@@ -1102,7 +1102,7 @@
   (ProtobufCMessageInit) sp__leadership__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sp__wave_progress__field_descriptors[2] =
+static const ProtobufCFieldDescriptor sp__wave_progress__field_descriptors[3] =
 {
   {
     "wave",
@@ -1128,15 +1128,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "start_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Sp__WaveProgress, start_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sp__wave_progress__field_indices_by_name[] = {
   1,   /* field[1] = hosts */
+  2,   /* field[2] = start_ms */
   0,   /* field[0] = wave */
 };
 static const ProtobufCIntRange sp__wave_progress__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor sp__wave_progress__descriptor =
 {
@@ -1146,7 +1159,7 @@
   "Sp__WaveProgress",
   "sp",
   sizeof(Sp__WaveProgress),
-  2,
+  3,
   sp__wave_progress__field_descriptors,
   sp__wave_progress__field_indices_by_name,
   1,  sp__wave_progress__number_ranges,
--- a/protocols/job.pb-c.h
+++ b/protocols/job.pb-c.h
@@ -204,10 +204,14 @@
   uint32_t wave;
   size_t n_hosts;
   char **hosts;
+  /*
+   * Time of day at which the wave was first known, in milliseconds.
+   */
+  int64_t start_ms;
 };
 #define SP__WAVE_PROGRESS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sp__wave_progress__descriptor) \
-    , 0, 0,NULL }
+    , 0, 0,NULL, 0 }
 
 
 typedef enum {
