--- a/include/lib/jobs/job.h
+++ b/include/lib/jobs/job.h
@@ -92,7 +92,6 @@
   uint32_t n_live;
   uint32_t n_left;
   int64_t due_ms;
-  int64_t chain_ms;
   TAILQ_ENTRY (job) pool_link;
 };
 
@@ -109,6 +108,7 @@
 bool task_add_failure (struct task *task, uint32_t attempt);
 void task_set_checkpoint (struct task *task, const char *checkpoint);
 char *task_name (const struct task *task);
+bool job_step_is_done (const struct job *job, uint32_t occurrence, uint32_t step);
 int64_t job_chain_ms (const struct job *job);
 
 #endif
--- a/lib/jobs/job.c
+++ b/lib/jobs/job.c
@@ -216,7 +216,22 @@
   return g_strdup_printf ("%s.%u.%u.%u", task->job->id, task->occurrence, task->step, task->index);
 }
 
-/* Gives the estimated length of the longest chain of steps, in milliseconds. */
+/* Tells whether all tasks of a step of an occurrence are done. */
+bool
+job_step_is_done (const struct job *job, uint32_t occurrence, uint32_t step)
+{
+  const struct task *first = job_task (job, occurrence, step, 0);
+
+  for (uint32_t i = 0; i < job->definition->steps[step]->n_tasks; i++)
+    {
+      if (!first[i].done)
+        return false;
+    }
+  return true;
+}
+
+/* Gives the estimated length of the longest chain of steps that are not done, in milliseconds. Of a
+ * repeated job the first occurrence counts. */
 int64_t
 job_chain_ms (const struct job *job)
 {
@@ -230,7 +245,8 @@
 
       for (size_t i = 0; i < step->n_depends_on; i++)
         ends[s] = MAX (ends[s], ends[step->depends_on[i]]);
-      ends[s] += step->estimate_ms;
+      if (!job_step_is_done (job, 0, s))
+        ends[s] += step->estimate_ms;
       longest = MAX (longest, ends[s]);
     }
   return longest;
--- a/lib/jobs/placement.c
+++ b/lib/jobs/placement.c
@@ -198,7 +198,7 @@
 static bool
 job_is_late (const struct job *job, int64_t now_ms)
 {
-  return now_ms + job->chain_ms > job->due_ms;
+  return now_ms + job_chain_ms (job) > job->due_ms;
 }
 
 /* What jobs are ordered by. */
--- a/lib/jobs/scheduler.c
+++ b/lib/jobs/scheduler.c
@@ -87,20 +87,6 @@
   return job->cancelled || job_state_is_final (job->next_state) || job_state_is_final (job->state);
 }
 
-/* Tells whether all tasks of a step are done. */
-static bool
-step_is_done (const struct job *job, uint32_t occurrence, uint32_t step)
-{
-  struct task *first = job_task (job, occurrence, step, 0);
-
-  for (uint32_t i = 0; i < job->definition->steps[step]->n_tasks; i++)
-    {
-      if (!first[i].done)
-        return false;
-    }
-  return true;
-}
-
 /* Tells whether the tasks of a step may start: its occurrence is due and all that it depends on is
  * done. */
 bool
@@ -110,7 +96,7 @@
 
   for (size_t i = 0; i < definition->n_depends_on; i++)
     {
-      if (!step_is_done (job, occurrence, definition->depends_on[i]))
+      if (!job_step_is_done (job, occurrence, definition->depends_on[i]))
         return false;
     }
   return true;
@@ -164,7 +150,7 @@
   const Sp__JobDefinition *definition = job->definition;
   int64_t age_ms = CLAMP (scheduler->wall_ms - definition->accepted_ms, 0, JOB_AGE_MAX_MS);
   int64_t objective_ms =
-      job->chain_ms * definition->slack_permille / PERMILLE + definition->target_ms;
+      job_chain_ms (job) * definition->slack_permille / PERMILLE + definition->target_ms;
 
   return scheduler->now_ms - age_ms + objective_ms;
 }
@@ -223,7 +209,6 @@
   job_prepare (job);
   if (job->inherited)
     job_skip_attempts (scheduler, job);
-  job->chain_ms = job_chain_ms (job);
   job->due_ms = job_due_ms (scheduler, job);
   TAILQ_INSERT_TAIL (&scheduler_pool (scheduler, job->definition->pool)->jobs, job, pool_link);
   scheduler->counts.jobs++;
--- a/lib/jobs/wave.c
+++ b/lib/jobs/wave.c
@@ -12,6 +12,8 @@
   PACE_PERMILLE = 700,
   /* A batch task that has not ended after this is stopped, so that a host gets empty. */
   EVICT_AFTER_MS = 1500,
+  /* Time for a former leader's last orders to arrive. */
+  TAKEOVER_MARGIN_MS = 700,
   /* How often the log tells how a wave stands. */
   NOTE_MS = 2000,
 };
@@ -105,7 +107,7 @@
 /* Tells whether a task may be stopped now by its step's limit of tasks away. Those that are not at
  * work for whatever cause count as away. */
 static bool
-task_may_be_away (const struct task *task)
+task_may_be_away (const struct scheduler *scheduler, const struct task *task)
 {
   const struct task *first = job_task (task->job, task->occurrence, task->step, 0);
   const Sp__JobStep *step = task_step (task);
@@ -113,6 +115,9 @@
 
   if (step->away_limit == 0)
     return true;
+  /* A task that a former leader has stopped is listed as at work until it ends. */
+  if (scheduler->now_ms - scheduler->claimed_ms < scheduler->config.stop_ms + TAKEOVER_MARGIN_MS)
+    return false;
   for (uint32_t i = 0; i < step->n_tasks; i++)
     away += &first[i] != task && !task_is_at_work (&first[i]);
   return away <= step->away_limit;
@@ -129,7 +134,7 @@
     {
       struct task *next = TAILQ_NEXT (task, endpoint_link);
       const Sp__JobStep *step = task_step (task);
-      bool may_go = step->long_running ? task_may_be_away (task)
+      bool may_go = step->long_running ? task_may_be_away (scheduler, task)
                                        : step->checkpointing || cordoned_ms > EVICT_AFTER_MS;
 
       if (may_go && (task->phase == TASK_RUNNING || task->phase == TASK_STARTING))
--- a/tests/jobs/test_waves.c
+++ b/tests/jobs/test_waves.c
@@ -141,11 +141,37 @@
   world_destroy (world);
 }
 
+/* A new leader does not take tasks for at work that its predecessor has stopped (AVAIL on
+ * derwent-claims). */
+static void
+test_stops_of_a_former_leader (void)
+{
+  for (guint32 seed = 1; seed <= 20; seed++)
+    {
+      struct world *world = world_create (seed);
+      Sp__JobStep step = lasting_step (6, 1, 1);
+
+      world_add_hosts (world, "pool", HOSTS);
+      world_lead (world);
+      world_run (world, 100);
+      world_submit (world, "job", "pool", &step, 1, 3);
+      world_run (world, 2000);
+      ask_wave (world, 6, 6, 27000);
+      world_run (world, 40 + 20 * (int64_t) (seed % 10));
+      world_lead (world);
+      world_run (world, 25000);
+      CU_ASSERT_EQUAL (world->over_away_limit, 0);
+      CU_ASSERT_EQUAL (count_maintained (world), 6);
+      world_destroy (world);
+    }
+}
+
 static const struct suite_test tests[] = {
   { "lasting tasks", test_lasting_tasks },
   { "moved once", test_moved_once },
   { "standby hosts", test_standby_hosts },
   { "takeover", test_takeover },
+  { "stops of a former leader", test_stops_of_a_former_leader },
 };
 
 int
