--- a/jobd/leader.c
+++ b/jobd/leader.c
@@ -24,6 +24,8 @@
   LEADER_JOURNAL_GAP_MS = 50,
   REGISTRY_WAIT_MS = 1000,
   REGISTRY_GAP_MS = 300,
+  /* While hosts are on their way, so that their endpoints are used as soon as they are there. */
+  REGISTRY_BUSY_GAP_MS = 80,
   /* The list is read more often while hosts are on their way. */
   LIST_MS = 1500,
   LIST_BUSY_MS = 400,
@@ -732,6 +734,8 @@
     return;
   leader->distrust_ms = 0;
   scheduler_set_renewed (leader->scheduler, now_ms - leader->heartbeat_durable_ms < RENEWED_MS);
+  tail_set_gap (leader->registry,
+                now_ms < leader->busy_until_ms ? REGISTRY_BUSY_GAP_MS : REGISTRY_GAP_MS);
   if (now_ms >= leader->next_list_ms)
     {
       leader->next_list_ms = now_ms + (now_ms < leader->busy_until_ms ? LIST_BUSY_MS : LIST_MS);
