Write structured lines on standard output that never block, and serve histograms

Lines are logfmt; while nobody reads, 192 KB of talkative ones and 256 KB of warnings wait in memory, and the rest is counted. The frozen-leader test asked for the metric within 20 ms of the wake-up once, before the woken loop had turned; it now gives it the deployments' thaw_ms.

--- a/common/log.c
+++ b/common/log.c
@@ -1,22 +1,37 @@
 #include "common/log.h"
 
+#include <poll.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
 #include <time.h>
+#include <unistd.h>
 
 enum
 {
   LINE_BYTES = 1024,
+  /* Lines that wait while nobody reads: beyond the first bound talkative ones are left out, beyond
+   * the second all. At the usual load the first holds some minutes. */
+  PENDING_SOFT_BYTES = 192 * 1024,
+  PENDING_HARD_BYTES = 256 * 1024,
+  /* A pipe that is ready takes this much without blocking. */
+  WRITE_BYTES = 4096,
 };
 
 struct log_state
 {
   const char *program;
   GLogLevelFlags lowest;
+  int fd;
+  GString *pending;
+  guint64 left_out;
 };
 
-static struct log_state state = { .program = "sesamepick", .lowest = G_LOG_LEVEL_INFO };
+static struct log_state state = {
+  .program = "sesamepick",
+  .lowest = G_LOG_LEVEL_INFO,
+  .fd = STDERR_FILENO,
+};
 
 /* Gives the word for a level. */
 static const char *
@@ -31,6 +46,13 @@
   return "error";
 }
 
+/* Sends all further lines to another descriptor. */
+void
+log_to (int fd)
+{
+  state.fd = fd;
+}
+
 /* Finds a named field among those of a log call. */
 static const char *
 log_field (const GLogField *fields, gsize n, const char *key)
@@ -43,23 +65,106 @@
   return "";
 }
 
-/* GLib's writer: one line on standard error with time, level, program, part and sentence. */
-static GLogWriterOutput
-log_write (GLogLevelFlags level, const GLogField *fields, gsize n, gpointer ctx)
+/* Writes what waits, as far as the reader takes it without blocking. */
+void
+log_flush (void)
+{
+  while (state.pending && state.pending->len > 0)
+    {
+      struct pollfd ready = { .fd = state.fd, .events = POLLOUT };
+      ssize_t n;
+
+      if (poll (&ready, 1, 0) <= 0 || !(ready.revents & POLLOUT))
+        return;
+      n = write (state.fd, state.pending->str, MIN (state.pending->len, (gsize) WRITE_BYTES));
+      if (n <= 0)
+        return;
+      g_string_erase (state.pending, 0, n);
+    }
+}
+
+/* Begins a line with what each has. */
+static void
+log_begin_line (GLogLevelFlags level, const char *part)
 {
   struct timespec now;
   struct tm utc;
   char stamp[32];
 
-  (void) ctx;
-  if ((level & G_LOG_LEVEL_MASK) > state.lowest)
-    return G_LOG_WRITER_HANDLED;
   clock_gettime (CLOCK_REALTIME, &now);
   gmtime_r (&now.tv_sec, &utc);
   strftime (stamp, sizeof stamp, "%Y-%m-%dT%H:%M:%S", &utc);
-  fprintf (stderr, "%s.%03ldZ %s %s %s: %s\n", stamp, now.tv_nsec / 1000000, log_level_name (level),
-           state.program, log_field (fields, n, "SESAMEPICK_PART"),
-           log_field (fields, n, "MESSAGE"));
+  g_string_append_printf (state.pending, "time=%s.%03ldZ level=%s process=%s part=%s ", stamp,
+                          now.tv_nsec / 1000000, log_level_name (level), state.program, part);
+}
+
+/* Adds a text in quotes. */
+static void
+log_add_quoted (const char *text, gsize len)
+{
+  g_string_append_c (state.pending, '"');
+  for (gsize i = 0; i < len; i++)
+    {
+      if (text[i] == '"' || text[i] == '\\')
+        g_string_append_c (state.pending, '\\');
+      g_string_append_c (state.pending, text[i] == '\n' ? ' ' : text[i]);
+    }
+  g_string_append_c (state.pending, '"');
+}
+
+/* Adds a message: "what happened: key=value ..." becomes an event with its fields, another a text.
+ */
+static void
+log_add_message (const char *message)
+{
+  const char *colon = strstr (message, ": ");
+
+  if (colon && strchr (colon, '='))
+    {
+      g_string_append (state.pending, "event=");
+      log_add_quoted (message, (gsize) (colon - message));
+      g_string_append_printf (state.pending, " %s\n", colon + 2);
+      return;
+    }
+  g_string_append (state.pending, "event=");
+  log_add_quoted (message, strlen (message));
+  g_string_append_c (state.pending, '\n');
+}
+
+/* Tells how many lines were left out, once there is room again. */
+static void
+log_tell_left_out (void)
+{
+  if (state.left_out == 0 || state.pending->len >= PENDING_SOFT_BYTES / 2)
+    return;
+  log_begin_line (G_LOG_LEVEL_WARNING, "log");
+  g_string_append_printf (state.pending, "event=\"lines left out\" lines=%" G_GUINT64_FORMAT "\n",
+                          state.left_out);
+  state.left_out = 0;
+}
+
+/* GLib's writer: one line in logfmt on standard output. It never blocks: while nobody reads, lines
+ * wait in memory, and those that don't fit are counted. */
+static GLogWriterOutput
+log_write (GLogLevelFlags level, const GLogField *fields, gsize n, gpointer ctx)
+{
+  bool talkative = (level & G_LOG_LEVEL_MASK) >= G_LOG_LEVEL_INFO;
+
+  (void) ctx;
+  if ((level & G_LOG_LEVEL_MASK) > state.lowest)
+    return G_LOG_WRITER_HANDLED;
+  if (!state.pending)
+    state.pending = g_string_new (NULL);
+  log_flush ();
+  if (state.pending->len > (talkative ? PENDING_SOFT_BYTES : PENDING_HARD_BYTES))
+    {
+      state.left_out++;
+      return G_LOG_WRITER_HANDLED;
+    }
+  log_tell_left_out ();
+  log_begin_line (level, log_field (fields, n, "SESAMEPICK_PART"));
+  log_add_message (log_field (fields, n, "MESSAGE"));
+  log_flush ();
   return G_LOG_WRITER_HANDLED;
 }
 
@@ -79,7 +184,6 @@
   else
     return false;
   state.program = program;
-  setvbuf (stderr, NULL, _IOLBF, 0);
   g_log_set_writer_func (log_write, NULL, NULL);
   return true;
 }
--- a/common/metrics.c
+++ b/common/metrics.c
@@ -100,3 +100,56 @@
     }
   return text;
 }
+
+/* Upper bounds of a histogram's buckets; the last bucket has none. */
+static const int64_t bucket_bounds_ms[METRIC_BUCKETS] = { 5,   10,   20,   50,   100,   200,
+                                                          500, 1000, 2000, 5000, 10000, 20000 };
+
+/* Adds a histogram. The help must outlive it; the name is copied. */
+void
+metric_histogram_add (struct metrics *metrics, struct metric_histogram *histogram, const char *name,
+                      const char *help)
+{
+  enum
+  {
+    MS_PER_S = 1000,
+  };
+
+  histogram->names[0] = g_strconcat (name, "_bucket", NULL);
+  histogram->names[1] = g_strconcat (name, "_sum_milliseconds", NULL);
+  histogram->names[2] = g_strconcat (name, "_count", NULL);
+  for (size_t i = 0; i < METRIC_BUCKETS; i++)
+    {
+      g_autofree char *label =
+          g_strdup_printf ("le=\"%g\"", (double) bucket_bounds_ms[i] / MS_PER_S);
+
+      metric_add (metrics, &histogram->buckets[i], histogram->names[0], label, help);
+    }
+  metric_add (metrics, &histogram->buckets[METRIC_BUCKETS], histogram->names[0], "le=\"+Inf\"",
+              help);
+  metric_add (metrics, &histogram->sum_ms, histogram->names[1], "", help);
+  metric_add (metrics, &histogram->count, histogram->names[2], "", help);
+}
+
+/* Counts a duration. */
+void
+metric_histogram_take (struct metric_histogram *histogram, int64_t ms)
+{
+  for (size_t i = 0; i < METRIC_BUCKETS; i++)
+    histogram->buckets[i].value += ms <= bucket_bounds_ms[i];
+  histogram->buckets[METRIC_BUCKETS].value++;
+  histogram->sum_ms.value += ms;
+  histogram->count.value++;
+}
+
+/* Takes a histogram out of its set. */
+void
+metric_histogram_remove (struct metric_histogram *histogram)
+{
+  for (size_t i = 0; i <= METRIC_BUCKETS; i++)
+    metric_remove (&histogram->buckets[i]);
+  metric_remove (&histogram->sum_ms);
+  metric_remove (&histogram->count);
+  for (size_t i = 0; i < G_N_ELEMENTS (histogram->names); i++)
+    g_free (histogram->names[i]);
+}
--- a/common/program.c
+++ b/common/program.c
@@ -3,6 +3,7 @@
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "common/log.h"
 
@@ -16,9 +17,9 @@
   return field ? *(char *const *) ((const char *) settings + field->offset) : "info";
 }
 
-/* Does what each daemon starts with: reads its settings, opens its log under the program's name and
- * has writes to closed connections fail instead of ending the process. Gives PROGRAM_STARTED, or
- * the exit code where help was shown or a setting is wrong. */
+/* Does what each daemon starts with: reads its settings, opens its log under the program's name on
+ * standard output and has writes to closed connections fail instead of ending the process. Gives
+ * PROGRAM_STARTED, or the exit code where help was shown or a setting is wrong. */
 enum program_exit
 program_start (const struct settings_schema *schema, ProtobufCMessage *settings,
                const char *program, const char *summary, int argc, char **argv)
@@ -41,6 +42,7 @@
                level);
       return PROGRAM_EXIT_BAD_SETTINGS;
     }
+  log_to (STDOUT_FILENO);
   signal (SIGPIPE, SIG_IGN);
   return PROGRAM_STARTED;
 }
--- a/include/common/log.h
+++ b/include/common/log.h
@@ -7,7 +7,13 @@
 /* Levels from the most to the least talkative; a line below the chosen level is dropped. */
 bool log_init (const char *program, const char *level);
 
-/* One short sentence under the fixed prefix of a part, for example "router: ...". */
+/* Writes what waits for a reader, as far as it goes without blocking. */
+void log_flush (void);
+
+/* Sends all further lines to a descriptor; standard error without it. Daemons use standard output. */
+void log_to (int fd);
+
+/* One short sentence, or "what happened: key=value key=value", under the fixed name of a part. */
 void log_line (GLogLevelFlags level, const char *part, const char *format, ...)
     G_GNUC_PRINTF (3, 4);
 
--- a/jobd/ingress.c
+++ b/jobd/ingress.c
@@ -32,6 +32,7 @@
   struct metric unknown;
   struct metric states;
   struct metric cancels;
+  struct metric_histogram durable_time;
 };
 
 /* One request that waits for the store. */
@@ -46,6 +47,7 @@
   char *key;
   GBytes *value;
   int64_t deadline_ms;
+  int64_t begun_ms;
   bool appended;
 };
 
@@ -114,6 +116,7 @@
   exchange->ingress = ingress;
   exchange->request = request;
   exchange->id = g_strdup (id);
+  exchange->begun_ms = jobd_now_ms (ingress->jobd);
   exchange->deadline_ms = jobd_now_ms (ingress->jobd) + wait_ms;
   http_request_set_data (request, exchange);
   LIST_INSERT_HEAD (&ingress->exchanges, exchange, link);
@@ -143,7 +146,11 @@
   else if (request)
     answer_later (request, "the store is not available; nothing was stored");
   if (durable)
-    exchange->ingress->accepted.value++;
+    {
+      exchange->ingress->accepted.value++;
+      metric_histogram_take (&exchange->ingress->durable_time,
+                             jobd_now_ms (jobd) - exchange->begun_ms);
+    }
   else
     exchange->ingress->refused.value++;
   exchange_destroy (exchange);
@@ -464,6 +471,9 @@
               "States of jobs that were told.");
   metric_add (&jobd->metrics, &ingress->cancels, "sesamepick_jobd_cancels_total", "",
               "Cancellations that were recorded.");
+  metric_histogram_add (&jobd->metrics, &ingress->durable_time,
+                        "sesamepick_jobd_record_durable_seconds",
+                        "Time until a caller's record was durable.");
   jobd->ingress = ingress;
   return 0;
 }
@@ -487,6 +497,7 @@
 ingress_destroy (struct ingress *ingress)
 {
   http_server_destroy (ingress->server);
+  metric_histogram_remove (&ingress->durable_time);
   while (!LIST_EMPTY (&ingress->exchanges))
     {
       struct exchange *exchange = LIST_FIRST (&ingress->exchanges);
--- a/jobd/leader.c
+++ b/jobd/leader.c
@@ -86,6 +86,7 @@
   struct metric lapses;
   struct metric moves;
   struct metric silent;
+  struct metric_histogram start_time;
 };
 
 /* Gives the time. */
@@ -131,6 +132,8 @@
               "Moves of hosts that were ordered.");
   metric_add_gauge (metrics, &leader->silent, "sesamepick_jobd_endpoints_silent", "",
                     "Endpoints that do not answer.");
+  metric_histogram_add (metrics, &leader->start_time, "sesamepick_jobd_first_start_seconds",
+                        "Time from learning of a job to the start of its first task.");
   return leader;
 }
 
@@ -175,6 +178,7 @@
       leader->end_reason = "stop";
       leader_step_down (leader);
     }
+  metric_histogram_remove (&leader->start_time);
   g_hash_table_destroy (leader->waves);
   g_hash_table_destroy (leader->wave_progress);
   g_free (leader);
@@ -324,6 +328,8 @@
             "start: task=%s.%u.%u.%u attempt=%u endpoint=%s waited_ms=%" G_GINT64_FORMAT,
             task->job->id, task->occurrence, task->step, task->index, task->attempt, endpoint->id,
             leader_now_ms (leader) - task->job->seen_ms);
+  if (task->step == 0 && task->index == 0 && task->attempt == 1)
+    metric_histogram_take (&leader->start_time, leader_now_ms (leader) - task->job->seen_ms);
   orders_start (leader->orders, endpoint, task, until_ms);
 }
 
--- a/tests/jobd/test_jobd.c
+++ b/tests/jobd/test_jobd.c
@@ -15,6 +15,8 @@
   JOBS = 12,
   DONE_MS = 20000,
   LEADER_MS = 8000,
+  /* Time that a process has to find out that it was frozen; thaw_ms of the deployments. */
+  THAW_MS = 300,
 };
 
 #define TWO_STEPS                                                                                  \
@@ -169,6 +171,7 @@
   process_signal (hosts.jobds[leader], SIGSTOP);
   test_sleep_ms (3000);
   process_signal (hosts.jobds[leader], SIGCONT);
+  test_sleep_ms (THAW_MS);
   wait_jobs (ids, JOBS, ((unsigned) leader + 1) % HOSTS);
   CU_ASSERT_NOT_EQUAL (hosts_wait_leader (&hosts, LEADER_MS), leader);
   check_once ();
