--- a/include/lib/jobs/job.h
+++ b/include/lib/jobs/job.h
@@ -59,6 +59,9 @@
   unsigned start_tries;
   bool order_in_flight;
   int64_t next_order_ms;
+  /* Where it failed last, for comparison only, and when. */
+  const struct endpoint *failed_at;
+  int64_t failed_ms;
   /* When a serving task was last lost, for its step's limit of tasks away. */
   int64_t away_since_ms;
 };
--- a/lib/jobs/placement.c
+++ b/lib/jobs/placement.c
@@ -16,6 +16,9 @@
   /* A lasting task would have to be moved again. */
   SCORE_MAINTENANCE_DUE = 8 * SCORE_ENDPOINT,
   GANG_MAX = 256,
+  /* How long a task does not return to where it failed: an endpoint that fails all it starts would
+   * use up its attempts. It may return then, since its pool may have no other. */
+  FAILED_HERE_MS = 1500,
 };
 
 /* One placement that is being looked for. */
@@ -36,6 +39,8 @@
     return false;
   if (!endpoint_has_room (endpoint, need))
     return false;
+  if (task->failed_at == endpoint && scheduler->now_ms - task->failed_ms < FAILED_HERE_MS)
+    return false;
   if (step->required_label[0] != '\0' && !endpoint_has_label (endpoint, step->required_label))
     return false;
   return step->spread_limit == 0 || endpoint_count_step (endpoint, task) < step->spread_limit;
--- a/lib/jobs/scheduler.c
+++ b/lib/jobs/scheduler.c
@@ -175,6 +175,7 @@
       task->pace_percent = 100;
       task->pace_ordered_percent = 100;
       task->away_since_ms = 0;
+      task->failed_at = NULL;
       job->n_left += !task->done;
     }
 }
--- a/lib/jobs/task_run.c
+++ b/lib/jobs/task_run.c
@@ -186,17 +186,22 @@
 }
 
 /* Suspects an endpoint on which tasks of several jobs have failed in a row. One job by itself may
- * be at fault. */
+ * be at fault; its task goes elsewhere. */
 static void
-endpoint_note_failure (struct scheduler *scheduler, struct endpoint *endpoint,
-                       const struct task *task)
+endpoint_note_failure (struct scheduler *scheduler, struct endpoint *endpoint, struct task *task)
 {
+  task->failed_at = endpoint;
+  task->failed_ms = scheduler->now_ms;
   if (task_step (task)->long_running || endpoint->last_failed_job == task->job)
     return;
   endpoint->last_failed_job = task->job;
   endpoint->failed_jobs++;
-  if (endpoint->failed_jobs >= FAILED_JOBS_SUSPECT)
-    endpoint->avoid_until_ms = scheduler->now_ms + SUSPECT_MS;
+  if (endpoint->failed_jobs < FAILED_JOBS_SUSPECT)
+    return;
+  endpoint->avoid_until_ms = scheduler->now_ms + SUSPECT_MS;
+  endpoint->last_failed_job = NULL;
+  scheduler_note (scheduler, "endpoint suspected: endpoint=%s failed_jobs=%u for_ms=%d",
+                  endpoint->id, endpoint->failed_jobs, SUSPECT_MS);
 }
 
 /* Marks a task done; of a gang, one end stands for all. */
@@ -230,14 +235,20 @@
   return names[how];
 }
 
-/* Counts a failed run against its task's attempts, once. */
+/* Counts a failed run against its task's attempts, once. Lasting tasks have no limit. */
 static void
 task_note_failure (struct scheduler *scheduler, struct endpoint *endpoint, struct task *task,
-                   uint32_t attempt)
+                   uint32_t attempt, bool newest)
 {
   uint32_t limit = task->job->definition->max_attempts;
 
-  if (task_step (task)->long_running || !task_add_failure (task, attempt))
+  if (task_step (task)->long_running)
+    {
+      if (newest)
+        endpoint_note_failure (scheduler, endpoint, task);
+      return;
+    }
+  if (!task_add_failure (task, attempt))
     return;
   endpoint_note_failure (scheduler, endpoint, task);
   job_mark_dirty (scheduler, task->job);
@@ -250,7 +261,9 @@
 task_count_end (struct scheduler *scheduler, struct endpoint *endpoint, struct task *task,
                 const struct endpoint_end *end)
 {
-  if (end->attempt > task->ended_attempt)
+  bool newest = end->attempt > task->ended_attempt;
+
+  if (newest)
     {
       task->ended_attempt = end->attempt;
       task->attempt = MAX (task->attempt, end->attempt);
@@ -265,7 +278,7 @@
       job_mark_dirty (scheduler, task->job);
     }
   if (end->how == RUN_FAILED)
-    task_note_failure (scheduler, endpoint, task, end->attempt);
+    task_note_failure (scheduler, endpoint, task, end->attempt, newest);
 }
 
 /* Takes the end of a run that an endpoint lists. Ends are listed until acknowledged, to each leader
--- a/tests/jobs/test_scheduler.c
+++ b/tests/jobs/test_scheduler.c
@@ -107,6 +107,38 @@
     }
 }
 
+/* One endpoint fails all that it starts: tasks don't return to it before they have been elsewhere,
+ * so that jobs of two attempts are done, and it is left alone (an incident on derwent-claims). */
+static void
+test_sick_endpoint (void)
+{
+  struct world *world = world_with_pool (3);
+  Sp__JobStep step = make_step (4);
+  Sp__JobStep lasting = make_step (2);
+
+  lasting.long_running = true;
+  ((struct world_endpoint *) g_ptr_array_index (world->endpoints, 0))->sick = true;
+  ((struct world_endpoint *) g_ptr_array_index (world->endpoints, 1))->sick = false;
+  world_submit (world, "lasting", "pool", &lasting, 1, 2);
+  for (int i = 0; i < 6; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("job%d", i);
+
+      world_submit (world, id, "pool", &step, 1, 2);
+      world_run (world, 300);
+    }
+  world_run (world, 4000);
+  for (int i = 0; i < 6; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("job%d", i);
+
+      CU_ASSERT_EQUAL (world_state (world, id), SP__JOB_STATE__JOB_COMPLETED);
+    }
+  CU_ASSERT (world->starts <= 6 * 4 + 2 + 12);
+  CU_ASSERT_EQUAL (world_violations (world), 0);
+  world_destroy (world);
+}
+
 /* A start without an answer is repeated under its number, and is not doubled elsewhere. */
 static void
 test_lost_answers (void)
@@ -327,6 +359,7 @@
   { "steps in order", test_steps_in_order },
   { "attempts", test_attempts },
   { "attempts over a takeover", test_attempts_over_a_takeover },
+  { "sick endpoint", test_sick_endpoint },
   { "lost answers", test_lost_answers },
   { "dark endpoint", test_dark_endpoint },
   { "takeover", test_takeover },
--- a/tests/jobs/world.c
+++ b/tests/jobs/world.c
@@ -18,6 +18,7 @@
   MAINTENANCE_MS = 2000,
   STOP_MS = 400,
   LEASE_MS = 3500,
+  SICK_MS = 50,
   PERMILLE = 1000,
   AT_WORK_MS = 500,
 };
@@ -737,6 +738,11 @@
   run->start_ms = world->now_ms;
   run->end_ms = event->long_running ? INT64_MAX : world->now_ms + world->work_ms;
   run->fails = world_chance (world, world->fail_permille);
+  if (endpoint->sick)
+    {
+      run->fails = true;
+      run->end_ms = world->now_ms + SICK_MS;
+    }
   run->long_running = event->long_running;
   run->need = event->need;
   g_ptr_array_add (endpoint->runs, run);
--- a/tests/jobs/world.h
+++ b/tests/jobs/world.h
@@ -45,6 +45,8 @@
   bool up;
   /* Runs on, but nothing reaches it. */
   bool dark;
+  /* All that it starts fails at once. */
+  bool sick;
   bool listed;
   bool draining;
   int64_t born_ms;
