--- a/jobd/leader.c
+++ b/jobd/leader.c
@@ -18,6 +18,10 @@
   /* Hosts claim at different moments, so that the first is seen by the others. */
   CLAIM_JITTER_MS = 300,
   RESIGNED_JITTER_MS = 60,
+  /* A heartbeat waits behind this many appends of other hosts, up to the two seconds after which
+   * the store refuses more. */
+  SLOW_STORE_APPENDS = 4,
+  SLOW_STORE_MAX_MS = 2000,
   /* Progress is recorded in batches. */
   LEADER_GAP_MS = 25,
   FOLLOWER_JOURNAL_GAP_MS = 150,
@@ -277,6 +281,14 @@
   leader_append_leadership (leader, false, leader_on_claim);
 }
 
+/* Gives how much longer than usual the leader may be silent. A store that is slow with this host's
+ * appends holds up the leader's heartbeats as well: they wait in the same partition. */
+static int64_t
+leader_allowance_ms (const struct leader *leader)
+{
+  return MIN (writer_latency_ms (leader->jobd->writer) * SLOW_STORE_APPENDS, SLOW_STORE_MAX_MS);
+}
+
 /* Tells whether the present leader must be taken as gone. */
 static bool
 leader_is_gone (const struct leader *leader)
@@ -297,7 +309,7 @@
       jobd->book.leader_epoch > leader->epoch)
     return true;
   return now_ms - MAX (healthy_ms, leader->seen_ms) >
-         jobd->settings->leader_timeout_ms + leader->jitter_ms;
+         jobd->settings->leader_timeout_ms + leader->jitter_ms + leader_allowance_ms (leader);
 }
 
 /* A leadership record was read. */
--- a/jobd/writer.c
+++ b/jobd/writer.c
@@ -36,6 +36,7 @@
   uint64_t sequence;
   int64_t batch_ms;
   int64_t sent_ms;
+  int64_t latency_ms;
   unsigned tries;
   /* A try had no answer, so that the batch may have been written. */
   bool unsure;
@@ -114,6 +115,7 @@
   GPtrArray *entries = g_steal_pointer (&writer->batch);
 
   g_clear_pointer (&writer->body, g_byte_array_unref);
+  writer->latency_ms = writer_now_ms (writer) - writer->batch_ms;
   writer->unsure = false;
   writer->tries = 0;
   return writer_tell (writer, entries, result, offset);
@@ -293,6 +295,15 @@
   return writer->batch && writer_now_ms (writer) - writer->batch_ms > STUCK_MS;
 }
 
+/* Gives how long the last call took, or the one under way has taken so far. */
+int64_t
+writer_latency_ms (const struct writer *writer)
+{
+  if (!writer->batch)
+    return writer->latency_ms;
+  return MAX (writer->latency_ms, writer_now_ms (writer) - writer->batch_ms);
+}
+
 /* Tells whether all records are done. */
 bool
 writer_is_idle (const struct writer *writer)
--- a/jobd/writer.h
+++ b/jobd/writer.h
@@ -47,6 +47,8 @@
                     writer_done *done, void *ctx);
 /* Whether a call has had no answer for so long that new records would wait in vain. */
 bool writer_is_stuck (const struct writer *writer);
+/* How long the last call took, or the one under way has taken so far, in milliseconds. */
+int64_t writer_latency_ms (const struct writer *writer);
 bool writer_is_idle (const struct writer *writer);
 
 #endif
