Send hosts for steps to come, and take idle ones back sooner

40% of the need of tasks whose step is not open counts, since a host takes as long to come as a short step to end; pools keep no slack host, and an idle one goes to standby after 0.7 s.

--- a/lib/jobs/pool_size.c
+++ b/lib/jobs/pool_size.c
@@ -10,17 +10,19 @@
   PERMILLE = 1000,
   /* Share of a host that packing can use: tasks are a tenth of a host. */
   PACKING_PERMILLE = 850,
+  /* Share of the need of tasks whose step is not open yet. */
+  BLOCKED_PERMILLE = 400,
   /* Hosts that a pool keeps at least, so that lasting tasks have somewhere to go. */
   HOSTS_MIN = 2,
   /* How long a host must have been idle before another pool, or the standby pool, gets it. A move
    * costs as much as a bit more than a second of a host. */
   IDLE_FOR_PEER_MS = 200,
-  IDLE_FOR_STANDBY_MS = 1500,
+  IDLE_FOR_STANDBY_MS = 700,
   RETRY_MS = 500,
   /* A lasting task that waits for this long needs a host more than its pool has. */
   STARVED_MS = 250,
   /* A host stays where it came for this long. */
-  STAY_MS = 3000,
+  STAY_MS = 1500,
 };
 
 /* Finds a host. */
@@ -183,7 +185,7 @@
   scheduler_reset_unhosted (scheduler, sent_ms);
 }
 
-/* Adds up what the tasks of a pool need that run or could run. */
+/* Adds up what the tasks of a pool need that run or could run, and a share of those that follow. */
 static void
 pool_sum_need (struct pool *pool)
 {
@@ -196,13 +198,16 @@
         {
           const struct task *task = &job->tasks[i];
           struct resources need;
+          int64_t permille;
 
-          if (task->phase == TASK_DONE || task->phase == TASK_BLOCKED)
+          if (task->phase == TASK_DONE || job_is_over (job))
             continue;
           need = task_resources (task);
-          pool->need.cpu_milli += need.cpu_milli;
-          pool->need.memory_mb += need.memory_mb;
-          pool->need.gpus += need.gpus;
+          /* A host takes as long to come as a short step to end. */
+          permille = task->phase == TASK_BLOCKED ? BLOCKED_PERMILLE : PERMILLE;
+          pool->need.cpu_milli += need.cpu_milli * permille / PERMILLE;
+          pool->need.memory_mb += need.memory_mb * permille / PERMILLE;
+          pool->need.gpus += need.gpus * permille / PERMILLE;
         }
     }
 }
@@ -332,7 +337,7 @@
 {
   unsigned have = pool_count_hosts (scheduler, pool);
 
-  while (have > MAX (pool->hosts_wanted + 1, HOSTS_MIN))
+  while (have > MAX (pool->hosts_wanted, HOSTS_MIN))
     {
       struct host *host = pool_free_host (scheduler, pool, IDLE_FOR_STANDBY_MS);
 
