--- a/include/common/log.h
+++ b/include/common/log.h
@@ -10,7 +10,8 @@
 /* Writes what waits for a reader, as far as it goes without blocking. */
 void log_flush (void);
 
-/* Sends all further lines to a descriptor; standard error without it. Daemons use standard output. */
+/* Sends all further lines to a descriptor; standard error without it. Daemons use standard output.
+ */
 void log_to (int fd);
 
 /* One short sentence, or "what happened: key=value key=value", under the fixed name of a part. */
