--- a/include/lib/jobs/endpoint.h
+++ b/include/lib/jobs/endpoint.h
@@ -41,8 +41,6 @@
   char *pool;
   char *address;
   char **labels;
-  /* Host as the machine list names it, or NULL while not known. */
-  char *host;
   struct resources capacity;
   struct resources used;
   bool listed;
@@ -77,7 +75,6 @@
   unsigned calls;
   bool hold_in_flight;
   int64_t next_hold_ms;
-  int64_t last_hold_ms;
   /* Since when calls have failed; 0 while they work. */
   int64_t silent_since_ms;
   int64_t avoid_until_ms;
--- a/include/lib/jobs/job.h
+++ b/include/lib/jobs/job.h
@@ -62,8 +62,6 @@
   /* Where it failed last, for comparison only, and when. */
   const struct endpoint *failed_at;
   int64_t failed_ms;
-  /* When a serving task was last lost, for its step's limit of tasks away. */
-  int64_t away_since_ms;
 };
 
 /* A job and all its tasks. */
--- a/include/lib/jobs/scheduler.h
+++ b/include/lib/jobs/scheduler.h
@@ -106,9 +106,6 @@
   /* Time that a task may run without word from the leader. */
   int64_t lease_ms;
   int64_t stop_ms;
-  int64_t move_ms;
-  int64_t maintenance_ms;
-  int64_t notice_ms;
 };
 
 struct scheduler *scheduler_create (const struct scheduler_config *config,
--- a/jobd/jobd.h
+++ b/jobd/jobd.h
@@ -46,7 +46,7 @@
   struct admin *admin;
   struct metrics metrics;
   bool stopping;
-  /* Longest time between two turns of the loop that was seen, and when the last turn was. */
+  /* When the last turn of the loop was. */
   int64_t last_tick_ms;
 };
 
--- a/jobd/main.c
+++ b/jobd/main.c
@@ -46,32 +46,35 @@
   return jobd->clock.now_ms;
 }
 
-/* The book's callbacks. */
-
+/* The book has a new job. */
 static void
 jobd_on_defined (void *ctx, struct job *job)
 {
   leader_job_defined (((struct jobd *) ctx)->leader, job);
 }
 
+/* A job's cancellation is durable. */
 static void
 jobd_on_cancelled (void *ctx, struct job *job)
 {
   leader_job_cancelled (((struct jobd *) ctx)->leader, job);
 }
 
+/* A job's records are dropped. */
 static void
 jobd_on_forgotten (void *ctx, struct job *job)
 {
   leader_job_forgotten (((struct jobd *) ctx)->leader, job);
 }
 
+/* A leadership record was read. */
 static void
 jobd_on_leader (void *ctx, int64_t offset)
 {
   leader_seen (((struct jobd *) ctx)->leader, offset);
 }
 
+/* What was done in a wave was read. */
 static void
 jobd_on_wave (void *ctx, const Sp__WaveProgress *progress)
 {
--- a/jobd/writer.c
+++ b/jobd/writer.c
@@ -40,9 +40,6 @@
   unsigned tries;
   /* A try had no answer, so that the batch may have been written. */
   bool unsure;
-  /* The store has taken a call of this producer. */
-  bool accepted;
-  bool fenced;
   /* Set while a callback runs that may destroy the writer. */
   bool *destroyed;
 };
@@ -147,7 +144,6 @@
 static void
 writer_fenced (struct writer *writer)
 {
-  writer->fenced = true;
   if (writer_finish_batch (writer, WRITER_FENCED, 0))
     writer_refuse_waiting (writer, WRITER_FENCED);
 }
@@ -161,7 +157,6 @@
   switch (answer->result)
     {
     case STORE_DONE:
-      writer->accepted = true;
       writer->sequence++;
       if (writer_finish_batch (writer, WRITER_DURABLE, answer->offset))
         writer_go_on (writer);
--- a/lib/jobs/endpoint.c
+++ b/lib/jobs/endpoint.c
@@ -23,7 +23,6 @@
   g_free (endpoint->id);
   g_free (endpoint->pool);
   g_free (endpoint->address);
-  g_free (endpoint->host);
   g_strfreev (endpoint->labels);
   g_free (endpoint);
 }
--- a/lib/jobs/endpoint_orders.c
+++ b/lib/jobs/endpoint_orders.c
@@ -6,6 +6,11 @@
 
 enum
 {
+  PERMILLE = 1000,
+  /* The endpoints' clocks may be 2% slow. */
+  SLOW_CLOCK_PERMILLE = 20,
+  /* Time that an order may spend on its way. */
+  LAPSE_MARGIN_MS = 300,
   /* How long an endpoint may keep a hold open until something ends there. Three of these fit into
    * the shortest lease of the settings. */
   HOLD_WAIT_MS = 800,
@@ -97,6 +102,25 @@
   endpoint_forget_life (scheduler, endpoint);
 }
 
+/* Gives the moment of ours at which a lease that is given now has surely lapsed. */
+static int64_t
+scheduler_lapse_ms (const struct scheduler *scheduler)
+{
+  return scheduler->now_ms +
+         scheduler->config.lease_ms * (PERMILLE + SLOW_CLOCK_PERMILLE) / PERMILLE + LAPSE_MARGIN_MS;
+}
+
+/* Gives a lease from now on the endpoint's clock and notes when it has surely lapsed. */
+int64_t
+endpoint_extend (struct scheduler *scheduler, struct endpoint *endpoint)
+{
+  int64_t until_ms = endpoint_clock_at (endpoint, scheduler->now_ms) + scheduler->config.lease_ms;
+
+  endpoint->until_ms = MAX (endpoint->until_ms, until_ms);
+  endpoint->lapse_ms = MAX (endpoint->lapse_ms, scheduler_lapse_ms (scheduler));
+  return until_ms;
+}
+
 /* Sends a hold: it extends the lease of all that runs there and waits for an end. */
 static void
 endpoint_send_hold (struct scheduler *scheduler, struct endpoint *endpoint)
@@ -108,17 +132,13 @@
    * which its tasks have surely ended. */
   if (endpoint->fenced && endpoint->n_tasks > 0 && endpoint->silent_since_ms == 0)
     {
-      until_ms = endpoint_clock_at (endpoint, scheduler->now_ms) + scheduler->config.lease_ms;
-      endpoint->until_ms = MAX (endpoint->until_ms, until_ms);
-      endpoint->lapse_ms = MAX (endpoint->lapse_ms,
-                                scheduler->now_ms + scheduler->config.lease_ms * 102 / 100 + 300);
+      until_ms = endpoint_extend (scheduler, endpoint);
       if (endpoint->ends_seen == endpoint->ends_durable)
         wait_ms =
             endpoint->n_filling > 0 && endpoint->n_serving > 0 ? HOLD_WAIT_SHARED_MS : HOLD_WAIT_MS;
     }
   endpoint->hold_in_flight = true;
   endpoint->calls++;
-  endpoint->last_hold_ms = scheduler->now_ms;
   scheduler->ops.hold (scheduler->ops.ctx, endpoint, until_ms, wait_ms);
 }
 
@@ -298,7 +318,7 @@
   endpoint->ends_acked = MAX (endpoint->ends_acked, acked);
   /* The first lease is counted from what an earlier leader may have given at the latest. */
   if (!was_fenced)
-    endpoint->lapse_ms = scheduler->now_ms + scheduler->config.lease_ms * 102 / 100 + 300;
+    endpoint->lapse_ms = scheduler_lapse_ms (scheduler);
   endpoint_take_ends (scheduler, endpoint, report);
   endpoint->n_strays = 0;
   for (size_t i = 0; i < report->n_runs; i++)
--- /dev/null
+++ b/lib/jobs/hosts.c
@@ -0,0 +1,255 @@
+#include "scheduler_state.h"
+
+#include <string.h>
+
+/* Hosts as the machine list shows them, and the outcome of orders for them. */
+
+enum
+{
+  /* Time before an order that failed is given again. */
+  RETRY_MS = 500,
+};
+
+/* Finds a host. */
+struct host *
+scheduler_host (const struct scheduler *scheduler, const char *id)
+{
+  struct host *host;
+
+  TAILQ_FOREACH (host, &scheduler->hosts, link)
+    {
+      if (strcmp (host->id, id) == 0)
+        return host;
+    }
+  return NULL;
+}
+
+/* Frees a host. */
+void
+pool_host_destroy (struct host *host)
+{
+  g_free (host->id);
+  g_free (host->pool);
+  g_free (host->target_pool);
+  g_free (host->endpoint_id);
+  g_free (host->rack);
+  g_free (host);
+}
+
+/* Gives the endpoint that runs on a host, or NULL. */
+struct endpoint *
+host_endpoint (const struct scheduler *scheduler, const struct host *host)
+{
+  return host->endpoint_id ? g_hash_table_lookup (scheduler->endpoints, host->endpoint_id) : NULL;
+}
+
+/* Tells whether nothing can run unseen in a pool. */
+bool
+scheduler_pool_known (const struct scheduler *scheduler, const char *name)
+{
+  const struct pool *pool;
+
+  TAILQ_FOREACH (pool, &scheduler->pools, link)
+    {
+      if (strcmp (pool->name, name) == 0)
+        return pool->inheritance_known;
+    }
+  return false;
+}
+
+/* The platform says that a host is down: what ran there is gone. */
+static void
+host_note_down (struct scheduler *scheduler, const struct host *host)
+{
+  struct endpoint *endpoint = host_endpoint (scheduler, host);
+
+  if (!endpoint || endpoint->down)
+    return;
+  endpoint->down = true;
+  if (endpoint->n_tasks > 0)
+    endpoint_reset (scheduler, endpoint, "its host is down");
+}
+
+/* Takes one entry of the machine list. */
+static void
+host_update (struct host *host, const struct host_entry *entry)
+{
+  size_t n = entry->labels ? g_strv_length ((char **) entry->labels) : 0;
+
+  host->listed = true;
+  host->state = entry->state;
+  host->capacity = entry->capacity;
+  if (g_strcmp0 (host->pool, entry->pool) != 0)
+    {
+      g_free (host->pool);
+      host->pool = g_strdup (entry->pool);
+    }
+  g_free (host->endpoint_id);
+  host->endpoint_id = g_strdup (entry->endpoint);
+  g_free (host->rack);
+  host->rack = n > 0 ? g_strdup (entry->labels[n - 1]) : NULL;
+}
+
+/* Tells whether the machine list names an endpoint as what runs on a host. A former life of a host
+ * stays in the registry for some seconds. */
+bool
+scheduler_hosts_endpoint (const struct scheduler *scheduler, const char *id)
+{
+  const struct host *host;
+
+  TAILQ_FOREACH (host, &scheduler->hosts, link)
+    {
+      if (g_strcmp0 (host->endpoint_id, id) == 0)
+        return true;
+    }
+  return false;
+}
+
+/* Takes the tasks off endpoints that are silent and that no host runs any more. */
+static void
+scheduler_reset_unhosted (struct scheduler *scheduler, int64_t sent_ms)
+{
+  GHashTableIter each;
+  gpointer value;
+
+  g_hash_table_iter_init (&each, scheduler->endpoints);
+  while (g_hash_table_iter_next (&each, NULL, &value))
+    {
+      struct endpoint *endpoint = value;
+
+      if (endpoint->n_tasks > 0 && endpoint->silent_since_ms > 0 &&
+          endpoint->silent_since_ms < sent_ms &&
+          !scheduler_hosts_endpoint (scheduler, endpoint->id))
+        endpoint_reset (scheduler, endpoint, "no host runs it any more");
+    }
+}
+
+/* Takes a whole reading of the machine list. */
+void
+scheduler_hosts_listed (struct scheduler *scheduler, const struct host_entry *entries, size_t n,
+                        int64_t sent_ms, int64_t now_ms)
+{
+  struct host *host;
+  struct host *next;
+
+  scheduler->now_ms = now_ms;
+  scheduler->hosts_listed = true;
+  TAILQ_FOREACH (host, &scheduler->hosts, link)
+    host->listed = false;
+  for (size_t i = 0; i < n; i++)
+    {
+      host = scheduler_host (scheduler, entries[i].id);
+      if (!host)
+        {
+          host = g_new0 (struct host, 1);
+          host->id = g_strdup (entries[i].id);
+          TAILQ_INSERT_TAIL (&scheduler->hosts, host, link);
+        }
+      /* The list may have been read before an order that is under way. */
+      if (host->order_in_flight || host->order_done_ms > sent_ms)
+        host->listed = true;
+      else
+        {
+          if (host->state != entries[i].state)
+            scheduler_note (scheduler, "host changed: host=%s state=%d was=%d pool=%s endpoint=%s",
+                            entries[i].id, entries[i].state, host->state, entries[i].pool,
+                            entries[i].endpoint ? entries[i].endpoint : "none");
+          if (entries[i].state == HOST_DOWN)
+            host_note_down (scheduler, host);
+          host_update (host, &entries[i]);
+        }
+    }
+  for (host = TAILQ_FIRST (&scheduler->hosts); host; host = next)
+    {
+      next = TAILQ_NEXT (host, link);
+      if (host->listed || host->order_in_flight)
+        continue;
+      TAILQ_REMOVE (&scheduler->hosts, host, link);
+      pool_host_destroy (host);
+    }
+  scheduler_reset_unhosted (scheduler, sent_ms);
+}
+
+/* What ran on a host's endpoint ended with an order that was carried out. */
+static void
+host_emptied (struct scheduler *scheduler, struct host *host)
+{
+  struct endpoint *endpoint = host_endpoint (scheduler, host);
+
+  if (!endpoint)
+    return;
+  endpoint_reset (scheduler, endpoint, "its host was moved or maintained");
+  endpoint->listed = false;
+  endpoint->cordoned = true;
+  g_free (host->endpoint_id);
+  host->endpoint_id = NULL;
+}
+
+/* An order for a host failed: its endpoint goes on. */
+static void
+host_order_failed (struct scheduler *scheduler, struct host *host, enum host_result result)
+{
+  struct endpoint *endpoint = host_endpoint (scheduler, host);
+
+  host->next_order_ms = scheduler->now_ms + RETRY_MS;
+  host->order_unsure = result == HOST_ORDER_UNKNOWN;
+  g_clear_pointer (&host->target_pool, g_free);
+  if (result == HOST_ORDER_FENCED)
+    scheduler_depose (scheduler, "an order for a host was fenced off");
+  if (endpoint)
+    endpoint->cordoned = endpoint->cordoned_for_wave;
+}
+
+/* The platform has answered a move, or has not. */
+void
+scheduler_move_done (struct scheduler *scheduler, struct host *host, enum host_result result,
+                     int64_t now_ms)
+{
+  scheduler->now_ms = now_ms;
+  host->order_in_flight = false;
+  if (result != HOST_ORDER_DONE)
+    {
+      host_order_failed (scheduler, host, result);
+      return;
+    }
+  host->order_unsure = false;
+  host->order_done_ms = now_ms;
+  host->moved_ms = now_ms;
+  host->state = HOST_MOVING;
+  g_free (host->pool);
+  host->pool = g_steal_pointer (&host->target_pool);
+  host_emptied (scheduler, host);
+}
+
+/* The platform has answered an order of maintenance, or has not. */
+void
+scheduler_maintain_done (struct scheduler *scheduler, struct host *host, uint32_t number,
+                         enum host_result result, int64_t now_ms)
+{
+  struct wave *wave;
+
+  scheduler->now_ms = now_ms;
+  host->order_in_flight = false;
+  TAILQ_FOREACH (wave, &scheduler->waves, link)
+    {
+      if (wave->number == number)
+        break;
+    }
+  if (wave && (result == HOST_ORDER_DONE || result == HOST_ORDER_NOT_IN_WAVE))
+    {
+      g_hash_table_remove (wave->left, host->id);
+      if (result == HOST_ORDER_DONE)
+        g_hash_table_add (wave->begun, g_strdup (host->id));
+      wave->dirty = true;
+    }
+  if (result != HOST_ORDER_DONE)
+    {
+      host_order_failed (scheduler, host, result);
+      return;
+    }
+  scheduler->counts.maintenances++;
+  host->order_unsure = false;
+  host->order_done_ms = now_ms;
+  host->state = HOST_IN_MAINTENANCE;
+  host_emptied (scheduler, host);
+}
--- a/lib/jobs/job.c
+++ b/lib/jobs/job.c
@@ -7,7 +7,6 @@
   /* Bounds on what one job may ask for, so that one request can't exhaust the process's memory. */
   STEPS_MAX = 256,
   TASKS_MAX = 20000,
-  PERMILLE = 1000,
 };
 
 /* Tells whether a job in this state has nothing left to do. */
--- a/lib/jobs/scheduler.c
+++ b/lib/jobs/scheduler.c
@@ -174,7 +174,6 @@
       task->pace_in_flight = false;
       task->pace_percent = 100;
       task->pace_ordered_percent = 100;
-      task->away_since_ms = 0;
       task->failed_at = NULL;
       job->n_left += !task->done;
     }
@@ -590,100 +589,6 @@
     pool->changed = true;
 }
 
-/* Tells whether there is progress to record. */
-bool
-scheduler_is_dirty (const struct scheduler *scheduler)
-{
-  const struct wave *wave;
-
-  if (scheduler->flushing)
-    return false;
-  if (g_hash_table_size (scheduler->dirty) > 0)
-    return true;
-  TAILQ_FOREACH (wave, &scheduler->waves, link)
-    {
-      if (wave->dirty)
-        return true;
-    }
-  return false;
-}
-
-/* Adds the record of a wave. */
-static void
-wave_collect (struct wave *wave, void (*add) (void *ctx, const Sp__JobRecord *record), void *ctx)
-{
-  Sp__WaveProgress progress = SP__WAVE_PROGRESS__INIT;
-  Sp__JobRecord record = SP__JOB_RECORD__INIT;
-  guint n;
-  g_autofree char **hosts = (char **) g_hash_table_get_keys_as_array (wave->begun, &n);
-
-  progress.wave = wave->number;
-  progress.start_ms = wave->start_wall_ms;
-  progress.n_hosts = n;
-  progress.hosts = hosts;
-  record.body_case = SP__JOB_RECORD__BODY_WAVE;
-  record.wave = &progress;
-  wave->dirty = false;
-  add (ctx, &record);
-}
-
-/* Hands out all progress that is not durable yet. Until scheduler_flushed nothing more is. */
-void
-scheduler_collect (struct scheduler *scheduler,
-                   void (*add) (void *ctx, const Sp__JobRecord *record), void *ctx)
-{
-  GHashTableIter each;
-  gpointer key;
-  struct wave *wave;
-
-  scheduler->flushing = true;
-  g_hash_table_iter_init (&each, scheduler->dirty);
-  while (g_hash_table_iter_next (&each, &key, NULL))
-    {
-      struct job *job = key;
-      Sp__JobProgress *progress = job_progress_create (job, job->next_state);
-      Sp__JobRecord record = SP__JOB_RECORD__INIT;
-
-      record.body_case = SP__JOB_RECORD__BODY_PROGRESS;
-      record.progress = progress;
-      add (ctx, &record);
-      job_progress_destroy (progress);
-      job->dirty = false;
-    }
-  g_hash_table_remove_all (scheduler->dirty);
-  TAILQ_FOREACH (wave, &scheduler->waves, link)
-    {
-      if (wave->dirty)
-        wave_collect (wave, add, ctx);
-    }
-  g_hash_table_iter_init (&each, scheduler->endpoints);
-  while (g_hash_table_iter_next (&each, NULL, &key))
-    ((struct endpoint *) key)->ends_flushing = ((struct endpoint *) key)->ends_seen;
-}
-
-/* What was collected last is durable, or was given up and never will be. */
-void
-scheduler_flushed (struct scheduler *scheduler, bool durable, int64_t now_ms)
-{
-  GHashTableIter each;
-  gpointer value;
-
-  scheduler->now_ms = now_ms;
-  scheduler->flushing = false;
-  if (!durable)
-    return;
-  g_hash_table_iter_init (&each, scheduler->endpoints);
-  while (g_hash_table_iter_next (&each, NULL, &value))
-    {
-      struct endpoint *endpoint = value;
-
-      if (endpoint->ends_flushing <= endpoint->ends_durable)
-        continue;
-      endpoint->ends_durable = endpoint->ends_flushing;
-      endpoint->next_hold_ms = now_ms;
-    }
-}
-
 /* Gives the scheduler's counts. */
 void
 scheduler_count (const struct scheduler *scheduler, struct scheduler_counts *counts)
--- a/lib/jobs/scheduler_state.h
+++ b/lib/jobs/scheduler_state.h
@@ -99,6 +99,7 @@
 bool task_is_at_work (const struct task *task);
 
 /* endpoint_orders.c */
+int64_t endpoint_extend (struct scheduler *scheduler, struct endpoint *endpoint);
 void order_fenced (struct scheduler *scheduler, struct endpoint *endpoint, uint64_t fence,
                    const char *why);
 void endpoint_begin_life (struct scheduler *scheduler, struct endpoint *endpoint, int64_t born_ms);
@@ -113,7 +114,7 @@
 /* pacing.c */
 void endpoint_pace (struct scheduler *scheduler, struct endpoint *endpoint);
 
-/* pool_size.c, wave.c */
+/* hosts.c, pool_size.c, wave.c */
 void scheduler_size_pools (struct scheduler *scheduler);
 void scheduler_run_waves (struct scheduler *scheduler);
 bool scheduler_pool_known (const struct scheduler *scheduler, const char *name);
--- a/lib/jobs/task_run.c
+++ b/lib/jobs/task_run.c
@@ -10,10 +10,6 @@
   START_TRIES_MAX = 3,
   START_RETRY_MS = 100,
   STOP_RETRY_MS = 250,
-  PERMILLE = 1000,
-  /* The endpoints' clocks may be 2% slow. */
-  SLOW_CLOCK_PERMILLE = 20,
-  LAPSE_MARGIN_MS = 300,
   PERCENT_AT_WORK = 100,
   /* Jobs whose tasks failed in a row on one endpoint before it is suspected. */
   FAILED_JOBS_SUSPECT = 2,
@@ -46,20 +42,6 @@
          task->progress_percent >= PERCENT_AT_WORK;
 }
 
-/* Gives a lease from now on the endpoint's clock and notes when it has surely lapsed. */
-static int64_t
-endpoint_extend (struct scheduler *scheduler, struct endpoint *endpoint)
-{
-  int64_t until_ms = endpoint_clock_at (endpoint, scheduler->now_ms) + scheduler->config.lease_ms;
-
-  endpoint->until_ms = MAX (endpoint->until_ms, until_ms);
-  endpoint->lapse_ms = MAX (
-      endpoint->lapse_ms,
-      scheduler->now_ms + scheduler->config.lease_ms * (PERMILLE + SLOW_CLOCK_PERMILLE) / PERMILLE +
-          LAPSE_MARGIN_MS);
-  return until_ms;
-}
-
 /* Sends a task's start. */
 static void
 task_send_start (struct scheduler *scheduler, struct task *task)
@@ -158,8 +140,6 @@
 
   endpoint_remove_task (task, scheduler->now_ms);
   scheduler_pool (scheduler, endpoint->pool)->changed = true;
-  if (task_step (task)->long_running)
-    task->away_since_ms = scheduler->now_ms;
   if (task->done)
     {
       task_set_phase (scheduler, task, TASK_DONE);
--- a/protocols/settings.pb-c.c
+++ b/protocols/settings.pb-c.c
@@ -1824,7 +1824,6 @@
 char sp__jobd_settings__readiness__default_value[] = "127.0.0.1:8401";
 char sp__jobd_settings__store__default_value[] = "127.0.0.1:8402";
 char sp__jobd_settings__machines__default_value[] = "127.0.0.1:8403";
-char sp__jobd_settings__advice__default_value[] = "";
 char sp__jobd_settings__log_level__default_value[] = "info";
 static const uint32_t sp__jobd_settings__lease_ms__default_value = 3500u;
 static const uint32_t sp__jobd_settings__leader_timeout_ms__default_value = 1300u;
@@ -1833,11 +1832,8 @@
 static const uint32_t sp__jobd_settings__body_limit_bytes__default_value = 262144u;
 static const uint32_t sp__jobd_settings__stop_ms__default_value = 400u;
 static const uint32_t sp__jobd_settings__status_ms__default_value = 120000u;
-static const uint32_t sp__jobd_settings__move_ms__default_value = 1500u;
-static const uint32_t sp__jobd_settings__maintenance_ms__default_value = 2000u;
-static const uint32_t sp__jobd_settings__notice_ms__default_value = 4500u;
 static const uint32_t sp__jobd_settings__seed__default_value = 0u;
-static const ProtobufCFieldDescriptor sp__jobd_settings__field_descriptors[18] =
+static const ProtobufCFieldDescriptor sp__jobd_settings__field_descriptors[14] =
 {
   {
     "name",
@@ -1899,18 +1895,6 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "advice",
-    6,
-    PROTOBUF_C_LABEL_OPTIONAL,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Sp__JobdSettings, advice),
-    NULL,
-    &sp__jobd_settings__advice__default_value,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "lease_ms",
     7,
@@ -2007,42 +1991,6 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "move_ms",
-    15,
-    PROTOBUF_C_LABEL_OPTIONAL,
-    PROTOBUF_C_TYPE_UINT32,
-    offsetof(Sp__JobdSettings, has_move_ms),
-    offsetof(Sp__JobdSettings, move_ms),
-    NULL,
-    &sp__jobd_settings__move_ms__default_value,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "maintenance_ms",
-    16,
-    PROTOBUF_C_LABEL_OPTIONAL,
-    PROTOBUF_C_TYPE_UINT32,
-    offsetof(Sp__JobdSettings, has_maintenance_ms),
-    offsetof(Sp__JobdSettings, maintenance_ms),
-    NULL,
-    &sp__jobd_settings__maintenance_ms__default_value,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "notice_ms",
-    17,
-    PROTOBUF_C_LABEL_OPTIONAL,
-    PROTOBUF_C_TYPE_UINT32,
-    offsetof(Sp__JobdSettings, has_notice_ms),
-    offsetof(Sp__JobdSettings, notice_ms),
-    NULL,
-    &sp__jobd_settings__notice_ms__default_value,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "seed",
     18,
@@ -2057,29 +2005,27 @@
   },
 };
 static const unsigned sp__jobd_settings__field_indices_by_name[] = {
-  5,   /* field[5] = advice */
-  10,   /* field[10] = body_limit_bytes */
-  9,   /* field[9] = caller_connection_limit */
+  9,   /* field[9] = body_limit_bytes */
+  8,   /* field[8] = caller_connection_limit */
   1,   /* field[1] = frontend */
-  8,   /* field[8] = grace_ms */
-  7,   /* field[7] = leader_timeout_ms */
-  6,   /* field[6] = lease_ms */
-  13,   /* field[13] = log_level */
+  7,   /* field[7] = grace_ms */
+  6,   /* field[6] = leader_timeout_ms */
+  5,   /* field[5] = lease_ms */
+  12,   /* field[12] = log_level */
   4,   /* field[4] = machines */
-  15,   /* field[15] = maintenance_ms */
-  14,   /* field[14] = move_ms */
   0,   /* field[0] = name */
-  16,   /* field[16] = notice_ms */
   2,   /* field[2] = readiness */
-  17,   /* field[17] = seed */
-  12,   /* field[12] = status_ms */
-  11,   /* field[11] = stop_ms */
+  13,   /* field[13] = seed */
+  11,   /* field[11] = status_ms */
+  10,   /* field[10] = stop_ms */
   3,   /* field[3] = store */
 };
-static const ProtobufCIntRange sp__jobd_settings__number_ranges[1 + 1] =
+static const ProtobufCIntRange sp__jobd_settings__number_ranges[3 + 1] =
 {
   { 1, 0 },
-  { 0, 18 }
+  { 7, 5 },
+  { 18, 13 },
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor sp__jobd_settings__descriptor =
 {
@@ -2089,10 +2035,10 @@
   "Sp__JobdSettings",
   "sp",
   sizeof(Sp__JobdSettings),
-  18,
+  14,
   sp__jobd_settings__field_descriptors,
   sp__jobd_settings__field_indices_by_name,
-  1,  sp__jobd_settings__number_ranges,
+  3,  sp__jobd_settings__number_ranges,
   (ProtobufCMessageInit) sp__jobd_settings__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/protocols/settings.pb-c.h
+++ b/protocols/settings.pb-c.h
@@ -611,10 +611,6 @@
    * Address of the platform's machine list, as IP:PORT.
    */
   char *machines;
-  /*
-   * Address of the advice service, as IP:PORT; empty for none.
-   */
-  char *advice;
   /*
    * Time that a task may run without word from the scheduler; outlasts a change of leader.
    * range 1000..60000 ms
@@ -661,24 +657,6 @@
    * Lowest level that is logged: debug, info, warning or error.
    */
   char *log_level;
-  /*
-   * Time that a host needs to move to another pool.
-   * range 10..600000 ms
-   */
-  protobuf_c_boolean has_move_ms;
-  uint32_t move_ms;
-  /*
-   * Time that a host is away for its maintenance.
-   * range 10..600000 ms
-   */
-  protobuf_c_boolean has_maintenance_ms;
-  uint32_t maintenance_ms;
-  /*
-   * Time after a task's absence in which it still counts against its step's limit.
-   * range 0..600000 ms
-   */
-  protobuf_c_boolean has_notice_ms;
-  uint32_t notice_ms;
   /*
    * Seed of the random choices; 0 takes one from the system.
    * range 0..4294967295 seed
@@ -691,11 +669,10 @@
 extern char sp__jobd_settings__readiness__default_value[];
 extern char sp__jobd_settings__store__default_value[];
 extern char sp__jobd_settings__machines__default_value[];
-extern char sp__jobd_settings__advice__default_value[];
 extern char sp__jobd_settings__log_level__default_value[];
 #define SP__JOBD_SETTINGS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sp__jobd_settings__descriptor) \
-    , sp__jobd_settings__name__default_value, sp__jobd_settings__frontend__default_value, sp__jobd_settings__readiness__default_value, sp__jobd_settings__store__default_value, sp__jobd_settings__machines__default_value, sp__jobd_settings__advice__default_value, 0, 3500u, 0, 1300u, 0, 6000u, 0, 2000u, 0, 262144u, 0, 400u, 0, 120000u, sp__jobd_settings__log_level__default_value, 0, 1500u, 0, 2000u, 0, 4500u, 0, 0u }
+    , sp__jobd_settings__name__default_value, sp__jobd_settings__frontend__default_value, sp__jobd_settings__readiness__default_value, sp__jobd_settings__store__default_value, sp__jobd_settings__machines__default_value, 0, 3500u, 0, 1300u, 0, 6000u, 0, 2000u, 0, 262144u, 0, 400u, 0, 120000u, sp__jobd_settings__log_level__default_value, 0, 0u }
 
 
 struct  Sp__ClusterSettings
--- a/protocols/settings_table.c
+++ b/protocols/settings_table.c
@@ -159,7 +159,6 @@
   { "readiness", "Address for health, readiness and metrics, as IP:PORT.", "", 0u, 0u },
   { "store", "Address of the platform's store, as IP:PORT.", "", 0u, 0u },
   { "machines", "Address of the platform's machine list, as IP:PORT.", "", 0u, 0u },
-  { "advice", "Address of the advice service, as IP:PORT; empty for none.", "", 0u, 0u },
   { "lease_ms", "Time that a task may run without word from the scheduler; outlasts a change of leader.", "ms", 1000u, 60000u },
   { "leader_timeout_ms", "Time without a record of the leader after which another host takes over.", "ms", 500u, 60000u },
   { "grace_ms", "Time from SIGTERM to the end at the latest.", "ms", 100u, 600000u },
@@ -168,9 +167,6 @@
   { "stop_ms", "Time that a task which is stopped may take to end.", "ms", 10u, 60000u },
   { "status_ms", "Time that the state of an ended job is kept.", "ms", 1000u, 86400000u },
   { "log_level", "Lowest level that is logged: debug, info, warning or error.", "", 0u, 0u },
-  { "move_ms", "Time that a host needs to move to another pool.", "ms", 10u, 600000u },
-  { "maintenance_ms", "Time that a host is away for its maintenance.", "ms", 10u, 600000u },
-  { "notice_ms", "Time after a task's absence in which it still counts against its step's limit.", "ms", 0u, 600000u },
   { "seed", "Seed of the random choices; 0 takes one from the system.", "seed", 0u, 4294967295u },
 };
 
--- a/tests/jobs/world.c
+++ b/tests/jobs/world.c
@@ -520,8 +520,6 @@
     .claim_offset = world->journal->len,
     .lease_ms = LEASE_MS,
     .stop_ms = STOP_MS,
-    .move_ms = MOVE_MS,
-    .maintenance_ms = MAINTENANCE_MS,
   };
 
   world_note (world, "leader: epoch=%" G_GUINT64_FORMAT, world->epoch);
