--- a/jobd/ingress.c
+++ b/jobd/ingress.c
@@ -497,6 +497,11 @@
 ingress_destroy (struct ingress *ingress)
 {
   http_server_destroy (ingress->server);
+  metric_remove (&ingress->accepted);
+  metric_remove (&ingress->refused);
+  metric_remove (&ingress->unknown);
+  metric_remove (&ingress->states);
+  metric_remove (&ingress->cancels);
   metric_histogram_remove (&ingress->durable_time);
   while (!LIST_EMPTY (&ingress->exchanges))
     {
--- a/jobd/leader.c
+++ b/jobd/leader.c
@@ -115,6 +115,19 @@
   tail_set_gap (leader->jobd->journal, FOLLOWER_JOURNAL_GAP_MS);
 }
 
+/* Takes the part's metrics out of the daemon's. */
+static void
+leader_remove_metrics (struct leader *leader)
+{
+  struct metric *const metrics[] = { &leader->leading, &leader->claims, &leader->tasks,
+                                     &leader->ready,   &leader->starts, &leader->lapses,
+                                     &leader->moves,   &leader->silent };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (metrics); i++)
+    metric_remove (metrics[i]);
+  metric_histogram_remove (&leader->start_time);
+}
+
 /* Frees the part. */
 void
 leader_destroy (struct leader *leader)
@@ -124,7 +137,7 @@
       leader->end_reason = "stop";
       leader_step_down (leader);
     }
-  metric_histogram_remove (&leader->start_time);
+  leader_remove_metrics (leader);
   g_hash_table_destroy (leader->waves);
   g_hash_table_destroy (leader->wave_progress);
   g_free (leader);
