--- a/jobd/main.c
+++ b/jobd/main.c
@@ -308,6 +308,8 @@
 
   if (started != PROGRAM_STARTED)
     return started;
+  if (settings.seed != 0)
+    g_random_set_seed (settings.seed);
   jobd.loop = ev_default_loop (0);
   if (jobd_start (&jobd) != 0)
     return EXIT_FAILURE;
