Draw what identifies a process from the system, not from the seed

The callers had their 200, the jobs were nowhere. Claims of two hosts with one seed could pass for each other in the same way.

Change: an incarnation of 64 bits from getrandom at each start names the producer, and the first sequence of a claim is hashed from it and the claim's number.

--- a/jobd/jobd.h
+++ b/jobd/jobd.h
@@ -30,6 +30,9 @@
 struct jobd
 {
   const Sp__JobdSettings *settings;
+  /* Drawn from the system at each start, whatever the seed: what this life writes under its own
+   * name is never taken for a repetition of what an earlier life or another host wrote. */
+  uint64_t incarnation;
   struct ev_loop *loop;
   struct clock clock;
   struct http_client *client;
--- a/jobd/leader.c
+++ b/jobd/leader.c
@@ -1,4 +1,5 @@
 #include <string.h>
+#include <xxhash.h>
 
 #include "common/log.h"
 #include "leader_state.h"
@@ -16,6 +17,9 @@
   /* Hosts claim at different moments, so that the first is seen by the others. */
   CLAIM_JITTER_MS = 300,
   RESIGNED_JITTER_MS = 60,
+  /* What a host without any processor time would wait longer than others, so that a stronger one
+   * leads: a claim is read by all hosts within this. */
+  CLAIM_WEAK_MS = 250,
   /* A heartbeat waits behind this many appends of other hosts, up to the two seconds after which
    * the store refuses more. */
   SLOW_STORE_APPENDS = 4,
@@ -204,8 +208,17 @@
             leader->epoch, offset);
 }
 
-/* Claims the leadership under the next epoch. The sequence begins anywhere, so that two claims of
- * one epoch exclude each other. */
+/* Draws where a producer's sequence begins: elsewhere in each claim of each host, so that the store
+ * takes two claims of one epoch for different ones. */
+uint64_t
+leader_draw_sequence (const struct leader *leader)
+{
+  uint64_t claim = (uint64_t) leader->claims.value;
+
+  return 1 + XXH3_64bits_withSeed (&claim, sizeof claim, leader->jobd->incarnation) % SEQUENCE_MAX;
+}
+
+/* Claims the leadership under the next epoch. */
 static void
 leader_claim (struct leader *leader)
 {
@@ -215,7 +228,7 @@
     .part = JOURNAL_PART,
     .producer = "sesamepick-leader",
     .epoch = jobd->book.leader_epoch + 1,
-    .first_sequence = (uint64_t) g_random_int_range (1, SEQUENCE_MAX),
+    .first_sequence = leader_draw_sequence (leader),
     .gap_ms = LEADER_GAP_MS,
     .patient = true,
     .now_ms = jobd_now_ms,
--- a/jobd/leader_state.h
+++ b/jobd/leader_state.h
@@ -73,6 +73,7 @@
 int64_t leader_clock (void *ctx);
 /* Has the leadership end in the next tick. */
 void leader_end (struct leader *leader, const char *reason);
+uint64_t leader_draw_sequence (const struct leader *leader);
 
 /* scheduling.c */
 void leader_begin (struct leader *leader);
--- a/jobd/main.c
+++ b/jobd/main.c
@@ -1,6 +1,8 @@
+#include <errno.h>
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/random.h>
 
 #include "common/log.h"
 #include "common/program.h"
@@ -148,7 +150,8 @@
     .record = jobd_on_operator_record,
     .ctx = jobd,
   };
-  g_autofree char *producer = g_strdup_printf ("%s-%08x", jobd->settings->name, g_random_int ());
+  g_autofree char *producer =
+      g_strdup_printf ("%s-%016" G_GINT64_MODIFIER "x", jobd->settings->name, jobd->incarnation);
   struct writer_config writer = {
     .topic = JOURNAL_TOPIC,
     .part = JOURNAL_PART,
@@ -261,6 +264,13 @@
 {
   int error;
 
+  if (getrandom (&jobd->incarnation, sizeof jobd->incarnation, 0) !=
+      (ssize_t) sizeof jobd->incarnation)
+    {
+      error = -errno;
+      log_error ("main", "the system gives no random bytes: %s", g_strerror (-error));
+      return error;
+    }
   clock_update (&jobd->clock);
   metrics_init (&jobd->metrics);
   jobd->client = http_client_create (jobd->loop, IDLE_REUSE_MS, CONNECTIONS_MAX);
--- a/jobd/scheduling.c
+++ b/jobd/scheduling.c
@@ -103,7 +103,7 @@
   log_info ("wave", "wave %s: wave=%u", completed ? "completed" : "begun", wave);
   if (!leader->status_writer)
     {
-      config.first_sequence = (uint64_t) g_random_int_range (1, SEQUENCE_MAX);
+      config.first_sequence = leader_draw_sequence (leader);
       leader->status_writer = writer_create (leader->jobd->loop, leader->store, &config);
     }
   writer_append (leader->status_writer, key, value, strlen (value), NULL, NULL);
--- a/tests/jobd/test_jobd.c
+++ b/tests/jobd/test_jobd.c
@@ -159,6 +159,27 @@
   check_once ();
 }
 
+/* Each host is killed and started again under the same seed: what it accepts in its new life is no
+ * repetition of what it accepted before, so that nothing accepted is lost. */
+static void
+test_host_restarted (void)
+{
+  char *ids[2 * HOSTS];
+
+  for (unsigned host = 0; host < HOSTS; host++)
+    {
+      ids[2 * host] = make_id ();
+      ids[2 * host + 1] = make_id ();
+      CU_ASSERT_TRUE (submit (ids[2 * host], TWO_STEPS, host));
+      process_destroy (hosts.jobds[host]);
+      hosts_start_jobd (&hosts, host);
+      CU_ASSERT_TRUE (hosts_wait_ready (&hosts, host, 0));
+      CU_ASSERT_TRUE (submit (ids[2 * host + 1], TWO_STEPS, host));
+    }
+  wait_jobs (ids, 2 * HOSTS, 0);
+  check_once ();
+}
+
 /* The leader is frozen beyond its right and wakes up: nothing of what it believes does harm. */
 static void
 test_leader_frozen (void)
@@ -260,6 +281,7 @@
   { "answers", test_answers },
   { "lasting", test_lasting },
   { "leader killed", test_leader_killed },
+  { "host restarted", test_host_restarted },
   { "leader frozen", test_leader_frozen },
   { "leader stopped", test_leader_stopped },
   { "store away", test_store_away },
