Leave the leadership to hosts with processor time

Change: processor_share, from the platform's limits, makes a host with less than a quarter of a core wait up to 250 ms longer before it claims; when a host claims is decided in lib/jobs/succession, without I/O. Settings take fractions.

--- a/common/settings.c
+++ b/common/settings.c
@@ -55,6 +55,10 @@
 {
   if (field->type == PROTOBUF_C_TYPE_STRING)
     return g_strdup_printf ("%s (default \"%s\")", info->help, (const char *) field->default_value);
+  if (field->type == PROTOBUF_C_TYPE_DOUBLE)
+    return g_strdup_printf ("%s (%" PRIu64 " to %" PRIu64 " %s, fractions allowed, default %g)",
+                            info->help, info->min, info->max, info->unit,
+                            *(const double *) field->default_value);
   return g_strdup_printf ("%s (%" PRIu64 " to %" PRIu64 " %s, default %" PRIu32 ")", info->help,
                           info->min, info->max, info->unit,
                           *(const uint32_t *) field->default_value);
@@ -125,13 +129,27 @@
              const char *value)
 {
   if (flag->info->unit[0] != '\0')
-    fprintf (stderr, "%s: %s: \"%s\" is not a whole number from %" PRIu64 " to %" PRIu64 " (%s)\n",
-             reader->program, source, value, flag->info->min, flag->info->max, flag->info->unit);
+    fprintf (stderr, "%s: %s: \"%s\" is not a %s from %" PRIu64 " to %" PRIu64 " (%s)\n",
+             reader->program, source, value,
+             flag->field->type == PROTOBUF_C_TYPE_DOUBLE ? "number" : "whole number",
+             flag->info->min, flag->info->max, flag->info->unit);
   else
     fprintf (stderr, "%s: %s: \"%s\" is not a valid text\n", reader->program, source, value);
   return false;
 }
 
+/* Reads a number that may have a fraction. */
+static bool
+flag_parse_fraction (const struct flag *flag, const char *value, double *number)
+{
+  char *end;
+
+  if (!g_ascii_isdigit (value[0]))
+    return false;
+  *number = g_ascii_strtod (value, &end);
+  return *end == '\0' && *number >= (double) flag->info->min && *number <= (double) flag->info->max;
+}
+
 /* Checks a value and puts it into the message. */
 static bool
 flag_take (const struct reader *reader, const struct flag *flag, const char *source,
@@ -146,6 +164,16 @@
       *(char **) flag_place (reader, flag) = g_strdup (value);
       return true;
     }
+  if (flag->field->type == PROTOBUF_C_TYPE_DOUBLE)
+    {
+      double fraction;
+
+      if (!flag_parse_fraction (flag, value, &fraction))
+        return flag_refuse (reader, flag, source, value);
+      *(double *) flag_place (reader, flag) = fraction;
+      *(protobuf_c_boolean *) ((char *) reader->message + flag->field->quantifier_offset) = true;
+      return true;
+    }
   if (!g_ascii_string_to_unsigned (value, 10, flag->info->min, flag->info->max, &number, NULL))
     return flag_refuse (reader, flag, source, value);
   *(uint32_t *) flag_place (reader, flag) = (uint32_t) number;
--- a/jobd/leader.c
+++ b/jobd/leader.c
@@ -3,6 +3,7 @@
 
 #include "common/log.h"
 #include "leader_state.h"
+#include "lib/jobs/succession.h"
 
 /* Leadership over the journal. The leader's appends carry its epoch, and its orders carry it as
  * their fence: a leader that has been replaced can write nothing, and no endpoint that its
@@ -14,16 +15,6 @@
   HEARTBEAT_MS = 350,
   /* Without a durable heartbeat for this long, no host is moved or maintained. */
   RENEWED_MS = 1500,
-  /* Hosts claim at different moments, so that the first is seen by the others. */
-  CLAIM_JITTER_MS = 300,
-  RESIGNED_JITTER_MS = 60,
-  /* What a host without any processor time would wait longer than others, so that a stronger one
-   * leads: a claim is read by all hosts within this. */
-  CLAIM_WEAK_MS = 250,
-  /* A heartbeat waits behind this many appends of other hosts, up to the two seconds after which
-   * the store refuses more. */
-  SLOW_STORE_APPENDS = 4,
-  SLOW_STORE_MAX_MS = 2000,
   /* Progress is recorded in batches. */
   LEADER_GAP_MS = 25,
   FOLLOWER_JOURNAL_GAP_MS = 150,
@@ -65,7 +56,7 @@
       g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify) g_bytes_unref);
   leader->wave_progress =
       g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, (GDestroyNotify) g_bytes_unref);
-  leader->jitter_ms = g_random_int_range (0, CLAIM_JITTER_MS);
+  leader->jitter_ms = g_random_int_range (0, SUCCESSION_JITTER_MS);
   metric_add_gauge (metrics, &leader->leading, "sesamepick_jobd_leading", "",
                     "1 while this host leads.");
   metric_add (metrics, &leader->claims, "sesamepick_jobd_claims_total", "",
@@ -249,35 +240,32 @@
   leader_append_leadership (leader, false, leader_on_claim);
 }
 
-/* Gives how much longer than usual the leader may be silent. A store that is slow with this host's
- * appends holds up the leader's heartbeats as well: they wait in the same partition. */
-static int64_t
-leader_allowance_ms (const struct leader *leader)
-{
-  return MIN (writer_latency_ms (leader->jobd->writer) * SLOW_STORE_APPENDS, SLOW_STORE_MAX_MS);
-}
-
-/* Tells whether the present leader must be taken as gone. */
+/* Tells whether the present leader must be taken as gone, and it is this host's turn to claim. */
 static bool
 leader_is_gone (const struct leader *leader)
 {
   const struct jobd *jobd = leader->jobd;
-  int64_t healthy_ms = tail_healthy_since_ms (jobd->journal);
-  int64_t now_ms = leader_now_ms (leader);
+  const struct job_book *book = &jobd->book;
+  struct succession succession = {
+    .led = book->leader_node != NULL,
+    .resigned = book->leader_resigned,
+    .seen_ms = leader->seen_ms,
+    .healthy_since_ms = tail_healthy_since_ms (jobd->journal),
+    .append_ms = writer_latency_ms (jobd->writer),
+    .timeout_ms = jobd->settings->leader_timeout_ms,
+    .jitter_ms = leader->jitter_ms,
+    .processor_share = jobd->settings->processor_share,
+  };
 
-  if (jobd->stopping || !jobd->queues || !tail_is_loaded (jobd->journal) || healthy_ms == 0)
+  if (jobd->stopping || !jobd->queues || !tail_is_loaded (jobd->journal))
     return false;
-  if (!jobd->book.leader_node || jobd->book.leader_resigned)
-    return now_ms - MAX (healthy_ms, leader->seen_ms) >
-           (jobd->book.leader_node ? leader->jitter_ms * RESIGNED_JITTER_MS / CLAIM_JITTER_MS
-                                   : leader->jitter_ms);
   /* A leader of this name is an earlier life of this process, unless it is this one, which may have
    * been replaced and not have read so yet. */
-  if (strcmp (jobd->book.leader_node, jobd->settings->name) == 0 &&
-      jobd->book.leader_epoch > leader->epoch)
+  if (book->leader_node && !book->leader_resigned &&
+      strcmp (book->leader_node, jobd->settings->name) == 0 && book->leader_epoch > leader->epoch &&
+      succession.healthy_since_ms > 0)
     return true;
-  return now_ms - MAX (healthy_ms, leader->seen_ms) >
-         jobd->settings->leader_timeout_ms + leader->jitter_ms + leader_allowance_ms (leader);
+  return succession_is_due (&succession, leader_now_ms (leader));
 }
 
 /* A leadership record was read. */
--- a/jobd/leader_state.h
+++ b/jobd/leader_state.h
@@ -71,9 +71,9 @@
 int64_t leader_now_ms (const struct leader *leader);
 /* As leader_now_ms, for parts whose context is the leader. */
 int64_t leader_clock (void *ctx);
+uint64_t leader_draw_sequence (const struct leader *leader);
 /* Has the leadership end in the next tick. */
 void leader_end (struct leader *leader, const char *reason);
-uint64_t leader_draw_sequence (const struct leader *leader);
 
 /* scheduling.c */
 void leader_begin (struct leader *leader);
--- a/protocols/settings.pb-c.c
+++ b/protocols/settings.pb-c.c
@@ -1833,7 +1833,8 @@
 static const uint32_t sp__jobd_settings__stop_ms__default_value = 400u;
 static const uint32_t sp__jobd_settings__status_ms__default_value = 120000u;
 static const uint32_t sp__jobd_settings__seed__default_value = 0u;
-static const ProtobufCFieldDescriptor sp__jobd_settings__field_descriptors[14] =
+static const double sp__jobd_settings__processor_share__default_value = 1;
+static const ProtobufCFieldDescriptor sp__jobd_settings__field_descriptors[15] =
 {
   {
     "name",
@@ -2003,6 +2004,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "processor_share",
+    19,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_DOUBLE,
+    offsetof(Sp__JobdSettings, has_processor_share),
+    offsetof(Sp__JobdSettings, processor_share),
+    NULL,
+    &sp__jobd_settings__processor_share__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sp__jobd_settings__field_indices_by_name[] = {
   9,   /* field[9] = body_limit_bytes */
@@ -2014,6 +2027,7 @@
   12,   /* field[12] = log_level */
   4,   /* field[4] = machines */
   0,   /* field[0] = name */
+  14,   /* field[14] = processor_share */
   2,   /* field[2] = readiness */
   13,   /* field[13] = seed */
   11,   /* field[11] = status_ms */
@@ -2025,7 +2039,7 @@
   { 1, 0 },
   { 7, 5 },
   { 18, 13 },
-  { 0, 14 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor sp__jobd_settings__descriptor =
 {
@@ -2035,7 +2049,7 @@
   "Sp__JobdSettings",
   "sp",
   sizeof(Sp__JobdSettings),
-  14,
+  15,
   sp__jobd_settings__field_descriptors,
   sp__jobd_settings__field_indices_by_name,
   3,  sp__jobd_settings__number_ranges,
--- a/protocols/settings.pb-c.h
+++ b/protocols/settings.pb-c.h
@@ -663,6 +663,12 @@
    */
   protobuf_c_boolean has_seed;
   uint32_t seed;
+  /*
+   * Share of a core that this process may use. Hosts with less than a quarter leave the leadership to stronger ones.
+   * range 0..1024 cores
+   */
+  protobuf_c_boolean has_processor_share;
+  double processor_share;
 };
 extern char sp__jobd_settings__name__default_value[];
 extern char sp__jobd_settings__frontend__default_value[];
@@ -672,7 +678,7 @@
 extern char sp__jobd_settings__log_level__default_value[];
 #define SP__JOBD_SETTINGS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sp__jobd_settings__descriptor) \
-    , sp__jobd_settings__name__default_value, sp__jobd_settings__frontend__default_value, sp__jobd_settings__readiness__default_value, sp__jobd_settings__store__default_value, sp__jobd_settings__machines__default_value, 0, 3500u, 0, 1300u, 0, 6000u, 0, 2000u, 0, 262144u, 0, 400u, 0, 120000u, sp__jobd_settings__log_level__default_value, 0, 0u }
+    , sp__jobd_settings__name__default_value, sp__jobd_settings__frontend__default_value, sp__jobd_settings__readiness__default_value, sp__jobd_settings__store__default_value, sp__jobd_settings__machines__default_value, 0, 3500u, 0, 1300u, 0, 6000u, 0, 2000u, 0, 262144u, 0, 400u, 0, 120000u, sp__jobd_settings__log_level__default_value, 0, 0u, 0, 1 }
 
 
 struct  Sp__ClusterSettings
--- a/protocols/settings_table.c
+++ b/protocols/settings_table.c
@@ -168,6 +168,7 @@
   { "status_ms", "Time that the state of an ended job is kept.", "ms", 1000u, 86400000u },
   { "log_level", "Lowest level that is logged: debug, info, warning or error.", "", 0u, 0u },
   { "seed", "Seed of the random choices; 0 takes one from the system.", "seed", 0u, 4294967295u },
+  { "processor_share", "Share of a core that this process may use. Hosts with less than a quarter leave the leadership to stronger ones.", "cores", 0u, 1024u },
 };
 
 const struct settings_schema jobd_schema = {
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -57,6 +57,33 @@
     }
 }
 
+/* Reads jobd's settings from one word. */
+static enum settings_result
+read_jobd (Sp__JobdSettings *settings, char *word)
+{
+  char *argv[] = { "x", word, NULL };
+
+  sp__jobd_settings__init (settings);
+  return settings_read (&jobd_schema, &settings->base, "sesamepick-jobd", "test", 2, argv, NULL,
+                        NULL);
+}
+
+/* A setting that may have a fraction takes one in its range only. */
+static void
+test_fractions (void)
+{
+  char *bad[] = { "--processor-share=-1",   "--processor-share=1025", "--processor-share=",
+                  "--processor-share=0.5x", "--processor-share=nan",  "--processor-share=inf" };
+  Sp__JobdSettings settings;
+
+  CU_ASSERT_EQUAL (read_jobd (&settings, "--processor-share=0.12"), SETTINGS_OK);
+  CU_ASSERT_DOUBLE_EQUAL (settings.processor_share, 0.12, 1e-9);
+  CU_ASSERT_EQUAL (read_jobd (&settings, "--processor-share=2"), SETTINGS_OK);
+  CU_ASSERT_DOUBLE_EQUAL (settings.processor_share, 2.0, 1e-9);
+  for (size_t i = 0; i < sizeof bad / sizeof bad[0]; i++)
+    CU_ASSERT_EQUAL (read_jobd (&settings, bad[i]), SETTINGS_BAD);
+}
+
 /* A daemon goes on with good settings, and ends with 0 after help and with 2 for a wrong level. */
 static void
 test_start (void)
@@ -93,8 +120,8 @@
 }
 
 static const struct suite_test tests[] = {
-  { "defaults", test_defaults }, { "order", test_order },       { "refused", test_refused },
-  { "start", test_start },       { "endpoint", test_endpoint },
+  { "defaults", test_defaults },   { "order", test_order }, { "refused", test_refused },
+  { "fractions", test_fractions }, { "start", test_start }, { "endpoint", test_endpoint },
 };
 
 int
