Spread claims of the leadership so that few come at once

Change: places are drawn as by the exponential timers for groups of unknown size, over a span of 300 ms or six appends. Tests: test_succession, few claims (45 hosts: 7.2 claims in the mean before the first is read).

--- a/include/lib/jobs/succession.h
+++ b/include/lib/jobs/succession.h
@@ -6,13 +6,6 @@
 
 /* When a host claims the leadership. All times are the host's own monotonic milliseconds. */
 
-enum
-{
-  /* Hosts claim at different moments, so that the first claim is read by most before they send
-   * theirs: reading takes about 100 ms. */
-  SUCCESSION_JITTER_MS = 300,
-};
-
 /* What a host knows of the present leader. */
 struct succession
 {
@@ -27,12 +20,15 @@
   int64_t append_ms;
   /* Silence after which the leader counts as gone. */
   int64_t timeout_ms;
-  /* This host's draw below SUCCESSION_JITTER_MS. */
-  int64_t jitter_ms;
+  /* This host's place in the span over which hosts claim, 0 to 1: see succession_draw. */
+  double place;
   /* Share of a core that this host may use. */
   double processor_share;
 };
 
+/* Gives a place for a uniform draw above 0 and up to 1. Few hosts get an early place however many
+ * there are, so that the first claim is read by most before they send theirs. */
+double succession_draw (double uniform);
 /* Gives how long after the leader's last sign this host claims, if nobody else has. */
 int64_t succession_wait_ms (const struct succession *succession);
 /* Tells whether this host is to claim now. */
--- a/jobd/leader.c
+++ b/jobd/leader.c
@@ -56,7 +56,7 @@
       g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify) g_bytes_unref);
   leader->wave_progress =
       g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, (GDestroyNotify) g_bytes_unref);
-  leader->jitter_ms = g_random_int_range (0, SUCCESSION_JITTER_MS);
+  leader->place = succession_draw (1.0 - g_random_double ());
   metric_add_gauge (metrics, &leader->leading, "sesamepick_jobd_leading", "",
                     "1 while this host leads.");
   metric_add (metrics, &leader->claims, "sesamepick_jobd_claims_total", "",
@@ -253,7 +253,7 @@
     .healthy_since_ms = tail_healthy_since_ms (jobd->journal),
     .append_ms = writer_latency_ms (jobd->writer),
     .timeout_ms = jobd->settings->leader_timeout_ms,
-    .jitter_ms = leader->jitter_ms,
+    .place = leader->place,
     .processor_share = jobd->settings->processor_share,
   };
 
--- a/jobd/leader_state.h
+++ b/jobd/leader_state.h
@@ -32,7 +32,8 @@
   uint64_t epoch;
   int64_t claim_offset;
   int64_t seen_ms;
-  int64_t jitter_ms;
+  /* This host's place in a succession. */
+  double place;
   int64_t claim_ms;
   /* Set in a callback; acted on in the next tick. */
   const char *end_reason;
--- a/lib/jobs/succession.c
+++ b/lib/jobs/succession.c
@@ -1,14 +1,19 @@
 #include "lib/jobs/succession.h"
 
 #include <glib.h>
+#include <math.h>
 
 enum
 {
-  /* After a resignation nobody has to be waited for. */
-  RESIGNED_JITTER_MS = 60,
-  /* What a host without any processor time would wait longer than a strong one: less than the
-   * jitter, so that weak hosts lead soon where there are no others. */
-  WEAK_MS = 250,
+  /* Span over which hosts claim: three times what it takes until all have read a claim. */
+  SPAN_MS = 300,
+  /* The same in a slow store, where a claim is appended and then read. */
+  SPAN_APPENDS = 6,
+  SPAN_MAX_MS = 2000,
+  /* What a host without any processor time would wait longer than a strong one, in percent of the
+   * span: beyond most places that ten strong hosts draw (test_succession). */
+  WEAK_PERCENT = 120,
+  PERCENT = 100,
   /* A heartbeat waits behind this many appends of other hosts in the same partition, up to the two
    * seconds after which the store refuses more. */
   SLOW_STORE_APPENDS = 4,
@@ -19,13 +24,29 @@
  * a second (docs/days.md), and the busiest days ask for twice that. */
 static const double STRONG_SHARE = 0.25;
 
-/* Gives how much longer than a strong host one with a given share waits. */
+/* Number of hosts up to which one claim at a time is the rule; with more, a few come together. */
+static const double HOSTS_EXPECTED = 16.0;
+
+/* Gives a place for a uniform draw: the exponential timers by which the members of a group of
+ * unknown size keep down how many of them speak at once. */
+double
+succession_draw (double uniform)
+{
+  return MAX (0.0, 1.0 + log (uniform) / log (HOSTS_EXPECTED));
+}
+
+/* Gives the span over which hosts claim. */
 static int64_t
-weakness_ms (double processor_share)
+span_ms (const struct succession *succession)
+{
+  return CLAMP (succession->append_ms * SPAN_APPENDS, SPAN_MS, SPAN_MAX_MS);
+}
+
+/* Gives how weak a host is for leading, 0 to 1. */
+static double
+weakness (double processor_share)
 {
-  if (processor_share >= STRONG_SHARE)
-    return 0;
-  return (int64_t) (WEAK_MS * (1.0 - processor_share / STRONG_SHARE));
+  return processor_share >= STRONG_SHARE ? 0.0 : 1.0 - processor_share / STRONG_SHARE;
 }
 
 /* Gives how long after the leader's last sign this host claims. A store that is slow with this
@@ -33,14 +54,14 @@
 int64_t
 succession_wait_ms (const struct succession *succession)
 {
-  int64_t wait_ms = succession->jitter_ms;
+  double place =
+      succession->place + weakness (succession->processor_share) * WEAK_PERCENT / PERCENT;
+  int64_t wait_ms = (int64_t) (place * (double) span_ms (succession));
 
-  if (succession->resigned)
-    wait_ms = wait_ms * RESIGNED_JITTER_MS / SUCCESSION_JITTER_MS;
-  else if (succession->led)
+  if (succession->led && !succession->resigned)
     wait_ms += succession->timeout_ms +
                MIN (succession->append_ms * SLOW_STORE_APPENDS, SLOW_STORE_MAX_MS);
-  return wait_ms + weakness_ms (succession->processor_share);
+  return wait_ms;
 }
 
 /* Tells whether this host is to claim now. While it can't read the journal it knows nothing of the
