Keep the platform's names, time-outs and tokens where they belong

Names of the platform stood in the job schema (depends_on), the library (until_ms), the daemon (keyed., /v1/readyz, X-Deadline-Ms, fields of answers), and platform/endpoints.c counted tokens and held time-outs. Now callers' requests and answers are decoded in platform/callers, JSON members are read by one set of functions (platform/json_read), steps have prerequisites, orders a lease_end_ms, and the leader gives each host order its token and each call its time-outs. No behaviour changes; error texts are now escaped as JSON. Tests: those of jobs and jobd, all passed.

--- a/include/lib/jobs/endpoint.h
+++ b/include/lib/jobs/endpoint.h
@@ -88,7 +88,7 @@
   int64_t clock_ms;
   int64_t clock_read_ms;
   /* Lease last given on the endpoint's clock, and the moment of ours when it has surely lapsed. */
-  int64_t until_ms;
+  int64_t lease_end_ms;
   int64_t lapse_ms;
 
   /* Numbers of ends: processed, in the record under way, durable, acknowledged to the endpoint. */
--- a/include/lib/jobs/scheduler.h
+++ b/include/lib/jobs/scheduler.h
@@ -80,12 +80,12 @@
 struct scheduler_ops
 {
   /* Each order is answered by the function of the same name below, unless the scheduler is
-   * destroyed first. until_ms is on the endpoint's clock. */
-  void (*start) (void *ctx, struct endpoint *endpoint, struct task *task, int64_t until_ms);
+   * destroyed first. lease_end_ms is on the endpoint's clock. */
+  void (*start) (void *ctx, struct endpoint *endpoint, struct task *task, int64_t lease_end_ms);
   void (*stop) (void *ctx, struct endpoint *endpoint, const char *task, uint32_t attempt,
                 struct task *known);
-  /* until_ms 0 extends no lease; wait_ms 0 asks for an answer at once. */
-  void (*hold) (void *ctx, struct endpoint *endpoint, int64_t until_ms, int64_t wait_ms);
+  /* lease_end_ms 0 extends no lease; wait_ms 0 asks for an answer at once. */
+  void (*hold) (void *ctx, struct endpoint *endpoint, int64_t lease_end_ms, int64_t wait_ms);
   void (*pace) (void *ctx, struct endpoint *endpoint, struct task *task, int percent);
   void (*move_host) (void *ctx, struct host *host, const char *pool);
   void (*maintain_host) (void *ctx, struct host *host, uint32_t wave);
--- a/include/platform/documents.h
+++ b/include/platform/documents.h
@@ -3,7 +3,6 @@
 
 #include <jansson.h>
 
-#include "job.pb-c.h"
 #include "lib/jobs/host.h"
 #include "lib/jobs/queue_table.h"
 #include "lib/jobs/scheduler.h"
@@ -64,10 +63,4 @@
 int decode_report (const void *data, size_t len, struct decoded_report *decoded);
 void decoded_report_clear (struct decoded_report *decoded);
 
-/* A caller's job. The caller of this fills in what the queue says. Gives NULL, with the reason in
- * error, for a body that is none. */
-Sp__JobDefinition *decode_job (const void *data, size_t len, const char **error);
-/* The words that callers are shown. */
-const char *encode_job_state (Sp__JobState state);
-
 #endif
--- a/include/platform/store.h
+++ b/include/platform/store.h
@@ -10,6 +10,12 @@
  * "keyed." keep the newest record of each key for good. */
 struct store;
 
+/* The product's topic for the job journal, all in one partition. */
+#define STORE_TOPIC_JOURNAL "keyed.sesamepick.jobs"
+enum
+{
+  STORE_PART_JOURNAL = 0,
+};
 /* Topics of the platform's own. */
 #define STORE_TOPIC_OPERATOR "keyed.op"
 #define STORE_TOPIC_REGISTRY "keyed.servers"
--- a/jobd/admin.c
+++ b/jobd/admin.c
@@ -3,6 +3,7 @@
 #include "common/log.h"
 #include "common/settings.h"
 #include "jobd.h"
+#include "platform/callers.h"
 
 /* Readiness and metrics. */
 
@@ -37,7 +38,7 @@
   const char *path = http_request_path (request);
   bool ready = jobd_is_ready (admin->jobd);
 
-  if (strcmp (path, "/v1/readyz") == 0)
+  if (path_is_readiness (path))
     http_request_answer_text (request, ready ? 200 : 503, "text/plain",
                               ready ? "ready\n" : "not ready\n");
   else if (strcmp (path, "/metrics") == 0)
--- a/jobd/ingress.c
+++ b/jobd/ingress.c
@@ -3,7 +3,7 @@
 #include "common/log.h"
 #include "common/settings.h"
 #include "jobd.h"
-#include "platform/documents.h"
+#include "platform/callers.h"
 
 /* What callers ask for: jobs handed in, their states, cancellations, counts. */
 
@@ -58,11 +58,20 @@
   http_request_answer_text (request, status, "application/json", text);
 }
 
+/* Refuses a request for good. */
+static void
+answer_error (struct http_request *request, int status, const char *reason)
+{
+  g_autofree char *text = encode_error (reason);
+
+  answer_json (request, status, text);
+}
+
 /* Refuses a request that has not run and tells when to come back. */
 static void
 answer_later (struct http_request *request, const char *reason)
 {
-  g_autofree char *text = g_strdup_printf ("{\"error\":\"%s\"}", reason);
+  g_autofree char *text = encode_error (reason);
   g_autofree char *seconds = g_strdup_printf ("%d", RETRY_AFTER_S);
   struct http_header headers[] = {
     { "Content-Type", "application/json" },
@@ -109,8 +118,7 @@
 exchange_create (struct ingress *ingress, struct http_request *request, const char *id)
 {
   struct exchange *exchange = g_new0 (struct exchange, 1);
-  const char *text = http_request_header (request, "X-Deadline-Ms");
-  int64_t wait_ms = text ? g_ascii_strtoll (text, NULL, 10) : DEADLINE_MS;
+  int64_t wait_ms = caller_deadline_ms (request, DEADLINE_MS);
 
   wait_ms = CLAMP (wait_ms, DEADLINE_MARGIN_MS, DEADLINE_MAX_MS) - DEADLINE_MARGIN_MS;
   exchange->ingress = ingress;
@@ -142,7 +150,7 @@
   if (durable && !leader_is_leading (jobd->leader))
     job_book_apply (&jobd->book, exchange->key, value, len, offset, jobd_now_ms (jobd));
   if (request && durable)
-    answer_json (request, 200, "{}");
+    answer_json (request, 200, EMPTY_ANSWER);
   else if (request)
     answer_later (request, "the store is not available; nothing was stored");
   if (durable)
@@ -229,7 +237,7 @@
 
   if (known && known->definition)
     {
-      answer_json (request, 200, "{}");
+      answer_json (request, 200, EMPTY_ANSWER);
       return;
     }
   if (writer_is_stuck (jobd->writer))
@@ -243,10 +251,8 @@
   definition = decode_job (body, len, &error);
   if (!definition || !job_definition_is_valid (definition, &error))
     {
-      g_autofree char *text = g_strdup_printf ("{\"error\":\"%s\"}", error);
-
       log_info ("ingress", "job refused: job=%s reason=\"%s\"", id, error);
-      answer_json (request, 400, text);
+      answer_error (request, 400, error);
       if (definition)
         sp__job_definition__free_unpacked (definition, NULL);
       return;
@@ -267,7 +273,7 @@
 
   if (job->cancelled && !job_state_is_final (state))
     state = SP__JOB_STATE__JOB_CANCELLED;
-  text = g_strdup_printf ("{\"state\":\"%s\"}", encode_job_state (state));
+  text = encode_job_state (state);
   ingress->states.value++;
   answer_json (request, 200, text);
 }
@@ -306,7 +312,7 @@
   if (request && job && job->definition)
     answer_state (ingress, request, job);
   else if (request && good)
-    answer_json (request, 410, "{\"error\":\"no such job\"}");
+    answer_error (request, 410, "no such job");
   else if (request)
     answer_later (request, "the store does not answer, and the job is not known here");
   exchange_destroy (exchange);
@@ -333,7 +339,7 @@
   if (!job || !job->definition)
     tail_probe (ingress->jobd->journal, exchange_on_probe, exchange_create (ingress, request, id));
   else if (job->cancelled || job_state_is_final (job->state))
-    answer_json (request, 200, "{}");
+    answer_json (request, 200, EMPTY_ANSWER);
   else if (writer_is_stuck (ingress->jobd->writer))
     answer_later (request, "the store does not answer; nothing was cancelled");
   else
@@ -346,8 +352,7 @@
                 const struct job_queue *queue)
 {
   g_autofree char *name = queue_name (queue);
-  g_autofree char *text =
-      g_strdup_printf ("{\"pending\":%u}", job_book_pending (&ingress->jobd->book, name));
+  g_autofree char *text = encode_job_count (job_book_pending (&ingress->jobd->book, name));
 
   answer_json (request, 200, text);
 }
@@ -362,7 +367,7 @@
   if (id[0] == '\0' && strcmp (method, "GET") == 0)
     handle_pending (ingress, request, queue);
   else if (!id_is_valid (id))
-    answer_json (request, 400, "{\"error\":\"an id has 16 hexadecimal digits\"}");
+    answer_error (request, 400, "an id has 16 hexadecimal digits");
   else if (strcmp (method, "POST") == 0)
     handle_submit (ingress, request, queue, id);
   else if (strcmp (method, "GET") == 0)
@@ -370,7 +375,7 @@
   else if (strcmp (method, "DELETE") == 0)
     handle_cancel (ingress, request, id);
   else
-    answer_json (request, 405, "{\"error\":\"POST, GET or DELETE\"}");
+    answer_error (request, 405, "POST, GET or DELETE");
 }
 
 /* A request has arrived. */
@@ -391,12 +396,12 @@
     }
   if (!host)
     {
-      answer_json (request, 400, "{\"error\":\"no Host\"}");
+      answer_error (request, 400, "no Host");
       return;
     }
   queue = queue_table_find (jobd->queues, host, http_request_path (request), &rest);
   if (!queue)
-    answer_json (request, 404, "{\"error\":\"no such queue\"}");
+    answer_error (request, 404, "no such queue");
   else
     handle_job (ingress, request, queue, rest);
 }
@@ -430,7 +435,7 @@
       ingress->unknown.value++;
       log_warning ("ingress", "outcome not known at the deadline: job=%s appended=%d", exchange->id,
                    exchange->appended);
-      answer_json (request, 504, "{\"error\":\"the store has not answered in time\"}");
+      answer_error (request, 504, "the store has not answered in time");
     }
 }
 
--- a/jobd/jobd.h
+++ b/jobd/jobd.h
@@ -18,14 +18,6 @@
 struct ingress;
 struct admin;
 
-/* Topic and partition of the job journal. */
-#define JOURNAL_TOPIC "keyed.sesamepick.jobs"
-
-enum
-{
-  JOURNAL_PART = 0,
-};
-
 /* The daemon's parts; each knows the others through this. */
 struct jobd
 {
--- a/jobd/leader.c
+++ b/jobd/leader.c
@@ -215,8 +215,8 @@
 {
   struct jobd *jobd = leader->jobd;
   struct writer_config config = {
-    .topic = JOURNAL_TOPIC,
-    .part = JOURNAL_PART,
+    .topic = STORE_TOPIC_JOURNAL,
+    .part = STORE_PART_JOURNAL,
     .producer = "sesamepick-leader",
     .epoch = jobd->book.leader_epoch + 1,
     .first_sequence = leader_draw_sequence (leader),
--- a/jobd/leader_state.h
+++ b/jobd/leader_state.h
@@ -50,6 +50,8 @@
   int64_t heartbeat_durable_ms;
   bool heartbeat_in_flight;
   unsigned flush_left;
+  /* Calls that changed hosts under this epoch. */
+  uint64_t n_host_orders;
   int64_t next_list_ms;
   int64_t busy_until_ms;
   int64_t next_forget_ms;
--- a/jobd/main.c
+++ b/jobd/main.c
@@ -135,8 +135,8 @@
 jobd_follow (struct jobd *jobd)
 {
   struct tail_config journal = {
-    .topic = JOURNAL_TOPIC,
-    .part = JOURNAL_PART,
+    .topic = STORE_TOPIC_JOURNAL,
+    .part = STORE_PART_JOURNAL,
     .wait_ms = JOURNAL_WAIT_MS,
     .gap_ms = JOURNAL_GAP_MS,
     .now_ms = jobd_now_ms,
@@ -153,8 +153,8 @@
   g_autofree char *producer =
       g_strdup_printf ("%s-%016" G_GINT64_MODIFIER "x", jobd->settings->name, jobd->incarnation);
   struct writer_config writer = {
-    .topic = JOURNAL_TOPIC,
-    .part = JOURNAL_PART,
+    .topic = STORE_TOPIC_JOURNAL,
+    .part = STORE_PART_JOURNAL,
     .producer = producer,
     .epoch = 1,
     .gap_ms = WRITER_GAP_MS,
--- a/jobd/scheduling.c
+++ b/jobd/scheduling.c
@@ -12,11 +12,17 @@
   REGISTRY_WAIT_MS = 1000,
   /* For this long after an order the machine list and the registry are read more often. */
   LIST_BUSY_FOR_MS = 4000,
+  CONNECT_TIMEOUT_MS = 300,
+  /* Orders are answered within some milliseconds by an endpoint that is well. */
+  ORDER_TIMEOUT_MS = 700,
+  MACHINES_TIMEOUT_MS = 1500,
+  /* More calls that change hosts than any leader makes. */
+  TOKENS_PER_EPOCH = 1000000,
 };
 
 /* Has a task started. */
 static void
-leader_start_task (void *ctx, struct endpoint *endpoint, struct task *task, int64_t until_ms)
+leader_start_task (void *ctx, struct endpoint *endpoint, struct task *task, int64_t lease_end_ms)
 {
   struct leader *leader = ctx;
 
@@ -26,7 +32,7 @@
             leader_now_ms (leader) - task->job->seen_ms);
   if (task->step == 0 && task->index == 0 && task->attempt == 1)
     metric_histogram_take (&leader->start_time, leader_now_ms (leader) - task->job->seen_ms);
-  orders_start (leader->orders, endpoint, task, until_ms);
+  orders_start (leader->orders, endpoint, task, lease_end_ms);
 }
 
 /* Has a run stopped. The scheduler has noted why for those of its own. */
@@ -44,11 +50,11 @@
 
 /* Renews the leases on an endpoint and waits for ends. */
 static void
-leader_hold_endpoint (void *ctx, struct endpoint *endpoint, int64_t until_ms, int64_t wait_ms)
+leader_hold_endpoint (void *ctx, struct endpoint *endpoint, int64_t lease_end_ms, int64_t wait_ms)
 {
   struct leader *leader = ctx;
 
-  orders_hold (leader->orders, endpoint, until_ms, wait_ms);
+  orders_hold (leader->orders, endpoint, lease_end_ms, wait_ms);
 }
 
 /* Sets the share at which a filling task works. */
@@ -62,6 +68,14 @@
   orders_pace (leader->orders, endpoint, task, percent);
 }
 
+/* Gives the token of the next call that changes a host: a higher one each time, so that a call that
+ * comes late is fenced off by those after it. */
+static uint64_t
+leader_next_token (struct leader *leader)
+{
+  return leader->epoch * TOKENS_PER_EPOCH + ++leader->n_host_orders;
+}
+
 /* Moves a host to another pool. */
 static void
 leader_move_host (void *ctx, struct host *host, const char *pool)
@@ -70,7 +84,7 @@
 
   log_info ("machines", "move: host=%s from=%s to=%s", host->id, host->pool, pool);
   leader->busy_until_ms = leader_now_ms (leader) + LIST_BUSY_FOR_MS;
-  orders_move_host (leader->orders, host, pool);
+  orders_move_host (leader->orders, host, pool, leader_next_token (leader));
 }
 
 /* Begins a host's maintenance. */
@@ -81,7 +95,7 @@
 
   log_info ("machines", "maintain: host=%s pool=%s wave=%u", host->id, host->pool, wave);
   leader->busy_until_ms = leader_now_ms (leader) + LIST_BUSY_FOR_MS;
-  orders_maintain_host (leader->orders, host, wave);
+  orders_maintain_host (leader->orders, host, wave, leader_next_token (leader));
 }
 
 /* Writes how a wave stands where its operator reads it. */
@@ -247,8 +261,10 @@
   struct orders_config orders = {
     .loop = jobd->loop,
     .holder = settings->name,
-    .epoch = leader->epoch,
     .machines = settings->machines,
+    .connect_timeout_ms = CONNECT_TIMEOUT_MS,
+    .order_timeout_ms = ORDER_TIMEOUT_MS,
+    .machines_timeout_ms = MACHINES_TIMEOUT_MS,
     .now_ms = jobd_now_ms,
     .ctx = jobd,
   };
@@ -281,6 +297,7 @@
   };
 
   leader->phase = LEADER_LEADING;
+  leader->n_host_orders = 0;
   leader->orders = orders_create (&orders);
   leader->scheduler =
       scheduler_create (&config, &ops, &jobd->book, leader_now_ms (leader), jobd->clock.wall_ms);
--- a/lib/jobs/endpoint_orders.c
+++ b/lib/jobs/endpoint_orders.c
@@ -66,7 +66,7 @@
   endpoint->ends_flushing = 0;
   endpoint->ends_durable = 0;
   endpoint->ends_acked = 0;
-  endpoint->until_ms = 0;
+  endpoint->lease_end_ms = 0;
   endpoint->clock_ms = 0;
   endpoint->failed_jobs = 0;
   endpoint->n_strays = 0;
@@ -114,32 +114,33 @@
 int64_t
 endpoint_extend (struct scheduler *scheduler, struct endpoint *endpoint)
 {
-  int64_t until_ms = endpoint_clock_at (endpoint, scheduler->now_ms) + scheduler->config.lease_ms;
+  int64_t lease_end_ms =
+      endpoint_clock_at (endpoint, scheduler->now_ms) + scheduler->config.lease_ms;
 
-  endpoint->until_ms = MAX (endpoint->until_ms, until_ms);
+  endpoint->lease_end_ms = MAX (endpoint->lease_end_ms, lease_end_ms);
   endpoint->lapse_ms = MAX (endpoint->lapse_ms, scheduler_lapse_ms (scheduler));
-  return until_ms;
+  return lease_end_ms;
 }
 
 /* Sends a hold: it extends the lease of all that runs there and waits for an end. */
 static void
 endpoint_send_hold (struct scheduler *scheduler, struct endpoint *endpoint)
 {
-  int64_t until_ms = 0;
+  int64_t lease_end_ms = 0;
   int64_t wait_ms = 0;
 
   /* A hold without an answer may still arrive: one to a silent endpoint would put off the moment at
    * which its tasks have surely ended. */
   if (endpoint->fenced && endpoint->n_tasks > 0 && endpoint->silent_since_ms == 0)
     {
-      until_ms = endpoint_extend (scheduler, endpoint);
+      lease_end_ms = endpoint_extend (scheduler, endpoint);
       if (endpoint->ends_seen == endpoint->ends_durable)
         wait_ms =
             endpoint->n_filling > 0 && endpoint->n_serving > 0 ? HOLD_WAIT_SHARED_MS : HOLD_WAIT_MS;
     }
   endpoint->hold_in_flight = true;
   endpoint->calls++;
-  scheduler->ops.hold (scheduler->ops.ctx, endpoint, until_ms, wait_ms);
+  scheduler->ops.hold (scheduler->ops.ctx, endpoint, lease_end_ms, wait_ms);
 }
 
 /* Tells whether an endpoint is to be looked at. An idle one that owes nothing is left alone. */
--- a/lib/jobs/job.c
+++ b/lib/jobs/job.c
@@ -30,9 +30,9 @@
 static bool
 step_dependencies_are_valid (const Sp__JobStep *step, size_t at)
 {
-  for (size_t i = 0; i < step->n_depends_on; i++)
+  for (size_t i = 0; i < step->n_prerequisites; i++)
     {
-      if (step->depends_on[i] >= at)
+      if (step->prerequisites[i] >= at)
         return false;
     }
   return true;
@@ -242,8 +242,8 @@
     {
       const Sp__JobStep *step = definition->steps[s];
 
-      for (size_t i = 0; i < step->n_depends_on; i++)
-        ends[s] = MAX (ends[s], ends[step->depends_on[i]]);
+      for (size_t i = 0; i < step->n_prerequisites; i++)
+        ends[s] = MAX (ends[s], ends[step->prerequisites[i]]);
       if (!job_step_is_done (job, 0, s))
         ends[s] += step->estimate_ms;
       longest = MAX (longest, ends[s]);
--- a/lib/jobs/scheduler.c
+++ b/lib/jobs/scheduler.c
@@ -95,9 +95,9 @@
 {
   const Sp__JobStep *definition = job->definition->steps[step];
 
-  for (size_t i = 0; i < definition->n_depends_on; i++)
+  for (size_t i = 0; i < definition->n_prerequisites; i++)
     {
-      if (!job_step_is_done (job, occurrence, definition->depends_on[i]))
+      if (!job_step_is_done (job, occurrence, definition->prerequisites[i]))
         return false;
     }
   return true;
--- a/protocols/job.pb-c.c
+++ b/protocols/job.pb-c.c
@@ -430,12 +430,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "depends_on",
+    "prerequisites",
     6,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_UINT32,
-    offsetof(Sp__JobStep, n_depends_on),
-    offsetof(Sp__JobStep, depends_on),
+    offsetof(Sp__JobStep, n_prerequisites),
+    offsetof(Sp__JobStep, prerequisites),
     NULL,
     NULL,
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
@@ -591,7 +591,6 @@
   6,   /* field[6] = checkpointing */
   1,   /* field[1] = cpu_milli */
   10,   /* field[10] = data_rack */
-  5,   /* field[5] = depends_on */
   4,   /* field[4] = estimate_ms */
   16,   /* field[16] = fills */
   7,   /* field[7] = gang */
@@ -600,6 +599,7 @@
   13,   /* field[13] = long_running */
   2,   /* field[2] = memory_mb */
   0,   /* field[0] = n_tasks */
+  5,   /* field[5] = prerequisites */
   9,   /* field[9] = required_label */
   8,   /* field[8] = same_rack */
   12,   /* field[12] = speculative */
--- a/protocols/job.pb-c.h
+++ b/protocols/job.pb-c.h
@@ -52,8 +52,8 @@
   /*
    * Earlier steps that must be done first.
    */
-  size_t n_depends_on;
-  uint32_t *depends_on;
+  size_t n_prerequisites;
+  uint32_t *prerequisites;
   protobuf_c_boolean checkpointing;
   protobuf_c_boolean gang;
   protobuf_c_boolean same_rack;
--- a/tests/jobs/test_backlog.c
+++ b/tests/jobs/test_backlog.c
@@ -34,21 +34,21 @@
 };
 
 static void
-on_start (void *ctx, struct endpoint *endpoint, struct task *task, int64_t until_ms)
+on_start (void *ctx, struct endpoint *endpoint, struct task *task, int64_t lease_end_ms)
 {
   struct backlog *backlog = ctx;
 
   (void) endpoint;
-  (void) until_ms;
+  (void) lease_end_ms;
   g_ptr_array_add (backlog->starts, task);
 }
 
 static void
-on_hold (void *ctx, struct endpoint *endpoint, int64_t until_ms, int64_t wait_ms)
+on_hold (void *ctx, struct endpoint *endpoint, int64_t lease_end_ms, int64_t wait_ms)
 {
   struct backlog *backlog = ctx;
 
-  (void) until_ms;
+  (void) lease_end_ms;
   (void) wait_ms;
   g_ptr_array_add (backlog->holds, endpoint);
 }
@@ -142,8 +142,8 @@
       steps[s].memory_mb = 100;
       steps[s].estimate_ms = 1000;
     }
-  steps[1].n_depends_on = 1;
-  steps[1].depends_on = first;
+  steps[1].n_prerequisites = 1;
+  steps[1].prerequisites = first;
   for (unsigned i = 0; i < POOLS * JOBS_PER_POOL; i++)
     {
       g_autofree char *id = g_strdup_printf ("j%u", i);
--- a/tests/jobs/test_job.c
+++ b/tests/jobs/test_job.c
@@ -156,7 +156,7 @@
   {
     uint32_t n_tasks;
     uint32_t repeats;
-    uint32_t depends_on;
+    uint32_t prerequisites;
     bool depends;
     bool valid;
   } cases[] = {
@@ -169,12 +169,12 @@
       Sp__JobStep step = SP__JOB_STEP__INIT;
       Sp__JobStep *steps[] = { &step };
       Sp__JobDefinition definition = SP__JOB_DEFINITION__INIT;
-      uint32_t depends_on = cases[i].depends_on;
+      uint32_t prerequisites = cases[i].prerequisites;
       const char *error;
 
       step.n_tasks = cases[i].n_tasks;
-      step.n_depends_on = cases[i].depends;
-      step.depends_on = &depends_on;
+      step.n_prerequisites = cases[i].depends;
+      step.prerequisites = &prerequisites;
       definition.repeats = cases[i].repeats;
       definition.n_steps = 1;
       definition.steps = steps;
--- a/tests/jobs/test_jobs_random.c
+++ b/tests/jobs/test_jobs_random.c
@@ -46,8 +46,8 @@
       steps[i].spread_limit = lasting ? 2 : 0;
       steps[i].away_limit = lasting ? 1 : 0;
       steps[i].checkpointing = g_rand_boolean (random);
-      steps[i].n_depends_on = i > 0;
-      steps[i].depends_on = i > 0 ? &before[i - 1] : NULL;
+      steps[i].n_prerequisites = i > 0;
+      steps[i].prerequisites = i > 0 ? &before[i - 1] : NULL;
     }
   world_submit (world, id, g_rand_boolean (random) ? "one" : "two", steps, n_steps, 4);
 }
--- a/tests/jobs/test_scheduler.c
+++ b/tests/jobs/test_scheduler.c
@@ -38,8 +38,8 @@
   Sp__JobStep steps[2] = { make_step (3), make_step (2) };
   uint32_t first = 0;
 
-  steps[1].n_depends_on = 1;
-  steps[1].depends_on = &first;
+  steps[1].n_prerequisites = 1;
+  steps[1].prerequisites = &first;
   world_submit (world, "job", "pool", steps, 2, 3);
   world_run (world, 700);
   CU_ASSERT_EQUAL (world->starts, 3);
@@ -118,8 +118,8 @@
   Sp__JobStep failing = make_step (1);
   uint32_t first = 0;
 
-  steps[1].n_depends_on = 1;
-  steps[1].depends_on = &first;
+  steps[1].n_prerequisites = 1;
+  steps[1].prerequisites = &first;
   world->work_ms = 300;
   world_submit (world, "job", "pool", steps, 2, 2);
   world->store_away = true;
@@ -374,8 +374,8 @@
   Sp__JobStep steps[2] = { make_step (2), make_step (2) };
   uint32_t first = 0;
 
-  steps[1].n_depends_on = 1;
-  steps[1].depends_on = &first;
+  steps[1].n_prerequisites = 1;
+  steps[1].prerequisites = &first;
   world_submit (world, "job", "pool", steps, 2, 3);
   world->store_away = true;
   world_run (world, 4000);
--- a/tests/jobs/world.c
+++ b/tests/jobs/world.c
@@ -54,7 +54,7 @@
   char *pool;
   uint32_t attempt;
   uint32_t wave;
-  int64_t until_ms;
+  int64_t lease_end_ms;
   int64_t wait_until_ms;
   int64_t sent_ms;
   uint64_t acked;
@@ -380,13 +380,13 @@
 {
   const Sp__JobStep *step = task_step (task);
 
-  for (size_t i = 0; i < step->n_depends_on; i++)
+  for (size_t i = 0; i < step->n_prerequisites; i++)
     {
-      const Sp__JobStep *before = task->job->definition->steps[step->depends_on[i]];
+      const Sp__JobStep *before = task->job->definition->steps[step->prerequisites[i]];
 
       for (uint32_t n = 0; n < before->n_tasks; n++)
         {
-          if (!job_task (task->job, task->occurrence, step->depends_on[i], n)->done)
+          if (!job_task (task->job, task->occurrence, step->prerequisites[i], n)->done)
             return false;
         }
     }
@@ -394,7 +394,7 @@
 }
 
 static void
-on_start (void *ctx, struct endpoint *endpoint, struct task *task, int64_t until_ms)
+on_start (void *ctx, struct endpoint *endpoint, struct task *task, int64_t lease_end_ms)
 {
   struct world *world = ctx;
   struct event *event = world_order (world, EVENT_START, endpoint);
@@ -403,7 +403,7 @@
   event->task = task;
   event->name = task_name (task);
   event->attempt = task->attempt;
-  event->until_ms = until_ms;
+  event->lease_end_ms = lease_end_ms;
   event->need = task_resources (task);
   event->long_running = step->long_running;
   event->spread_limit = step->spread_limit;
@@ -427,15 +427,15 @@
 }
 
 static void
-on_hold (void *ctx, struct endpoint *endpoint, int64_t until_ms, int64_t wait_ms)
+on_hold (void *ctx, struct endpoint *endpoint, int64_t lease_end_ms, int64_t wait_ms)
 {
   struct world *world = ctx;
   struct event *event = world_order (world, EVENT_HOLD, endpoint);
 
-  event->until_ms = until_ms;
+  event->lease_end_ms = lease_end_ms;
   event->wait_until_ms = world->now_ms + wait_ms;
   event->acked = endpoint->ends_durable;
-  world->holds_with_lease += until_ms > 0;
+  world->holds_with_lease += lease_end_ms > 0;
   world_send (world, event);
 }
 
@@ -654,7 +654,7 @@
     {
       const struct world_run *run = g_ptr_array_index (endpoint->runs, at);
 
-      if (world->now_ms > endpoint->until_ms)
+      if (world->now_ms > endpoint->lease_end_ms)
         endpoint_end_run (world, endpoint, at, RUN_LAPSED);
       else if (world->now_ms >= run->end_ms)
         endpoint_end_run (world, endpoint, at,
@@ -721,7 +721,7 @@
     }
   if (event->attempt <= ended)
     return ORDER_OLD;
-  if (event->until_ms <= world->now_ms)
+  if (event->lease_end_ms <= world->now_ms)
     return ORDER_LATE;
   world_check_start (world, endpoint, event);
   run = g_new0 (struct world_run, 1);
@@ -738,7 +738,7 @@
   run->long_running = event->long_running;
   run->need = event->need;
   g_ptr_array_add (endpoint->runs, run);
-  endpoint->until_ms = MAX (endpoint->until_ms, event->until_ms);
+  endpoint->lease_end_ms = MAX (endpoint->lease_end_ms, event->lease_end_ms);
   return ORDER_DONE;
 }
 
@@ -805,7 +805,7 @@
     return endpoint_stop (world, endpoint, event);
   if (event->kind != EVENT_HOLD)
     return ORDER_DONE;
-  endpoint->until_ms = MAX (endpoint->until_ms, event->until_ms);
+  endpoint->lease_end_ms = MAX (endpoint->lease_end_ms, event->lease_end_ms);
   while (endpoint->ends->len > 0 &&
          ((struct world_end *) g_ptr_array_index (endpoint->ends, 0))->number <= event->acked)
     g_ptr_array_remove_index (endpoint->ends, 0);
@@ -996,7 +996,7 @@
       !event->target->dark && event->target->ends->len == 0)
     {
       /* The lease counts from the arrival; the answer waits for an end. */
-      event->target->until_ms = MAX (event->target->until_ms, event->until_ms);
+      event->target->lease_end_ms = MAX (event->target->lease_end_ms, event->lease_end_ms);
       answer = world_post (world, event->kind, TURN_MS);
       *answer = (struct event){ .kind = EVENT_HOLD,
                                 .due_ms = world->now_ms + TURN_MS,
@@ -1004,7 +1004,7 @@
                                 .fence = event->fence,
                                 .target = event->target,
                                 .endpoint = event->endpoint,
-                                .until_ms = event->until_ms,
+                                .lease_end_ms = event->lease_end_ms,
                                 .wait_until_ms = event->wait_until_ms,
                                 .sent_ms = event->sent_ms,
                                 .acked = event->acked,
@@ -1122,7 +1122,7 @@
   g_hash_table_remove_all (endpoint->ended);
   endpoint->last_end = 0;
   endpoint->fence = 0;
-  endpoint->until_ms = 0;
+  endpoint->lease_end_ms = 0;
   endpoint->up = reborn;
   if (reborn)
     endpoint->born_ms = 1000000 + world->now_ms;
--- a/tests/jobs/world.h
+++ b/tests/jobs/world.h
@@ -51,7 +51,7 @@
   bool draining;
   int64_t born_ms;
   uint64_t fence;
-  int64_t until_ms;
+  int64_t lease_end_ms;
   uint64_t last_end;
   GPtrArray *runs;
   GPtrArray *ends;
