--- a/fleetd/main.c
+++ b/fleetd/main.c
@@ -5,6 +5,7 @@
 #include <stdio.h>
 
 #include "common/log.h"
+#include "common/loop_timer.h"
 #include "common/program.h"
 
 enum
@@ -20,9 +21,7 @@
 void
 fleetd_set_timer (struct fleetd *fleetd, ev_timer *timer, int64_t delay_ms)
 {
-  ev_timer_stop (fleetd->loop, timer);
-  ev_timer_set (timer, (double) delay_ms / MS_PER_S, 0.);
-  ev_timer_start (fleetd->loop, timer);
+  loop_timer_arm (fleetd->loop, timer, delay_ms);
 }
 
 /* Gives a random number below a limit. */
--- a/jobd/main.c
+++ b/jobd/main.c
@@ -5,13 +5,13 @@
 #include <sys/random.h>
 
 #include "common/log.h"
+#include "common/loop_timer.h"
 #include "common/program.h"
 #include "jobd.h"
 #include "platform/documents.h"
 
 enum
 {
-  MS_PER_S = 1000,
   IDLE_REUSE_MS = 10000,
   CONNECTIONS_MAX = 32,
   /* A leader's turn, and a follower's. */
@@ -206,9 +206,7 @@
   ingress_tick (jobd->ingress);
   stop_review (stop);
   tick_ms = leader_is_leading (jobd->leader) ? TICK_LEADING_MS : TICK_FOLLOWING_MS;
-  ev_timer_stop (loop, timer);
-  ev_timer_set (timer, (double) tick_ms / MS_PER_S, 0.0);
-  ev_timer_start (loop, timer);
+  loop_timer_arm (loop, timer, tick_ms);
 }
 
 /* A stop is asked for. */
--- a/jobd/tail.c
+++ b/jobd/tail.c
@@ -1,10 +1,10 @@
 #include "tail.h"
 
 #include "common/log.h"
+#include "common/loop_timer.h"
 
 enum
 {
-  MS_PER_S = 1000,
   /* Added to the time that the store may wait. */
   READ_TIMEOUT_MS = 700,
   LOAD_TIMEOUT_MS = 1500,
@@ -48,9 +48,7 @@
 static void
 tail_schedule (struct tail *tail, int64_t after_ms)
 {
-  ev_timer_stop (tail->loop, &tail->timer);
-  ev_timer_set (&tail->timer, (double) MAX (after_ms, 0) / MS_PER_S, 0.0);
-  ev_timer_start (tail->loop, &tail->timer);
+  loop_timer_arm (tail->loop, &tail->timer, after_ms);
 }
 
 /* The next read is due. */
--- a/jobd/writer.c
+++ b/jobd/writer.c
@@ -1,10 +1,10 @@
 #include "writer.h"
 
 #include "common/log.h"
+#include "common/loop_timer.h"
 
 enum
 {
-  MS_PER_S = 1000,
   /* Time-outs of the tries of one call; the last one repeats. An append takes 4 ms and may wait for
    * two seconds behind others. */
   FIRST_TIMEOUT_MS = 500,
@@ -67,9 +67,7 @@
 static void
 writer_schedule (struct writer *writer, int64_t after_ms)
 {
-  ev_timer_stop (writer->loop, &writer->timer);
-  ev_timer_set (&writer->timer, (double) MAX (after_ms, 0) / MS_PER_S, 0.0);
-  ev_timer_start (writer->loop, &writer->timer);
+  loop_timer_arm (writer->loop, &writer->timer, after_ms);
 }
 
 /* Tells the outcome of some records. Gives false if the writer was destroyed meanwhile. */
--- a/standin/cluster.h
+++ b/standin/cluster.h
@@ -111,7 +111,6 @@
 };
 
 int64_t cluster_now_ms (struct cluster *cluster);
-void answer_json (struct http_request *request, int status, json_t *json);
 
 void cluster_store_init (struct cluster *cluster);
 void cluster_store_finish (struct cluster *cluster);
--- a/standin/cluster_endpoints.c
+++ b/standin/cluster_endpoints.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "cluster.h"
+#include "common/http_json.h"
 
 /* Endpoints that run tasks under leases and fences. */
 
@@ -92,17 +93,17 @@
 answer_conflict (const struct cluster_endpoint *endpoint, struct http_request *request,
                  const char *reason)
 {
-  answer_json (request, 409,
-               json_pack ("{s:I,s:s}", "clock_ms", (json_int_t) endpoint_clock (endpoint), "reason",
-                          reason));
+  http_request_answer_json (request, 409,
+                            json_pack ("{s:I,s:s}", "clock_ms",
+                                       (json_int_t) endpoint_clock (endpoint), "reason", reason));
 }
 
 /* Confirms an order. */
 static void
 answer_done (const struct cluster_endpoint *endpoint, struct http_request *request)
 {
-  answer_json (request, 200,
-               json_pack ("{s:I}", "clock_ms", (json_int_t) endpoint_clock (endpoint)));
+  http_request_answer_json (
+      request, 200, json_pack ("{s:I}", "clock_ms", (json_int_t) endpoint_clock (endpoint)));
 }
 
 /* Finds a run. */
@@ -219,7 +220,7 @@
     json_array_remove (endpoint->finished, 0);
   if (wait_ms == 0 || json_array_size (endpoint->finished) > 0)
     {
-      answer_json (request, 200, endpoint_lists (endpoint));
+      http_request_answer_json (request, 200, endpoint_lists (endpoint));
       return;
     }
   hold = g_new0 (struct cluster_hold, 1);
@@ -248,7 +249,7 @@
   body = json_loadb (data, len, 0, NULL);
   fence = (uint64_t) json_integer_value (json_object_get (body, "fence"));
   if (!body)
-    answer_json (request, 400, json_pack ("{s:s}", "error", "no JSON"));
+    http_request_answer_json (request, 400, json_pack ("{s:s}", "error", "no JSON"));
   else if (fence < endpoint->fence)
     answer_conflict (endpoint, request, "fence");
   else
@@ -263,7 +264,7 @@
       else if (strcmp (path, "/v1/pace") == 0)
         answer_done (endpoint, request);
       else
-        answer_json (request, 404, json_pack ("{s:s}", "error", "no such call"));
+        http_request_answer_json (request, 404, json_pack ("{s:s}", "error", "no such call"));
     }
   json_decref (body);
 }
@@ -383,7 +384,7 @@
           endpoint->cluster->clock.now_ms >= hold->end_ms)
         {
           LIST_REMOVE (hold, link);
-          answer_json (hold->request, 200, endpoint_lists (endpoint));
+          http_request_answer_json (hold->request, 200, endpoint_lists (endpoint));
           g_free (hold);
         }
       hold = next;
--- a/standin/cluster_hosts.c
+++ b/standin/cluster_hosts.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "cluster.h"
+#include "common/http_json.h"
 
 /* The machine list, moves between pools and maintenance. */
 
@@ -94,7 +95,7 @@
                                               "capacity", "cpu", 8000, "mem_mb", 16000, "gpu", 0,
                                               "id", host->endpoint ? host->endpoint->id : NULL));
     }
-  answer_json (request, 200, json_pack ("{s:o,s:n}", "machines", list, "next_token"));
+  http_request_answer_json (request, 200, json_pack ("{s:o,s:n}", "machines", list, "next_token"));
 }
 
 /* Finds a host. */
@@ -177,7 +178,7 @@
 
   if (!host)
     {
-      answer_json (request, 400, json_pack ("{s:s}", "error", "no such machine"));
+      http_request_answer_json (request, 400, json_pack ("{s:s}", "error", "no such machine"));
       return;
     }
   if (token >= host->token)
@@ -188,9 +189,9 @@
                : host_maintain (cluster, host, json_integer_value (json_object_get (body, "wave")));
     }
   if (reason)
-    answer_json (request, 409, json_pack ("{s:s}", "reason", reason));
+    http_request_answer_json (request, 409, json_pack ("{s:s}", "reason", reason));
   else
-    answer_json (request, 200, json_object ());
+    http_request_answer_json (request, 200, json_object ());
 }
 
 /* A request to the machine list has arrived. */
--- a/standin/cluster_main.c
+++ b/standin/cluster_main.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "cluster.h"
+#include "common/http_json.h"
 #include "common/log.h"
 #include "common/program.h"
 
@@ -22,7 +23,7 @@
 
 /* Answers with JSON and frees it. */
 void
-answer_json (struct http_request *request, int status, json_t *json)
+http_request_answer_json (struct http_request *request, int status, json_t *json)
 {
   char *text = json_dumps (json, JSON_COMPACT);
 
@@ -35,12 +36,12 @@
 static void
 cluster_report (const struct cluster *cluster, struct http_request *request)
 {
-  answer_json (request, 200,
-               json_pack ("{s:I,s:I,s:I,s:I,s:I,s:i}", "starts", (json_int_t) cluster->starts,
-                          "doubled", (json_int_t) cluster->doubled, "after_done",
-                          (json_int_t) cluster->after_done, "moves", (json_int_t) cluster->moves,
-                          "upkeeps", (json_int_t) cluster->upkeeps, "most_in_upkeep",
-                          (int) cluster->most_in_upkeep));
+  http_request_answer_json (
+      request, 200,
+      json_pack ("{s:I,s:I,s:I,s:I,s:I,s:i}", "starts", (json_int_t) cluster->starts, "doubled",
+                 (json_int_t) cluster->doubled, "after_done", (json_int_t) cluster->after_done,
+                 "moves", (json_int_t) cluster->moves, "upkeeps", (json_int_t) cluster->upkeeps,
+                 "most_in_upkeep", (int) cluster->most_in_upkeep));
 }
 
 /* Takes faults: {"store":"up|busy|silent"}, {"dark":"HOST"}, {"light":"HOST"}. */
@@ -64,7 +65,7 @@
       if (host->endpoint && g_strcmp0 (host->id, light) == 0)
         host->endpoint->dark = false;
     }
-  answer_json (request, 200, json_object ());
+  http_request_answer_json (request, 200, json_object ());
 }
 
 /* Writes an operator's record: {"key":...,"value":{...}}. Its status is read by GET /operator. */
@@ -77,7 +78,7 @@
   if (key && value)
     cluster_store_put (cluster, "keyed.op", key, value);
   free (value);
-  answer_json (request, key ? 200 : 400, json_object ());
+  http_request_answer_json (request, key ? 200 : 400, json_object ());
 }
 
 /* Reads what the system wrote for operators. */
@@ -116,7 +117,7 @@
   else if (g_str_has_prefix (path, "/status"))
     cluster_status (cluster, request);
   else
-    answer_json (request, 404, json_pack ("{s:s}", "error", "no such page"));
+    http_request_answer_json (request, 404, json_pack ("{s:s}", "error", "no such page"));
   json_decref (body);
 }
 
--- a/standin/cluster_store.c
+++ b/standin/cluster_store.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "cluster.h"
+#include "common/http_json.h"
 
 /* The metadata store: keyed topics of one partition each. */
 
@@ -206,18 +207,19 @@
 
   if (epoch < producer->epoch)
     {
-      answer_json (request, 409, json_pack ("{s:s}", "reason", "fenced"));
+      http_request_answer_json (request, 409, json_pack ("{s:s}", "reason", "fenced"));
       return false;
     }
   if (epoch > producer->epoch || producer->n_offsets == 0 || sequence == producer->sequence + 1)
     return true;
   if (back < producer->n_offsets)
-    answer_json (request, 200,
-                 json_pack ("{s:I,s:I}", "offset",
-                            (json_int_t) producer->offsets[producer->n_offsets - 1 - back], "end",
-                            (json_int_t) topic->records->len));
+    http_request_answer_json (
+        request, 200,
+        json_pack ("{s:I,s:I}", "offset",
+                   (json_int_t) producer->offsets[producer->n_offsets - 1 - back], "end",
+                   (json_int_t) topic->records->len));
   else
-    answer_json (
+    http_request_answer_json (
         request, 409,
         json_pack ("{s:s,s:I}", "reason", "seq", "sequence", (json_int_t) producer->sequence + 1));
   return false;
@@ -265,14 +267,15 @@
     }
   if (!topic_take (topic, body, len))
     {
-      answer_json (request, 400, json_pack ("{s:s}", "error", "not a list of records"));
+      http_request_answer_json (request, 400,
+                                json_pack ("{s:s}", "error", "not a list of records"));
       return;
     }
   if (producer)
     producer_note (producer, epoch, sequence, offset);
-  answer_json (request, 200,
-               json_pack ("{s:I,s:I}", "offset", (json_int_t) offset, "end",
-                          (json_int_t) topic->records->len));
+  http_request_answer_json (request, 200,
+                            json_pack ("{s:I,s:I}", "offset", (json_int_t) offset, "end",
+                                       (json_int_t) topic->records->len));
 }
 
 /* Reads records, or waits for one. */
@@ -328,9 +331,9 @@
                                                "offset", (json_int_t) at));
     }
   g_list_free (keys);
-  answer_json (request, 200,
-               json_pack ("{s:o,s:b,s:I}", "items", items, "has_more", more, "end",
-                          (json_int_t) topic->records->len));
+  http_request_answer_json (request, 200,
+                            json_pack ("{s:o,s:b,s:I}", "items", items, "has_more", more, "end",
+                                       (json_int_t) topic->records->len));
 }
 
 /* A request to the store has arrived. */
@@ -347,7 +350,7 @@
     return;
   if (cluster->store == STORE_BUSY || !name)
     {
-      answer_json (request, name ? 503 : 400, json_pack ("{s:s}", "error", "refused"));
+      http_request_answer_json (request, name ? 503 : 400, json_pack ("{s:s}", "error", "refused"));
       return;
     }
   topic = cluster_topic (cluster, name);
@@ -358,7 +361,7 @@
   else if (g_str_has_prefix (path, "/v1/log-newest"))
     store_newest_request (topic, request);
   else
-    answer_json (request, 404, json_pack ("{s:s}", "error", "no such call"));
+    http_request_answer_json (request, 404, json_pack ("{s:s}", "error", "no such call"));
 }
 
 /* A caller has hung up. */
--- a/standin/platform_faults.c
+++ b/standin/platform_faults.c
@@ -1,3 +1,4 @@
+#include "common/http_json.h"
 #include "platform.h"
 
 #include <string.h>
@@ -146,9 +147,6 @@
   json_t *json = json_pack ("{s:O, s:o, s:I, s:I}", "events", platform->journal, "hosts",
                             pools_to_json (platform), "first", (json_int_t) platform->first, "next",
                             (json_int_t) platform->first + (json_int_t) platform->entries->len);
-  char *text = json_dumps (json, JSON_COMPACT);
 
-  http_request_answer_text (request, 200, "application/json", text);
-  free (text);
-  json_decref (json);
+  http_request_answer_json (request, 200, json);
 }
--- a/standin/worker.c
+++ b/standin/worker.c
@@ -4,6 +4,8 @@
 #include <string.h>
 #include <sys/queue.h>
 
+#include "common/http_json.h"
+
 enum
 {
   BODY_LIMIT_BYTES = 64 * 1024 * 1024,
@@ -48,17 +50,6 @@
   uint64_t overfilled;
 };
 
-/* Answers with JSON and frees it. */
-static void
-answer_json (struct http_request *request, int status, json_t *json)
-{
-  char *text = json_dumps (json, JSON_COMPACT);
-
-  http_request_answer_text (request, status, "application/json", text);
-  free (text);
-  json_decref (json);
-}
-
 /* Lists the ids that ran more than once. */
 static json_t *
 worker_duplicates (const struct worker *worker)
@@ -82,13 +73,14 @@
 static void
 worker_answer_stats (const struct worker *worker, struct http_request *request)
 {
-  answer_json (request, 200,
-               json_pack ("{s:i,s:I,s:I,s:i,s:i,s:I,s:i,s:o}", "port", (int) worker->port, "runs",
-                          (json_int_t) worker->total, "not_run", (json_int_t) worker->not_run,
-                          "running", (int) worker->running, "most_at_once",
-                          (int) worker->most_at_once, "overfilled", (json_int_t) worker->overfilled,
-                          "connections", (int) http_server_connections (worker->server),
-                          "duplicates", worker_duplicates (worker)));
+  http_request_answer_json (
+      request, 200,
+      json_pack ("{s:i,s:I,s:I,s:i,s:i,s:I,s:i,s:o}", "port", (int) worker->port, "runs",
+                 (json_int_t) worker->total, "not_run", (json_int_t) worker->not_run, "running",
+                 (int) worker->running, "most_at_once", (int) worker->most_at_once, "overfilled",
+                 (json_int_t) worker->overfilled, "connections",
+                 (int) http_server_connections (worker->server), "duplicates",
+                 worker_duplicates (worker)));
 }
 
 /* Answers with one line per id: the id and how often it ran. */
