Order hosts for what will come, and for what can still be in time first

Later one queue's backlog of late jobs took every free host while the next queue's turn became late too (wanted 187, had 25). Ruled out: the rate limit of moves, the leader's time.

Change: lib/jobs/demand adds, to what a pool's jobs need, what the rate of the last second's arrivals will need when hosts ordered now are there; jobs that can meet their objective count first, late ones get what is left.

--- /dev/null
+++ b/lib/jobs/demand.c
@@ -0,0 +1,178 @@
+#include "lib/jobs/demand.h"
+
+enum
+{
+  PERMILLE = 1000,
+  /* Share of the need of tasks whose step is not open yet. */
+  BLOCKED_PERMILLE = 400,
+  /* Arrivals within this make the rate: demand jumps within a second when the queues' turn comes.
+   */
+  WINDOW_MS = 1000,
+  /* A few arrivals that come together are no rate. */
+  WINDOW_MIN_MS = 300,
+};
+
+/* Adds a need to a sum. */
+void
+resources_add (struct resources *sum, const struct resources *need)
+{
+  sum->cpu_milli += need->cpu_milli;
+  sum->memory_mb += need->memory_mb;
+  sum->gpus += need->gpus;
+}
+
+/* Gives the larger of each resource. */
+struct resources
+resources_max (const struct resources *a, const struct resources *b)
+{
+  return (struct resources){ .cpu_milli = MAX (a->cpu_milli, b->cpu_milli),
+                             .memory_mb = MAX (a->memory_mb, b->memory_mb),
+                             .gpus = MAX (a->gpus, b->gpus) };
+}
+
+/* Gives a multiple of a need. */
+static struct resources
+resources_scale (const struct resources *need, int64_t by, int64_t of)
+{
+  return (struct resources){ .cpu_milli = need->cpu_milli * by / of,
+                             .memory_mb = need->memory_mb * by / of,
+                             .gpus = need->gpus * by / of };
+}
+
+/* Gives when a step of a new job is expected to begin, counted from the job's arrival; ends holds
+ * when the steps before it are expected to end. */
+static int64_t
+step_start_ms (const Sp__JobStep *step, const int64_t *ends)
+{
+  int64_t start_ms = 0;
+
+  for (size_t i = 0; i < step->n_prerequisites; i++)
+    start_ms = MAX (start_ms, ends[step->prerequisites[i]]);
+  return start_ms;
+}
+
+/* Adds up what a new job takes over the horizon after its arrival. */
+static struct resources
+job_work (const struct job *job, int64_t horizon_ms)
+{
+  const Sp__JobDefinition *definition = job->definition;
+  g_autofree int64_t *ends = g_new0 (int64_t, definition->n_steps);
+  struct resources sum = { 0 };
+
+  for (uint32_t s = 0; s < definition->n_steps; s++)
+    {
+      const Sp__JobStep *step = definition->steps[s];
+      int64_t start_ms = step_start_ms (step, ends);
+      struct resources need = task_resources (job_task (job, 0, s, 0));
+      int64_t within_ms;
+
+      ends[s] = start_ms + step->estimate_ms;
+      within_ms = MAX (MIN (ends[s], horizon_ms) - start_ms, 0);
+      need = resources_scale (&need, step->n_tasks * within_ms, 1);
+      resources_add (&sum, &need);
+    }
+  return sum;
+}
+
+/* Takes a new job in. What lasts, or has its own times, comes at no rate. */
+void
+demand_note_arrival (struct demand *demand, const struct job *job, int64_t horizon_ms,
+                     int64_t now_ms)
+{
+  const Sp__JobDefinition *definition = job->definition;
+
+  if (definition->steps[0]->long_running || definition->repeats > 0)
+    return;
+  demand->arrivals[demand->next] =
+      (struct demand_arrival){ .at_ms = now_ms, .work = job_work (job, horizon_ms) };
+  demand->next = (demand->next + 1) % DEMAND_ARRIVALS_MAX;
+  demand->n = MIN (demand->n + 1, DEMAND_ARRIVALS_MAX);
+}
+
+/* Gives what the jobs to come will need at the horizon: the rate at which work came since the
+ * oldest arrival of the window, which itself only marks the window's begin. */
+struct resources
+demand_of_arrivals (const struct demand *demand, int64_t now_ms)
+{
+  struct resources sum = { 0 };
+  struct resources oldest = { 0 };
+  int64_t since_ms = now_ms;
+
+  for (unsigned i = 1; i <= demand->n; i++)
+    {
+      const struct demand_arrival *arrival =
+          &demand->arrivals[(demand->next + DEMAND_ARRIVALS_MAX - i) % DEMAND_ARRIVALS_MAX];
+
+      if (now_ms - arrival->at_ms > WINDOW_MS)
+        break;
+      since_ms = arrival->at_ms;
+      oldest = arrival->work;
+      resources_add (&sum, &arrival->work);
+    }
+  oldest = resources_scale (&oldest, -1, 1);
+  resources_add (&sum, &oldest);
+  return resources_scale (&sum, 1, MAX (now_ms - since_ms, WINDOW_MIN_MS));
+}
+
+/* Gives what a job's tasks need now. */
+struct resources
+job_need_now (const struct job *job)
+{
+  struct resources sum = { 0 };
+
+  for (uint32_t i = 0; i < job->n_tasks; i++)
+    {
+      const struct task *task = &job->tasks[i];
+      struct resources need;
+
+      if (task->phase == TASK_DONE)
+        continue;
+      need = task_resources (task);
+      if (task->phase == TASK_BLOCKED)
+        need = resources_scale (&need, BLOCKED_PERMILLE, PERMILLE);
+      resources_add (&sum, &need);
+    }
+  return sum;
+}
+
+/* Gives how long a task of an open step still takes: one that waits is taken to start now. */
+static int64_t
+task_remaining_ms (const struct task *task, int64_t now_ms)
+{
+  int64_t estimate_ms = task_step (task)->estimate_ms;
+
+  if (task->phase == TASK_DONE)
+    return 0;
+  if (task->phase != TASK_RUNNING)
+    return estimate_ms;
+  return MAX (estimate_ms - (now_ms - task->phase_since_ms), 0);
+}
+
+/* Gives what a job's tasks will need at the horizon. Only the first occurrence of a repeated job is
+ * looked at. */
+struct resources
+job_need_later (const struct job *job, int64_t horizon_ms, int64_t now_ms)
+{
+  const Sp__JobDefinition *definition = job->definition;
+  g_autofree int64_t *ends = g_new0 (int64_t, definition->n_steps);
+  struct resources sum = { 0 };
+
+  for (uint32_t s = 0; s < definition->n_steps; s++)
+    {
+      const Sp__JobStep *step = definition->steps[s];
+      const struct task *first = job_task (job, 0, s, 0);
+      int64_t start_ms = step_start_ms (step, ends);
+      struct resources need = task_resources (first);
+
+      for (uint32_t i = 0; i < step->n_tasks; i++)
+        {
+          int64_t end_ms = start_ms + task_remaining_ms (&first[i], now_ms);
+
+          ends[s] = MAX (ends[s], end_ms);
+          if (start_ms <= horizon_ms && (end_ms > horizon_ms || step->long_running) &&
+              first[i].phase != TASK_DONE)
+            resources_add (&sum, &need);
+        }
+    }
+  return sum;
+}
--- a/lib/jobs/placement.c
+++ b/lib/jobs/placement.c
@@ -289,13 +289,6 @@
   return job->definition->steps[0]->long_running;
 }
 
-/* Tells whether a job can no longer meet its objective. */
-static bool
-job_is_late (const struct job *job, int64_t now_ms)
-{
-  return now_ms + job_chain_ms (job) > job->due_ms;
-}
-
 /* What jobs are ordered by. */
 struct job_order
 {
--- a/lib/jobs/pool_size.c
+++ b/lib/jobs/pool_size.c
@@ -10,8 +10,6 @@
   PERMILLE = 1000,
   /* Share of a host that packing can use: tasks are a tenth of a host. */
   PACKING_PERMILLE = 850,
-  /* Share of the need of tasks whose step is not open yet. */
-  BLOCKED_PERMILLE = 400,
   /* Hosts that a pool keeps at least, so that lasting tasks have somewhere to go. */
   HOSTS_MIN = 2,
   /* How long a host must have been idle before another pool, or the standby pool, gets it. A move
@@ -24,31 +22,34 @@
   STAY_MS = 1500,
 };
 
-/* Adds up what the tasks of a pool need that run or could run, and a share of those that follow. */
+/* Adds up what the jobs of a pool need: those that can still meet their objective now or when hosts
+ * that are ordered now are there, whichever is more, and beside them those that are late. */
 static void
-pool_sum_need (struct pool *pool)
+pool_sum_need (const struct scheduler *scheduler, struct pool *pool)
 {
+  struct resources later = demand_of_arrivals (&pool->demand, scheduler->now_ms);
   const struct job *job;
 
   pool->need = (struct resources){ 0 };
+  pool->late_need = (struct resources){ 0 };
   TAILQ_FOREACH (job, &pool->jobs, pool_link)
     {
-      for (uint32_t i = 0; i < job->n_tasks; i++)
+      struct resources now;
+      struct resources at_horizon;
+
+      if (job_is_over (job))
+        continue;
+      now = job_need_now (job);
+      if (job_is_late (job, scheduler->now_ms))
         {
-          const struct task *task = &job->tasks[i];
-          struct resources need;
-          int64_t permille;
-
-          if (task->phase == TASK_DONE || job_is_over (job))
-            continue;
-          need = task_resources (task);
-          /* A host takes as long to come as a short step to end. */
-          permille = task->phase == TASK_BLOCKED ? BLOCKED_PERMILLE : PERMILLE;
-          pool->need.cpu_milli += need.cpu_milli * permille / PERMILLE;
-          pool->need.memory_mb += need.memory_mb * permille / PERMILLE;
-          pool->need.gpus += need.gpus * permille / PERMILLE;
+          resources_add (&pool->late_need, &now);
+          continue;
         }
+      at_horizon = job_need_later (job, HOST_READY_MS, scheduler->now_ms);
+      resources_add (&pool->need, &now);
+      resources_add (&later, &at_horizon);
     }
+  pool->need = resources_max (&pool->need, &later);
 }
 
 /* Gives the number of hosts of one size that need makes. */
@@ -173,6 +174,20 @@
   return NULL;
 }
 
+/* Moves hosts to a pool until it has so many, as far as others can spare them. */
+static void
+pool_grow (struct scheduler *scheduler, struct pool *pool, unsigned n_hosts)
+{
+  while (!pool->standby && pool->n_hosts < n_hosts)
+    {
+      struct host *host = scheduler_find_spare (scheduler, pool);
+
+      if (!host)
+        return;
+      host_move (scheduler, host, pool);
+    }
+}
+
 /* Puts idle hosts of a pool that has too many into the standby pool. */
 static void
 pool_shrink (struct scheduler *scheduler, struct pool *pool, struct pool *standby)
@@ -237,26 +252,24 @@
     {
       struct resources size = pool_host_size (scheduler, pool);
 
-      pool_sum_need (pool);
+      pool_sum_need (scheduler, pool);
+      pool->hosts_urgent = hosts_for (&pool->need, &size);
+      resources_add (&pool->need, &pool->late_need);
       pool->hosts_wanted = hosts_for (&pool->need, &size);
       /* Room that is there in all may be in too small pieces, or on endpoints that the spread of a
        * step forbids. */
       if (pool_is_starved (scheduler, pool))
-        pool->hosts_wanted = MAX (pool->hosts_wanted, pool->n_hosts + 1);
+        pool->hosts_urgent = MAX (pool->hosts_urgent, pool->n_hosts + 1);
+      pool->hosts_wanted = MAX (pool->hosts_wanted, pool->hosts_urgent);
       if (pool->standby)
         standby = pool;
     }
   scheduler->short_of_hosts = false;
+  TAILQ_FOREACH (pool, &scheduler->pools, link)
+    pool_grow (scheduler, pool, pool->hosts_urgent);
   TAILQ_FOREACH (pool, &scheduler->pools, link)
     {
-      while (!pool->standby && pool->n_hosts < pool->hosts_wanted)
-        {
-          struct host *host = scheduler_find_spare (scheduler, pool);
-
-          if (!host)
-            break;
-          host_move (scheduler, host, pool);
-        }
+      pool_grow (scheduler, pool, pool->hosts_wanted);
       scheduler->short_of_hosts =
           scheduler->short_of_hosts || (!pool->standby && pool->n_hosts < pool->hosts_wanted);
     }
--- a/lib/jobs/scheduler.c
+++ b/lib/jobs/scheduler.c
@@ -90,6 +90,13 @@
   return job->cancelled || job_state_is_final (job->next_state) || job_state_is_final (job->state);
 }
 
+/* Tells whether a job can no longer meet its objective. */
+bool
+job_is_late (const struct job *job, int64_t now_ms)
+{
+  return !job->definition->steps[0]->long_running && now_ms + job_chain_ms (job) > job->due_ms;
+}
+
 /* Tells whether the tasks of a step may start: its occurrence is due and all that it depends on is
  * done. */
 bool
@@ -223,6 +230,7 @@
 scheduler_job_defined (struct scheduler *scheduler, struct job *job, int64_t now_ms,
                        int64_t wall_ms)
 {
+  struct pool *pool;
   bool exhausted;
 
   scheduler->now_ms = now_ms;
@@ -235,7 +243,10 @@
   if (job->inherited)
     job_skip_attempts (scheduler, job);
   job->due_ms = job_due_ms (scheduler, job);
-  TAILQ_INSERT_TAIL (&scheduler_pool (scheduler, job->definition->pool)->jobs, job, pool_link);
+  pool = scheduler_pool (scheduler, job->definition->pool);
+  TAILQ_INSERT_TAIL (&pool->jobs, job, pool_link);
+  if (!job->inherited)
+    demand_note_arrival (&pool->demand, job, HOST_READY_MS, now_ms);
   scheduler->counts.jobs++;
   if (job_has_progress (job, &exhausted))
     job_mark_dirty (scheduler, job);
--- a/lib/jobs/scheduler_state.h
+++ b/lib/jobs/scheduler_state.h
@@ -1,6 +1,7 @@
 #ifndef SESAMEPICK_LIB_JOBS_SCHEDULER_STATE_H
 #define SESAMEPICK_LIB_JOBS_SCHEDULER_STATE_H
 
+#include "lib/jobs/demand.h"
 #include "lib/jobs/scheduler.h"
 
 /* What the scheduler's files share. */
@@ -21,8 +22,13 @@
   struct job_list jobs;
   /* Something changed that may let a task start. */
   bool changed;
-  /* Need of the tasks that run or could, and how many hosts that makes. */
+  /* Jobs that came in lately. */
+  struct demand demand;
+  /* Need of the jobs that can meet their objective, and of those that are late; how many hosts the
+   * first, and all, make. */
   struct resources need;
+  struct resources late_need;
+  unsigned hosts_urgent;
   unsigned hosts_wanted;
   /* Hosts that serve there or will soon, as of the last sizing. */
   unsigned n_hosts;
@@ -82,6 +88,13 @@
   struct scheduler_counts counts;
 };
 
+enum
+{
+  /* Time from the order for a host until its endpoint runs tasks: the move (1.5 s on all known
+   * deployments), and the registry's and the first hold's part. */
+  HOST_READY_MS = 1800,
+};
+
 /* scheduler.c */
 struct pool *scheduler_pool (struct scheduler *scheduler, const char *name);
 void scheduler_drop_endpoint (struct endpoint *endpoint);
@@ -90,6 +103,7 @@
 void job_mark_dirty (struct scheduler *scheduler, struct job *job);
 void job_review (struct scheduler *scheduler, struct job *job);
 bool job_is_over (const struct job *job);
+bool job_is_late (const struct job *job, int64_t now_ms);
 bool step_is_open (const struct job *job, uint32_t occurrence, uint32_t step);
 struct task *scheduler_find_task (const struct scheduler *scheduler, const char *name);
 
--- a/tests/jobs/test_pools.c
+++ b/tests/jobs/test_pools.c
@@ -84,9 +84,68 @@
   world_destroy (world);
 }
 
+/* A queue's turn begins: 8 jobs a second of 6 cores for a second each, where there was nothing.
+ * After 0.7 s hosts for what will run at once are on their way, though only part of it has come: 48
+ * cores at 85% of 10 a host make 6 hosts. */
+static void
+test_hosts_ahead (void)
+{
+  struct world *world = world_create (1);
+  Sp__JobStep step = make_step (6);
+
+  step.estimate_ms = 1000;
+  world_add_pool (world, "spare", true);
+  world_add_hosts (world, "one", 2);
+  world_add_hosts (world, "spare", 8);
+  world_lead (world);
+  world_run (world, 2500);
+  for (unsigned i = 0; i < 6; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("job%u", i);
+
+      world_submit (world, id, "one", &step, 1, 3);
+      world_run (world, 120);
+    }
+  CU_ASSERT (count_hosts (world, "one") >= 6);
+  CU_ASSERT (count_hosts (world, "one") <= 8);
+  world_run (world, 12000);
+  CU_ASSERT_EQUAL (count_hosts (world, "one"), 2);
+  CU_ASSERT_EQUAL (world_violations (world), 0);
+  world_destroy (world);
+}
+
+/* Two pools lack hosts, the first of them for jobs that are late anyway (balapan-signup-grown,
+ * trouble-2: a queue's backlog took all hosts, and the next queue's turn became late as well). What
+ * can still be in time goes first. */
+static void
+test_timely_first (void)
+{
+  struct world *world = world_create (1);
+  Sp__JobStep step = make_step (60);
+
+  world_add_pool (world, "spare", true);
+  world_add_hosts (world, "one", 2);
+  world_add_hosts (world, "two", 2);
+  world_add_hosts (world, "spare", 5);
+  world->work_ms = 3000;
+  world_lead (world);
+  world_run (world, 100);
+  world_submit (world, "late", "one", &step, 1, 3)->due_ms = 0;
+  world_submit (world, "timely", "two", &step, 1, 3);
+  world_run (world, 300);
+  CU_ASSERT_EQUAL (count_hosts (world, "two"), 7);
+  CU_ASSERT_EQUAL (count_hosts (world, "one"), 2);
+  world_run (world, 20000);
+  CU_ASSERT_EQUAL (world_state (world, "late"), SP__JOB_STATE__JOB_COMPLETED);
+  CU_ASSERT_EQUAL (world_violations (world), 0);
+  world_destroy (world);
+}
+
 static const struct suite_test tests[] = {
   { "turning demand", test_turning_demand },
   { "room in pieces", test_room_in_pieces },
+  { "hosts ahead", test_hosts_ahead },
+  { "timely first", test_timely_first },
 };
 
 int
