Count steps that are not open by the forecast alone

Four tenths of the need of steps that are not open were counted beside the new forecast, which has them at the moment when hosts ordered now are there.

Change: they are left to the forecast.

--- a/include/lib/jobs/demand.h
+++ b/include/lib/jobs/demand.h
@@ -35,7 +35,7 @@
                           int64_t now_ms);
 /* What the jobs that come within the horizon will need at its end, if they come as lately. */
 struct resources demand_of_arrivals (const struct demand *demand, int64_t now_ms);
-/* What a job's tasks need that run or could, and a share of those that follow. */
+/* What a job's tasks need that run or could. */
 struct resources job_need_now (const struct job *job);
 /* What a job's tasks will need after horizon_ms, if each step takes as long as estimated. */
 struct resources job_need_later (const struct job *job, int64_t horizon_ms, int64_t now_ms);
--- a/lib/jobs/demand.c
+++ b/lib/jobs/demand.c
@@ -2,9 +2,6 @@
 
 enum
 {
-  PERMILLE = 1000,
-  /* Share of the need of tasks whose step is not open yet. */
-  BLOCKED_PERMILLE = 400,
   /* Arrivals within this make the rate: demand jumps within a second when the queues' turn comes.
    */
   WINDOW_MS = 1000,
@@ -114,7 +111,7 @@
   return resources_scale (&sum, 1, MAX (now_ms - since_ms, WINDOW_MIN_MS));
 }
 
-/* Gives what a job's tasks need now. */
+/* Gives what a job's tasks of open steps need. */
 struct resources
 job_need_now (const struct job *job)
 {
@@ -125,11 +122,9 @@
       const struct task *task = &job->tasks[i];
       struct resources need;
 
-      if (task->phase == TASK_DONE)
+      if (task->phase == TASK_DONE || task->phase == TASK_BLOCKED)
         continue;
       need = task_resources (task);
-      if (task->phase == TASK_BLOCKED)
-        need = resources_scale (&need, BLOCKED_PERMILLE, PERMILLE);
       resources_add (&sum, &need);
     }
   return sum;
