Have pools with late work only give hosts up to pools whose jobs can be in time

Change: endpoints without lasting tasks, as many as others lack for timely jobs and their pool has beyond its own, get no new tasks; once empty their hosts move. Test: test_pools, late pool yields (failed before).

--- a/include/lib/jobs/endpoint.h
+++ b/include/lib/jobs/endpoint.h
@@ -63,6 +63,9 @@
   /* No new tasks: the host is about to move or to be maintained. */
   bool cordoned;
   bool cordoned_for_wave;
+  /* No new tasks either: what runs may end, then the host goes to a pool whose jobs can still be in
+   * time. */
+  bool yielding;
   int64_t cordoned_ms;
   /* Its host is still to be maintained in a wave: what lasts is better placed elsewhere. */
   bool maintenance_due;
--- a/lib/jobs/endpoint_orders.c
+++ b/lib/jobs/endpoint_orders.c
@@ -53,7 +53,7 @@
 endpoint_is_usable (const struct scheduler *scheduler, const struct endpoint *endpoint)
 {
   return endpoint->listed && endpoint->fenced && !endpoint->draining && !endpoint->cordoned &&
-         endpoint->silent_since_ms == 0 && endpoint->n_strays == 0 &&
+         !endpoint->yielding && endpoint->silent_since_ms == 0 && endpoint->n_strays == 0 &&
          scheduler->now_ms >= endpoint->avoid_until_ms;
 }
 
--- a/lib/jobs/pool_size.c
+++ b/lib/jobs/pool_size.c
@@ -149,10 +149,18 @@
   scheduler->ops.move_host (scheduler->ops.ctx, host, pool->name);
 }
 
+/* Gives how many hosts a pool keeps while another one lacks some. */
+static unsigned
+pool_hosts_kept (const struct pool *pool, bool urgent)
+{
+  return MAX (urgent ? pool->hosts_urgent : pool->hosts_wanted, HOSTS_MIN);
+}
+
 /* Finds a host for a pool that lacks one: from a standby pool, or an idle one of a pool that needs
- * fewer than it has. */
+ * fewer than it has; if the lack is urgent, of one that needs fewer for jobs that can be in time.
+ */
 static struct host *
-scheduler_find_spare (const struct scheduler *scheduler, const struct pool *needy)
+scheduler_find_spare (const struct scheduler *scheduler, const struct pool *needy, bool urgent)
 {
   const struct pool *pool;
   struct host *host;
@@ -165,7 +173,7 @@
     }
   TAILQ_FOREACH (pool, &scheduler->pools, link)
     {
-      if (pool->standby || pool == needy || pool->n_hosts <= MAX (pool->hosts_wanted, HOSTS_MIN))
+      if (pool->standby || pool == needy || pool->n_hosts <= pool_hosts_kept (pool, urgent))
         continue;
       host = pool_free_host (scheduler, pool, IDLE_FOR_PEER_MS);
       if (host)
@@ -174,13 +182,14 @@
   return NULL;
 }
 
-/* Moves hosts to a pool until it has so many, as far as others can spare them. */
+/* Moves hosts to a pool until it has what it wants, or what is urgent, as far as others can spare
+ * them. */
 static void
-pool_grow (struct scheduler *scheduler, struct pool *pool, unsigned n_hosts)
+pool_grow (struct scheduler *scheduler, struct pool *pool, bool urgent)
 {
-  while (!pool->standby && pool->n_hosts < n_hosts)
+  while (!pool->standby && pool->n_hosts < (urgent ? pool->hosts_urgent : pool->hosts_wanted))
     {
-      struct host *host = scheduler_find_spare (scheduler, pool);
+      struct host *host = scheduler_find_spare (scheduler, pool, urgent);
 
       if (!host)
         return;
@@ -222,6 +231,55 @@
   return true;
 }
 
+/* Has some endpoints of a pool yield, those that do so already first. Lasting tasks stay where they
+ * are. Gives how many yield. */
+static unsigned
+pool_yield (struct pool *pool, unsigned most)
+{
+  struct endpoint *endpoint;
+  unsigned n = 0;
+
+  TAILQ_FOREACH (endpoint, &pool->endpoints, pool_link)
+    {
+      endpoint->yielding = endpoint->yielding && n < most;
+      n += endpoint->yielding;
+    }
+  TAILQ_FOREACH (endpoint, &pool->endpoints, pool_link)
+    {
+      bool may = !endpoint->yielding && endpoint->listed && endpoint->fenced &&
+                 !endpoint->cordoned && !endpoint->draining && endpoint->n_lasting == 0;
+
+      if (n >= most)
+        break;
+      endpoint->yielding = endpoint->yielding || may;
+      n += may;
+    }
+  return n;
+}
+
+/* Chooses the endpoints that get no new tasks because their hosts are wanted for jobs that can
+ * still be in time, while their own pool has late ones only. A queue that is behind would otherwise
+ * keep all its hosts busy, and the next queue would fall behind as well. */
+static void
+scheduler_choose_yielding (struct scheduler *scheduler)
+{
+  struct pool *pool;
+  unsigned lack = 0;
+
+  TAILQ_FOREACH (pool, &scheduler->pools, link)
+    {
+      if (!pool->standby && pool->n_hosts < pool->hosts_urgent)
+        lack += pool->hosts_urgent - pool->n_hosts;
+    }
+  TAILQ_FOREACH (pool, &scheduler->pools, link)
+    {
+      unsigned kept = pool_hosts_kept (pool, true);
+
+      if (!pool->standby)
+        lack -= pool_yield (pool, pool->n_hosts > kept ? MIN (pool->n_hosts - kept, lack) : 0);
+    }
+}
+
 /* Gives the size of a pool's hosts, of any host if it has none. */
 static struct resources
 pool_host_size (const struct scheduler *scheduler, const struct pool *pool)
@@ -266,10 +324,11 @@
     }
   scheduler->short_of_hosts = false;
   TAILQ_FOREACH (pool, &scheduler->pools, link)
-    pool_grow (scheduler, pool, pool->hosts_urgent);
+    pool_grow (scheduler, pool, true);
+  scheduler_choose_yielding (scheduler);
   TAILQ_FOREACH (pool, &scheduler->pools, link)
     {
-      pool_grow (scheduler, pool, pool->hosts_wanted);
+      pool_grow (scheduler, pool, false);
       scheduler->short_of_hosts =
           scheduler->short_of_hosts || (!pool->standby && pool->n_hosts < pool->hosts_wanted);
     }
--- a/tests/jobs/test_pools.c
+++ b/tests/jobs/test_pools.c
@@ -141,11 +141,40 @@
   world_destroy (world);
 }
 
+/* The late jobs of one pool keep its hosts busy for a long time; as the other pool's turn comes,
+ * hosts are emptied for it by letting their tasks end. */
+static void
+test_late_pool_yields (void)
+{
+  struct world *world = world_create (1);
+  Sp__JobStep late = make_step (300);
+  Sp__JobStep timely = make_step (40);
+
+  world_add_pool (world, "spare", true);
+  world_add_hosts (world, "one", 7);
+  world_add_hosts (world, "two", 2);
+  world_add_hosts (world, "spare", 1);
+  late.estimate_ms = 1000;
+  world->work_ms = 1000;
+  world_lead (world);
+  world_run (world, 100);
+  world_submit (world, "late", "one", &late, 1, 3)->due_ms = 0;
+  world_run (world, 400);
+  world_submit (world, "timely", "two", &timely, 1, 3);
+  world_run (world, 2200);
+  CU_ASSERT (count_hosts (world, "two") >= 5);
+  CU_ASSERT_NOT_EQUAL (world_state (world, "late"), SP__JOB_STATE__JOB_COMPLETED);
+  world_run (world, 20000);
+  CU_ASSERT_EQUAL (world_state (world, "late"), SP__JOB_STATE__JOB_COMPLETED);
+  CU_ASSERT_EQUAL (world_state (world, "timely"), SP__JOB_STATE__JOB_COMPLETED);
+  CU_ASSERT_EQUAL (world_violations (world), 0);
+  world_destroy (world);
+}
+
 static const struct suite_test tests[] = {
-  { "turning demand", test_turning_demand },
-  { "room in pieces", test_room_in_pieces },
-  { "hosts ahead", test_hosts_ahead },
-  { "timely first", test_timely_first },
+  { "turning demand", test_turning_demand },     { "room in pieces", test_room_in_pieces },
+  { "hosts ahead", test_hosts_ahead },           { "timely first", test_timely_first },
+  { "late pool yields", test_late_pool_yields },
 };
 
 int
