Explain a job from the command line: sesamepick jobs and sesamepick explain ID

Each entry host keeps the newest half megabyte of its log lines in memory, also those that a stopped reader never got, and answers /jobs and /jobs/ID on its readiness port. explain asks all of them, shows the leader's view of the job and its tasks, and the lines that name it in the order of time; text or JSON, completions, manual page. Tests: story (names, bound), jobd "explained" with real processes.

--- a/cli/client.c
+++ b/cli/client.c
@@ -18,6 +18,7 @@
 client_init (struct client *client, const Sp__CliSettings *settings)
 {
   client->fleetds = settings_list (settings->operator_ports);
+  client->entries = settings_list (settings->entry_ports);
   client->operator_name = settings->operator_;
   client->timeout_ms = settings->timeout_ms;
   curl_global_init (CURL_GLOBAL_DEFAULT);
@@ -28,6 +29,7 @@
 client_finish (struct client *client)
 {
   g_strfreev (client->fleetds);
+  g_strfreev (client->entries);
   curl_global_cleanup ();
 }
 
@@ -127,6 +129,28 @@
   free (text);
 }
 
+/* Asks one entry host. */
+void
+client_call_entry_at (struct client *client, size_t at, const char *path, struct reply *reply)
+{
+  memset (reply, 0, sizeof *reply);
+  client_call_one (client, client->entries[at], "GET", path, NULL, reply);
+}
+
+/* Asks the first entry host that answers. */
+void
+client_call_entry (struct client *client, const char *path, struct reply *reply)
+{
+  memset (reply, 0, sizeof *reply);
+  snprintf (reply->problem, sizeof reply->problem, "no entry host is configured");
+  for (size_t i = 0; client->entries[i]; i++)
+    {
+      client_call_entry_at (client, i, path, reply);
+      if (reply->status != 0)
+        return;
+    }
+}
+
 /* Frees a reply. */
 void
 reply_clear (struct reply *reply)
--- a/cli/command.c
+++ b/cli/command.c
@@ -3,6 +3,20 @@
 #include <stdio.h>
 #include <stdlib.h>
 
+/* Prints an answer as text or JSON. */
+void
+command_print (const struct command_context *context, const json_t *answer,
+               void (*print) (const json_t *answer))
+{
+  if (!context->json)
+    {
+      print (answer);
+      return;
+    }
+  json_dumpf (answer, stdout, JSON_INDENT (2));
+  printf ("\n");
+}
+
 /* Makes a call and prints its answer as text or JSON. */
 enum exit_code
 command_call (const struct command_context *context, const char *method, const char *path,
@@ -13,13 +27,8 @@
 
   client_call (context->client, method, path, body, &reply);
   code = reply_exit_code (&reply);
-  if (context->json && reply.json)
-    {
-      json_dumpf (reply.json, stdout, JSON_INDENT (2));
-      printf ("\n");
-    }
-  else if (code == EXIT_CODE_DONE && reply.json)
-    print (reply.json);
+  if (reply.json && (context->json || code == EXIT_CODE_DONE))
+    command_print (context, reply.json, print);
   reply_clear (&reply);
   return code;
 }
--- /dev/null
+++ b/cli/commands/explain.c
@@ -0,0 +1,107 @@
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "cli/command.h"
+#include "cli/text.h"
+
+/* What the entry hosts know of one job, put together. */
+struct explanation
+{
+  json_t *hosts;
+  /* All lines of all hosts. */
+  GPtrArray *lines;
+  /* The leader's view of the job, or another host's; NULL if none knows it. */
+  const json_t *job;
+};
+
+/* Orders lines by the time with which each begins. */
+static int
+line_compare (const void *left, const void *right)
+{
+  return strcmp (*(const char *const *) left, *(const char *const *) right);
+}
+
+/* Takes one host's answer; the reference to it is taken over. */
+static void
+explanation_add (struct explanation *explanation, json_t *answer)
+{
+  const json_t *job = json_object_get (answer, "job");
+  json_t *line;
+  size_t i;
+
+  json_array_append_new (explanation->hosts, answer);
+  json_array_foreach (json_object_get (answer, "lines"), i, line)
+    {
+      g_ptr_array_add (explanation->lines, (gpointer) json_string_value (line));
+    }
+  if (json_is_object (job) &&
+      (!explanation->job || json_is_true (json_object_get (answer, "leads"))))
+    explanation->job = job;
+}
+
+/* Prints a job and those of its tasks that aren't done or have failed. */
+static void
+job_print (const json_t *job)
+{
+  json_t *task;
+  size_t i;
+
+  printf ("job %s: %s%s, queue %s, pool %s, %lld of %lld tasks done, at most %lld attempts\n",
+          text_of (job, "job"), text_of (job, "state"),
+          json_is_true (json_object_get (job, "cancelled")) ? ", cancelled" : "",
+          text_of (job, "queue"), text_of (job, "pool"), (long long) number_of (job, "tasks_done"),
+          (long long) number_of (job, "tasks_total"), (long long) number_of (job, "max_attempts"));
+  json_array_foreach (json_object_get (job, "tasks"), i, task)
+    {
+      const char *endpoint = text_of (task, "endpoint");
+
+      printf ("task %s: %s, attempt %lld, failed %lld%s%s\n", text_of (task, "task"),
+              text_of (task, "phase"), (long long) number_of (task, "attempt"),
+              (long long) number_of (task, "failed"), endpoint[0] ? ", endpoint " : "", endpoint);
+    }
+}
+
+/* Prints the explanation. */
+static void
+explanation_print (const struct explanation *explanation, const char *id)
+{
+  if (explanation->job)
+    job_print (explanation->job);
+  else
+    printf ("job %s: not known to any entry host that answers\n", id);
+  for (guint i = 0; i < explanation->lines->len; i++)
+    printf ("%s\n", (const char *) g_ptr_array_index (explanation->lines, i));
+}
+
+/* Gathers a job's story from all entry hosts: what is known of it now, and each decision about it
+ * that they still remember. */
+enum exit_code
+command_explain (const struct command_context *context)
+{
+  struct explanation explanation = { .hosts = json_array (), .lines = g_ptr_array_new () };
+  g_autofree char *path = g_strconcat ("/jobs/", context->words[0], NULL);
+  enum exit_code code = EXIT_CODE_DONE;
+
+  for (size_t i = 0; context->client->entries[i]; i++)
+    {
+      struct reply reply;
+
+      client_call_entry_at (context->client, i, path, &reply);
+      if (reply_exit_code (&reply) == EXIT_CODE_DONE)
+        explanation_add (&explanation, json_incref (reply.json));
+      reply_clear (&reply);
+    }
+  g_ptr_array_sort (explanation.lines, line_compare);
+  if (json_array_size (explanation.hosts) == 0)
+    code = EXIT_CODE_UNAVAILABLE;
+  else if (context->json)
+    command_print (context, explanation.hosts, NULL);
+  else
+    explanation_print (&explanation, context->words[0]);
+  if (code == EXIT_CODE_DONE && !explanation.job && explanation.lines->len == 0)
+    code = EXIT_CODE_REFUSED;
+  g_ptr_array_free (explanation.lines, TRUE);
+  json_decref (explanation.hosts);
+  return code;
+}
--- /dev/null
+++ b/cli/commands/jobs.c
@@ -0,0 +1,38 @@
+#include <stdio.h>
+
+#include "cli/command.h"
+#include "cli/text.h"
+
+/* Prints one line a queue with its jobs by state. */
+static void
+jobs_print (const json_t *answer)
+{
+  const char *queue;
+  json_t *counts;
+
+  printf ("host %s, leader %s, epoch %lld\n", text_of (answer, "host"), text_of (answer, "leader"),
+          (long long) number_of (answer, "epoch"));
+  json_object_foreach (json_object_get (answer, "queues"), queue, counts)
+    {
+      printf (
+          "queue %-24s queued %lld, running %lld, completed %lld, failed %lld, cancelled %lld\n",
+          queue, (long long) number_of (counts, "queued"),
+          (long long) number_of (counts, "running"), (long long) number_of (counts, "completed"),
+          (long long) number_of (counts, "failed"), (long long) number_of (counts, "cancelled"));
+    }
+}
+
+/* Shows the jobs of all queues, as the first entry host that answers knows them. */
+enum exit_code
+command_jobs (const struct command_context *context)
+{
+  struct reply reply;
+  enum exit_code code;
+
+  client_call_entry (context->client, "/jobs", &reply);
+  code = reply_exit_code (&reply);
+  if (code == EXIT_CODE_DONE)
+    command_print (context, reply.json, jobs_print);
+  reply_clear (&reply);
+  return code;
+}
--- a/common/log.c
+++ b/common/log.c
@@ -25,6 +25,10 @@
   int fd;
   GString *pending;
   guint64 left_out;
+  /* The line that is being made. */
+  GString *line;
+  void (*observe) (void *ctx, const char *line);
+  void *observe_ctx;
 };
 
 static struct log_state state = {
@@ -53,6 +57,14 @@
   state.fd = fd;
 }
 
+/* Has each line shown to a function as well, also one that is left out of the output. */
+void
+log_observe (void (*observe) (void *ctx, const char *line), void *ctx)
+{
+  state.observe = observe;
+  state.observe_ctx = ctx;
+}
+
 /* Finds a named field among those of a log call. */
 static const char *
 log_field (const GLogField *fields, gsize n, const char *key)
@@ -94,22 +106,33 @@
   clock_gettime (CLOCK_REALTIME, &now);
   gmtime_r (&now.tv_sec, &utc);
   strftime (stamp, sizeof stamp, "%Y-%m-%dT%H:%M:%S", &utc);
-  g_string_append_printf (state.pending, "time=%s.%03ldZ level=%s process=%s part=%s ", stamp,
+  if (!state.line)
+    state.line = g_string_new (NULL);
+  g_string_truncate (state.line, 0);
+  g_string_append_printf (state.line, "time=%s.%03ldZ level=%s process=%s part=%s ", stamp,
                           now.tv_nsec / 1000000, log_level_name (level), state.program, part);
 }
 
+/* Puts the line behind those that wait. */
+static void
+log_end_line (void)
+{
+  g_string_append_len (state.pending, state.line->str, (gssize) state.line->len);
+  g_string_append_c (state.pending, '\n');
+}
+
 /* Adds a text in quotes. */
 static void
 log_add_quoted (const char *text, gsize len)
 {
-  g_string_append_c (state.pending, '"');
+  g_string_append_c (state.line, '"');
   for (gsize i = 0; i < len; i++)
     {
       if (text[i] == '"' || text[i] == '\\')
-        g_string_append_c (state.pending, '\\');
-      g_string_append_c (state.pending, text[i] == '\n' ? ' ' : text[i]);
+        g_string_append_c (state.line, '\\');
+      g_string_append_c (state.line, text[i] == '\n' ? ' ' : text[i]);
     }
-  g_string_append_c (state.pending, '"');
+  g_string_append_c (state.line, '"');
 }
 
 /* Adds a message: "what happened: key=value ..." becomes an event with its fields, another a text.
@@ -121,14 +144,13 @@
 
   if (colon && strchr (colon, '='))
     {
-      g_string_append (state.pending, "event=");
+      g_string_append (state.line, "event=");
       log_add_quoted (message, (gsize) (colon - message));
-      g_string_append_printf (state.pending, " %s\n", colon + 2);
+      g_string_append_printf (state.line, " %s", colon + 2);
       return;
     }
-  g_string_append (state.pending, "event=");
+  g_string_append (state.line, "event=");
   log_add_quoted (message, strlen (message));
-  g_string_append_c (state.pending, '\n');
 }
 
 /* Tells how many lines were left out, once there is room again. */
@@ -138,8 +160,9 @@
   if (state.left_out == 0 || state.pending->len >= PENDING_SOFT_BYTES / 2)
     return;
   log_begin_line (G_LOG_LEVEL_WARNING, "log");
-  g_string_append_printf (state.pending, "event=\"lines left out\" lines=%" G_GUINT64_FORMAT "\n",
+  g_string_append_printf (state.line, "event=\"lines left out\" lines=%" G_GUINT64_FORMAT,
                           state.left_out);
+  log_end_line ();
   state.left_out = 0;
 }
 
@@ -156,14 +179,17 @@
   if (!state.pending)
     state.pending = g_string_new (NULL);
   log_flush ();
+  log_tell_left_out ();
+  log_begin_line (level, log_field (fields, n, "SESAMEPICK_PART"));
+  log_add_message (log_field (fields, n, "MESSAGE"));
+  if (state.observe)
+    state.observe (state.observe_ctx, state.line->str);
   if (state.pending->len > (talkative ? PENDING_SOFT_BYTES : PENDING_HARD_BYTES))
     {
       state.left_out++;
       return G_LOG_WRITER_HANDLED;
     }
-  log_tell_left_out ();
-  log_begin_line (level, log_field (fields, n, "SESAMEPICK_PART"));
-  log_add_message (log_field (fields, n, "MESSAGE"));
+  log_end_line ();
   log_flush ();
   return G_LOG_WRITER_HANDLED;
 }
--- a/completions/sesamepick.bash
+++ b/completions/sesamepick.bash
@@ -2,8 +2,8 @@
 _sesamepick ()
 {
   local current=${COMP_WORDS[COMP_CWORD]}
-  local commands="amend apply audit bill confirm plan plans status withdraw"
-  local options="--operator-ports= --operator= --timeout-ms= --output=text --output=json --help --version"
+  local commands="amend apply audit bill confirm explain jobs plan plans status withdraw"
+  local options="--operator-ports= --entry-ports= --operator= --timeout-ms= --output=text --output=json --help --version"
   case "$current" in
     -*) mapfile -t COMPREPLY < <(compgen -W "$options" -- "$current"); return ;;
   esac
@@ -14,7 +14,7 @@
       confirm|withdraw|plans)
         mapfile -t COMPREPLY < <(compgen -W "$(sesamepick plans 2>/dev/null | cut -d' ' -f1)" -- "$current")
         return ;;
-      audit|bill|status) return ;;
+      audit|bill|explain|jobs|status) return ;;
     esac
   done
   mapfile -t COMPREPLY < <(compgen -W "$commands" -- "$current")
--- a/completions/sesamepick.fish
+++ b/completions/sesamepick.fish
@@ -1,9 +1,10 @@
 # Completion of sesamepick for fish.
 complete -c sesamepick -f
-set -l commands amend apply audit bill confirm plan plans status withdraw
+set -l commands amend apply audit bill confirm explain jobs plan plans status withdraw
 complete -c sesamepick -n "not __fish_seen_subcommand_from $commands" -a "$commands"
 complete -c sesamepick -n "__fish_seen_subcommand_from apply plan amend" -F
 complete -c sesamepick -n "__fish_seen_subcommand_from confirm withdraw plans" -a "(sesamepick plans 2>/dev/null | string split -f1 ' ')"
+complete -c sesamepick -l entry-ports -x -d "Readiness ports of the entry hosts"
 complete -c sesamepick -l operator-ports -x -d "Operator ports of the fleetds"
 complete -c sesamepick -l operator -x -d "Name under which changes are recorded"
 complete -c sesamepick -l timeout-ms -x -d "Longest time of one command"
--- a/include/cli/command.h
+++ b/include/cli/command.h
@@ -29,11 +29,17 @@
 enum exit_code command_audit (const struct command_context *context);
 enum exit_code command_bill (const struct command_context *context);
 enum exit_code command_confirm (const struct command_context *context);
+enum exit_code command_explain (const struct command_context *context);
+enum exit_code command_jobs (const struct command_context *context);
 enum exit_code command_plan (const struct command_context *context);
 enum exit_code command_plans (const struct command_context *context);
 enum exit_code command_status (const struct command_context *context);
 enum exit_code command_withdraw (const struct command_context *context);
 
+/* Prints an answer by print, or as JSON. */
+void command_print (const struct command_context *context, const json_t *answer,
+                    void (*print) (const json_t *answer));
+
 /* Makes a call, prints the answer by print, or as JSON, and gives the exit code. */
 enum exit_code command_call (const struct command_context *context, const char *method,
                              const char *path, const json_t *body,
--- a/include/common/log.h
+++ b/include/common/log.h
@@ -14,6 +14,9 @@
  */
 void log_to (int fd);
 
+/* Has each line shown to a function as well, without its end of line; NULL ends that. */
+void log_observe (void (*observe) (void *ctx, const char *line), void *ctx);
+
 /* One short sentence, or "what happened: key=value key=value", under the fixed name of a part. */
 void log_line (GLogLevelFlags level, const char *part, const char *format, ...)
     G_GNUC_PRINTF (3, 4);
--- a/jobd/admin.c
+++ b/jobd/admin.c
@@ -1,11 +1,14 @@
 #include <string.h>
 
+#include "common/http_json.h"
 #include "common/log.h"
 #include "common/settings.h"
+#include "inspect.h"
 #include "jobd.h"
 #include "platform/callers.h"
+#include "story.h"
 
-/* Readiness and metrics. */
+/* Readiness, metrics, and what operators ask about jobs. */
 
 enum
 {
@@ -13,12 +16,17 @@
   CONNECTIONS_MAX = 64,
   /* Without word from the store for this long, nothing can be accepted. */
   READY_FRESH_MS = 2500,
+  /* Lines of the log kept to explain jobs: some thousands, a minute of a busy leader. */
+  STORY_BYTES_MAX = 512 * 1024,
 };
 
+#define PATH_JOBS "/jobs"
+
 struct admin
 {
   struct jobd *jobd;
   struct http_server *server;
+  struct story *story;
 };
 
 /* Tells whether callers should be sent here. */
@@ -30,6 +38,32 @@
          !writer_is_stuck (jobd->writer);
 }
 
+/* Tells how many jobs there are, and who leads. */
+static void
+answer_jobs (const struct admin *admin, struct http_request *request)
+{
+  const struct jobd *jobd = admin->jobd;
+
+  http_request_answer_json (
+      request, 200,
+      json_pack ("{s:s, s:s?, s:I, s:b, s:o}", "host", jobd->settings->name, "leader",
+                 jobd->book.leader_node, "epoch", (json_int_t) jobd->book.leader_epoch, "leads",
+                 leader_is_leading (jobd->leader), "queues", inspect_jobs (&jobd->book)));
+}
+
+/* Tells what this host knows of a job, with the lines of its log that name it. */
+static void
+answer_job (const struct admin *admin, struct http_request *request, const char *id)
+{
+  const struct jobd *jobd = admin->jobd;
+
+  http_request_answer_json (
+      request, 200,
+      json_pack ("{s:s, s:s?, s:b, s:o?, s:o}", "host", jobd->settings->name, "leader",
+                 jobd->book.leader_node, "leads", leader_is_leading (jobd->leader), "job",
+                 inspect_job (&jobd->book, id), "lines", story_of_job (admin->story, id)));
+}
+
 /* A request has arrived. */
 static void
 admin_on_request (void *ctx, struct http_request *request)
@@ -48,6 +82,10 @@
       http_request_answer_text (request, 200, "text/plain; version=0.0.4", text->str);
       g_string_free (text, TRUE);
     }
+  else if (strcmp (path, PATH_JOBS) == 0)
+    answer_jobs (admin, request);
+  else if (g_str_has_prefix (path, PATH_JOBS "/"))
+    answer_job (admin, request, path + strlen (PATH_JOBS "/"));
   else
     http_request_answer_text (request, 404, "text/plain", "no such page\n");
 }
@@ -77,6 +115,8 @@
       g_free (admin);
       return error != 0 ? error : -1;
     }
+  admin->story = story_create (STORY_BYTES_MAX);
+  log_observe (story_add, admin->story);
   jobd->admin = admin;
   return 0;
 }
@@ -86,5 +126,7 @@
 admin_destroy (struct admin *admin)
 {
   http_server_destroy (admin->server);
+  log_observe (NULL, NULL);
+  story_destroy (admin->story);
   g_free (admin);
 }
--- /dev/null
+++ b/jobd/inspect.c
@@ -0,0 +1,89 @@
+#include "inspect.h"
+
+#include "lib/jobs/endpoint.h"
+
+/* Gives the word for a task's phase. */
+static const char *
+task_phase_name (enum task_phase phase)
+{
+  static const char *const names[] = {
+    "blocked", "ready", "starting", "running", "stopping", "done"
+  };
+
+  return names[phase];
+}
+
+/* Adds one to a count of an object. */
+static void
+count_up (json_t *counts, const char *name)
+{
+  json_int_t count = json_integer_value (json_object_get (counts, name));
+
+  json_object_set_new (counts, name, json_integer (count + 1));
+}
+
+/* Counts the jobs. */
+json_t *
+inspect_jobs (const struct job_book *book)
+{
+  json_t *queues = json_object ();
+  GHashTableIter each;
+  gpointer value;
+
+  g_hash_table_iter_init (&each, book->jobs);
+  while (g_hash_table_iter_next (&each, NULL, &value))
+    {
+      const struct job *job = value;
+      json_t *counts;
+
+      if (!job->definition)
+        continue;
+      counts = json_object_get (queues, job->definition->queue);
+      if (!counts)
+        {
+          counts = json_object ();
+          json_object_set_new (queues, job->definition->queue, counts);
+        }
+      count_up (counts, job_state_name (job->state));
+    }
+  return queues;
+}
+
+/* Describes one task. */
+static json_t *
+inspect_task (const struct task *task)
+{
+  g_autofree char *name = task_name (task);
+
+  return json_pack ("{s:s, s:s, s:I, s:I, s:s?}", "task", name, "phase",
+                    task_phase_name (task->done ? TASK_DONE : task->phase), "attempt",
+                    (json_int_t) task->attempt, "failed", (json_int_t) task->n_failed, "endpoint",
+                    task->endpoint ? task->endpoint->id : NULL);
+}
+
+/* Describes a job. */
+json_t *
+inspect_job (const struct job_book *book, const char *id)
+{
+  const struct job *job = job_book_find (book, id);
+  const Sp__JobDefinition *definition;
+  json_t *tasks;
+  json_int_t n_done = 0;
+
+  if (!job || !job->definition)
+    return NULL;
+  definition = job->definition;
+  tasks = json_array ();
+  for (uint32_t i = 0; i < job->n_tasks; i++)
+    {
+      n_done += job->tasks[i].done;
+      if (!job->tasks[i].done || job->tasks[i].n_failed > 0)
+        json_array_append_new (tasks, inspect_task (&job->tasks[i]));
+    }
+  return json_pack ("{s:s, s:s, s:b, s:s, s:s, s:I, s:I, s:I, s:I, s:o}", "job", id, "state",
+                    job_state_name (job->state), "cancelled", job->cancelled, "queue",
+                    definition->queue, "pool", definition->pool, "accepted_ms",
+                    (json_int_t) definition->accepted_ms, "max_attempts",
+                    (json_int_t) definition->max_attempts, "tasks_total", (json_int_t) job->n_tasks,
+                    "tasks_done", n_done, "tasks", tasks);
+}
--- a/protocols/settings.pb-c.c
+++ b/protocols/settings.pb-c.c
@@ -1095,8 +1095,9 @@
 char sp__cli_settings__operator_ports__default_value[] = "127.0.0.1:8090";
 char sp__cli_settings__operator__default_value[] = "operator";
 char sp__cli_settings__output__default_value[] = "text";
+char sp__cli_settings__entry_ports__default_value[] = "127.0.0.1:8401";
 static const uint32_t sp__cli_settings__timeout_ms__default_value = 10000u;
-static const ProtobufCFieldDescriptor sp__cli_settings__field_descriptors[4] =
+static const ProtobufCFieldDescriptor sp__cli_settings__field_descriptors[5] =
 {
   {
     "operator_ports",
@@ -1146,8 +1147,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "entry_ports",
+    5,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sp__CliSettings, entry_ports),
+    NULL,
+    &sp__cli_settings__entry_ports__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sp__cli_settings__field_indices_by_name[] = {
+  4,   /* field[4] = entry_ports */
   1,   /* field[1] = operator */
   0,   /* field[0] = operator_ports */
   3,   /* field[3] = output */
@@ -1156,7 +1170,7 @@
 static const ProtobufCIntRange sp__cli_settings__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor sp__cli_settings__descriptor =
 {
@@ -1166,7 +1180,7 @@
   "Sp__CliSettings",
   "sp",
   sizeof(Sp__CliSettings),
-  4,
+  5,
   sp__cli_settings__field_descriptors,
   sp__cli_settings__field_indices_by_name,
   1,  sp__cli_settings__number_ranges,
--- a/protocols/settings.pb-c.h
+++ b/protocols/settings.pb-c.h
@@ -323,13 +323,18 @@
    * Form of the output: text or json.
    */
   char *output;
+  /*
+   * Readiness ports of the entry hosts that run jobs, as IP:PORT, separated by commas.
+   */
+  char *entry_ports;
 };
 extern char sp__cli_settings__operator_ports__default_value[];
 extern char sp__cli_settings__operator__default_value[];
 extern char sp__cli_settings__output__default_value[];
+extern char sp__cli_settings__entry_ports__default_value[];
 #define SP__CLI_SETTINGS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sp__cli_settings__descriptor) \
-    , sp__cli_settings__operator_ports__default_value, sp__cli_settings__operator__default_value, 0, 10000u, sp__cli_settings__output__default_value }
+    , sp__cli_settings__operator_ports__default_value, sp__cli_settings__operator__default_value, 0, 10000u, sp__cli_settings__output__default_value, sp__cli_settings__entry_ports__default_value }
 
 
 struct  Sp__PlatformSettings
--- a/protocols/settings_table.c
+++ b/protocols/settings_table.c
@@ -70,6 +70,7 @@
   { "operator", "Name under which changes are recorded.", "", 0u, 0u },
   { "timeout_ms", "Longest time of one command.", "ms", 100u, 600000u },
   { "output", "Form of the output: text or json.", "", 0u, 0u },
+  { "entry_ports", "Readiness ports of the entry hosts that run jobs, as IP:PORT, separated by commas.", "", 0u, 0u },
 };
 
 const struct settings_schema cli_schema = {
--- a/tests/jobd/hosts.c
+++ b/tests/jobd/hosts.c
@@ -48,6 +48,24 @@
       (const char *[]){ words[0], words[1], words[2], words[3], words[4], words[5], NULL });
 }
 
+int
+hosts_command (struct hosts *hosts, const char *option, const char *command, const char *operand,
+               char **output)
+{
+  g_autoptr (GString) ports = g_string_new ("--entry-ports=");
+  const char *words[5] = { NULL };
+  size_t n = 0;
+
+  for (unsigned i = 0; i < HOSTS; i++)
+    g_string_append_printf (ports, "%s127.0.0.1:%u", i > 0 ? "," : "", hosts_port (hosts, i) + 1U);
+  words[n++] = ports->str;
+  if (option)
+    words[n++] = option;
+  words[n++] = command;
+  words[n] = operand;
+  return process_run_command (words, output, CALL_MS);
+}
+
 void
 hosts_start (struct hosts *hosts, unsigned port_block)
 {
--- a/tests/jobd/hosts.h
+++ b/tests/jobd/hosts.h
@@ -35,6 +35,10 @@
 char *hosts_state (struct hosts *hosts, unsigned n, const char *id);
 bool hosts_wait_state (struct hosts *hosts, unsigned n, const char *id, const char *state,
                        int64_t limit_ms);
+/* Runs a command with one operand, or NULL, on all hosts, and gives its exit status; free output
+ * with g_free. */
+int hosts_command (struct hosts *hosts, const char *option, const char *command,
+                   const char *operand, char **output);
 /* Tells the stand-in something by POST, such as faults. */
 void hosts_tell (struct hosts *hosts, const char *path, const char *body);
 /* A count of the stand-in's report. */
--- a/tests/jobd/test_jobd.c
+++ b/tests/jobd/test_jobd.c
@@ -143,6 +143,37 @@
   check_once ();
 }
 
+/* The command line tells a job's story from all hosts: accepted by one, run by the leader. */
+static void
+test_explained (void)
+{
+  g_autofree char *id = make_id ();
+  g_autofree char *accepted = g_strdup_printf ("event=\"record durable\" job=%s", id);
+  g_autofree char *started = g_strdup_printf ("event=\"start\" task=%s.0.0.0", id);
+  g_autofree char *ended = g_strdup_printf ("event=\"ended\" task=%s.0.1.1", id);
+  g_autofree char *text = NULL;
+  g_autofree char *json = NULL;
+  g_autofree char *jobs = NULL;
+  json_t *tree;
+
+  CU_ASSERT_TRUE (submit (id, TWO_STEPS, 1));
+  CU_ASSERT_TRUE (hosts_wait_state (&hosts, 0, id, "completed", DONE_MS));
+  CU_ASSERT_EQUAL (hosts_command (&hosts, NULL, "explain", id, &text), 0);
+  SUITE_REQUIRE (text != NULL);
+  CU_ASSERT_PTR_NOT_NULL (strstr (text, ": completed, queue jobs.example/one/, pool one, 5 of 5"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (text, accepted));
+  CU_ASSERT_PTR_NOT_NULL (strstr (text, started));
+  CU_ASSERT_PTR_NOT_NULL (strstr (text, ended));
+  CU_ASSERT (strstr (text, accepted) < strstr (text, ended));
+  CU_ASSERT_EQUAL (hosts_command (&hosts, "--output=json", "explain", id, &json), 0);
+  tree = json_loads (json ? json : "", 0, NULL);
+  CU_ASSERT_EQUAL (json_array_size (tree), HOSTS);
+  json_decref (tree);
+  CU_ASSERT_EQUAL (hosts_command (&hosts, NULL, "jobs", NULL, &jobs), 0);
+  CU_ASSERT_PTR_NOT_NULL (strstr (jobs ? jobs : "", "queue jobs.example/one/"));
+  CU_ASSERT_EQUAL (hosts_command (&hosts, NULL, "explain", "00000000000000fe", NULL), 1);
+}
+
 /* The leader is killed: another takes over, and each accepted job is done once. */
 static void
 test_leader_killed (void)
@@ -280,6 +311,7 @@
   { "calm", test_calm },
   { "answers", test_answers },
   { "lasting", test_lasting },
+  { "explained", test_explained },
   { "leader killed", test_leader_killed },
   { "host restarted", test_host_restarted },
   { "leader frozen", test_leader_frozen },
--- a/tests/process.c
+++ b/tests/process.c
@@ -303,3 +303,21 @@
 {
   return test_wait (url_is_ready, (void *) url, limit_ms);
 }
+
+/* Runs the command line and gives its exit status and, if asked for, what it printed. */
+int
+process_run_command (const char *const *words, char **output, int64_t limit_ms)
+{
+  g_autofree char *log =
+      g_strdup_printf ("%s/test-logs/%d-command.log", process_build (), (int) getpid ());
+  struct process *command;
+  int code;
+
+  unlink (log);
+  command = process_create ("command", "cli/sesamepick", words);
+  code = process_wait (command, limit_ms);
+  process_destroy (command);
+  if (output)
+    g_file_get_contents (log, output, NULL, NULL);
+  return code;
+}
--- a/tests/process.h
+++ b/tests/process.h
@@ -53,4 +53,8 @@
 /* Waits until a GET gives 200. */
 bool test_wait_ready (const char *url, int64_t limit_ms);
 
+/* Runs the command line with its words, NULL at the end, and gives its exit status. output, if not
+ * NULL, gets what it printed, to be freed with g_free. */
+int process_run_command (const char *const *words, char **output, int64_t limit_ms);
+
 #endif
--- a/tests/whole/system.c
+++ b/tests/whole/system.c
@@ -164,13 +164,9 @@
 {
   g_autofree char *ports = system_ports (system, 0, OPERATOR_PORT, true);
   g_autofree char *flag = g_strconcat ("--operator-ports=", ports, NULL);
-  g_autofree char *log =
-      g_strdup_printf ("%s/test-logs/%d-command.log", g_getenv ("SESAMEPICK_BUILD"), getpid ());
   g_autoptr (GPtrArray) words = g_ptr_array_new ();
-  struct process *command;
   const char *word;
   va_list args;
-  int code;
 
   g_ptr_array_add (words, flag);
   va_start (args, output);
@@ -178,13 +174,7 @@
     g_ptr_array_add (words, (void *) word);
   va_end (args);
   g_ptr_array_add (words, NULL);
-  unlink (log);
-  command = process_create ("command", "cli/sesamepick", (const char *const *) words->pdata);
-  code = process_wait (command, COMMAND_MS);
-  process_destroy (command);
-  if (output)
-    g_file_get_contents (log, output, NULL, NULL);
-  return code;
+  return process_run_command ((const char *const *) words->pdata, output, COMMAND_MS);
 }
 
 /* Whether the state has all hosts. */
