--- a/jobd/ingress.c
+++ b/jobd/ingress.c
@@ -164,6 +164,23 @@
   exchange_destroy (exchange);
 }
 
+/* A record was read from the journal. A caller whose record it is need not wait for the store's
+ * answer to the append, which may be slow or lost. */
+void
+ingress_record_read (struct ingress *ingress, const char *key)
+{
+  struct exchange *exchange;
+
+  LIST_FOREACH (exchange, &ingress->exchanges, link)
+    {
+      if (!exchange->request || g_strcmp0 (exchange->key, key) != 0)
+        continue;
+      log_info ("ingress", "record read before the append was answered: job=%s key=%s",
+                exchange->id, key);
+      answer_json (exchange_take_request (exchange), 200, EMPTY_ANSWER);
+    }
+}
+
 /* Has a record appended for a request. */
 static void
 exchange_append (struct exchange *exchange, const Sp__JobRecord *record)
--- a/jobd/jobd.h
+++ b/jobd/jobd.h
@@ -67,6 +67,8 @@
 /* ingress.c */
 int ingress_create (struct jobd *jobd);
 void ingress_destroy (struct ingress *ingress);
+/* A record with this key is in the journal. */
+void ingress_record_read (struct ingress *ingress, const char *key);
 void ingress_tick (struct ingress *ingress);
 void ingress_quiesce (struct ingress *ingress);
 unsigned ingress_open_requests (const struct ingress *ingress);
--- a/jobd/main.c
+++ b/jobd/main.c
@@ -91,8 +91,13 @@
 
   if (job_book_apply (&jobd->book, record->key, record->value, record->len, record->offset,
                       jobd_now_ms (jobd)) != 0)
-    log_warning ("journal", "record can't be read: key=%s offset=%" G_GINT64_FORMAT, record->key,
-                 record->offset);
+    {
+      log_warning ("journal", "record can't be read: key=%s offset=%" G_GINT64_FORMAT, record->key,
+                   record->offset);
+      return;
+    }
+  if (record->len > 0)
+    ingress_record_read (jobd->ingress, record->key);
 }
 
 /* Puts a configuration in force, unless it is older than the present one. */
--- a/standin/cluster.h
+++ b/standin/cluster.h
@@ -23,6 +23,8 @@
   STORE_BUSY,
   /* Never answers. */
   STORE_SILENT,
+  /* Appends and never says so; answers all else. */
+  STORE_MUTE,
 };
 
 struct cluster;
--- a/standin/cluster_main.c
+++ b/standin/cluster_main.c
@@ -44,7 +44,7 @@
                  "most_in_upkeep", (int) cluster->most_in_upkeep));
 }
 
-/* Takes faults: {"store":"up|busy|silent"}, {"dark":"HOST"}, {"light":"HOST"}. */
+/* Takes faults: {"store":"up|busy|silent|mute"}, {"dark":"HOST"}, {"light":"HOST"}. */
 static void
 cluster_take_faults (struct cluster *cluster, struct http_request *request, const json_t *body)
 {
@@ -55,6 +55,7 @@
   if (store)
     cluster->store = strcmp (store, "up") == 0     ? STORE_UP
                      : strcmp (store, "busy") == 0 ? STORE_BUSY
+                     : strcmp (store, "mute") == 0 ? STORE_MUTE
                                                    : STORE_SILENT;
   for (guint i = 0; i < cluster->hosts->len; i++)
     {
--- a/standin/cluster_store.c
+++ b/standin/cluster_store.c
@@ -160,7 +160,7 @@
     {
       struct open_read *next = LIST_NEXT (read, link);
 
-      if (cluster->store == STORE_UP &&
+      if ((cluster->store == STORE_UP || cluster->store == STORE_MUTE) &&
           ((int64_t) read->topic->records->len > read->from || now_ms >= read->end_ms))
         {
           LIST_REMOVE (read, link);
@@ -242,7 +242,8 @@
 
 /* Appends records. */
 static void
-store_append_request (struct topic *topic, struct http_request *request)
+store_append_request (const struct cluster *cluster, struct topic *topic,
+                      struct http_request *request)
 {
   const char *name = http_request_query (request, "producer");
   const char *epoch_text = http_request_query (request, "epoch");
@@ -262,6 +263,10 @@
           producer = g_new0 (struct producer, 1);
           g_hash_table_insert (topic->producers, g_strdup (name), producer);
         }
+      /* Repetitions get no answer either. */
+      if (cluster->store == STORE_MUTE && producer->epoch == epoch && producer->n_offsets > 0 &&
+          producer->sequence >= sequence)
+        return;
       if (!producer_check (request, topic, producer, epoch, sequence))
         return;
     }
@@ -273,6 +278,8 @@
     }
   if (producer)
     producer_note (producer, epoch, sequence, offset);
+  if (cluster->store == STORE_MUTE)
+    return;
   http_request_answer_json (request, 200,
                             json_pack ("{s:I,s:I}", "offset", (json_int_t) offset, "end",
                                        (json_int_t) topic->records->len));
@@ -355,7 +362,7 @@
     }
   topic = cluster_topic (cluster, name);
   if (g_str_has_prefix (path, "/v1/log-append"))
-    store_append_request (topic, request);
+    store_append_request (cluster, topic, request);
   else if (g_str_has_prefix (path, "/v1/log-read"))
     store_read_request (cluster, topic, request);
   else if (g_str_has_prefix (path, "/v1/log-newest"))
--- a/tests/jobd/test_jobd.c
+++ b/tests/jobd/test_jobd.c
@@ -13,6 +13,8 @@
 {
   PORT_BLOCK = 93,
   JOBS = 12,
+  /* What hosts_call says that its caller waits. */
+  DEADLINE_MS = 3000,
   DONE_MS = 20000,
   LEADER_MS = 8000,
   /* Time that a process has to find out that it was frozen; thaw_ms of the deployments. */
@@ -274,6 +276,27 @@
     }
 }
 
+/* The store takes records and its answers are lost: an entry host sees its own record in the
+ * journal and tells its caller so, long before the deadline. */
+static void
+test_answers_lost (void)
+{
+  g_autofree char *id = make_id ();
+  g_autofree char *path = g_strdup_printf ("/one/%s", id);
+  int64_t begun_ms;
+
+  hosts_tell (&hosts, "/faults", "{\"store\":\"mute\"}");
+  begun_ms = test_now_ms ();
+  CU_ASSERT_EQUAL (hosts_call (&hosts, 1, "POST", path, TWO_STEPS, NULL), 200);
+  CU_ASSERT (test_now_ms () - begun_ms < DEADLINE_MS / 2);
+  CU_ASSERT_EQUAL (hosts_call (&hosts, 2, "DELETE", path, NULL, NULL), 200);
+  hosts_tell (&hosts, "/faults", "{\"store\":\"up\"}");
+  CU_ASSERT_TRUE (hosts_wait_state (&hosts, 0, id, "cancelled", DONE_MS));
+  for (unsigned n = 0; n < HOSTS; n++)
+    CU_ASSERT_TRUE (hosts_wait_ready (&hosts, n, 0));
+  check_once ();
+}
+
 /* An endpoint goes dark with what runs there: it runs elsewhere, and never in two places. */
 static void
 test_endpoint_dark (void)
@@ -317,6 +340,7 @@
   { "leader frozen", test_leader_frozen },
   { "leader stopped", test_leader_stopped },
   { "store away", test_store_away },
+  { "answers lost", test_answers_lost },
   { "endpoint dark", test_endpoint_dark },
   { "wave", test_wave },
 };
