Have a strong host begin when nobody has led yet

Hosts start up to 0.3 s apart, and a weak one waited only 0.19 s longer. Change: the first claim's span is a second. Test: strong host begins (fails with 300 ms).

--- a/lib/jobs/succession.c
+++ b/lib/jobs/succession.c
@@ -7,6 +7,8 @@
 {
   /* Span over which hosts claim: three times what it takes until all have read a claim. */
   SPAN_MS = 300,
+  /* The same while nobody has led yet: hosts start some tenths of a second apart. */
+  START_SPAN_MS = 1000,
   /* The same in a slow store, where a claim is appended and then read. */
   SPAN_APPENDS = 6,
   SPAN_MAX_MS = 2000,
@@ -39,6 +41,8 @@
 static int64_t
 span_ms (const struct succession *succession)
 {
+  if (!succession->led)
+    return START_SPAN_MS;
   return CLAMP (succession->append_ms * SPAN_APPENDS, SPAN_MS, SPAN_MAX_MS);
 }
 
--- a/tests/jobs/test_succession.c
+++ b/tests/jobs/test_succession.c
@@ -13,6 +13,7 @@
   /* Time in which all hosts have read a claim. */
   READ_MS = 100,
   SPAN_MS = 300,
+  START_SPAN_MS = 1000,
 };
 
 static struct succession
@@ -72,7 +73,36 @@
   CU_ASSERT_EQUAL (succession_wait_ms (&view), SPAN_MS);
   view.resigned = false;
   view.led = false;
-  CU_ASSERT_EQUAL (succession_wait_ms (&view), SPAN_MS);
+  CU_ASSERT_EQUAL (succession_wait_ms (&view), START_SPAN_MS);
+}
+
+/* All hosts start within 0.3 s of each other, and nobody has led: a strong one is the first to
+ * claim (derwent-claims-grown, scale-2: a weak host that had started early led for eleven seconds).
+ */
+static void
+test_strong_host_begins (void)
+{
+  g_autoptr (GRand) random = g_rand_new_with_seed (1);
+  unsigned by_strong = 0;
+
+  for (unsigned round = 0; round < ROUNDS; round++)
+    {
+      int64_t first_ms[2] = { INT64_MAX, INT64_MAX };
+
+      for (unsigned i = 0; i < 45; i++)
+        {
+          struct succession view = make_view ();
+          bool strong = i < 10;
+          int64_t start_ms = g_rand_int_range (random, 0, 300);
+
+          view.led = false;
+          view.processor_share = strong ? 0.5 : 0.12;
+          view.place = succession_draw (1.0 - g_rand_double (random));
+          first_ms[strong] = MIN (first_ms[strong], start_ms + succession_wait_ms (&view));
+        }
+      by_strong += first_ms[true] < first_ms[false];
+    }
+  CU_ASSERT (by_strong >= ROUNDS * 95 / 100);
 }
 
 /* Hosts with little processor time leave the leadership to strong ones (derwent-claims-grown, where
@@ -180,6 +210,7 @@
   { "blind", test_blind },
   { "slow store", test_slow_store },
   { "vacant", test_vacant },
+  { "strong host begins", test_strong_host_begins },
   { "strong hosts lead", test_strong_hosts_lead },
   { "few claims", test_few_claims },
 };
