--- /dev/null
+++ b/lib/jobs/scheduled_jobs.c
@@ -0,0 +1,301 @@
+#include "scheduler_state.h"
+
+#include <stdio.h>
+
+/* Jobs in the schedule: taken in, their steps opened, cancelled, ended, taken out. */
+
+enum
+{
+  PERMILLE = 1000,
+  /* A job's age is taken from clocks of two hosts; more than this is a clock that jumped. */
+  JOB_AGE_MAX_MS = 30000,
+  /* How often repeated jobs are looked at for occurrences that are due. */
+  REVIEW_MS = 50,
+};
+
+/* Has the job's progress recorded. */
+void
+job_mark_dirty (struct scheduler *scheduler, struct job *job)
+{
+  job->dirty = true;
+  g_hash_table_add (scheduler->dirty, job);
+}
+
+/* Tells whether no task of the job may start any more. */
+bool
+job_is_over (const struct job *job)
+{
+  return job->cancelled || job_state_is_final (job->next_state) || job_state_is_final (job->state);
+}
+
+/* Tells whether a job can no longer meet its objective. */
+bool
+job_is_late (const struct job *job, int64_t now_ms)
+{
+  return !job->definition->steps[0]->long_running && now_ms + job_chain_ms (job) > job->due_ms;
+}
+
+/* Tells whether the tasks of a step may start: its occurrence is due and all that it depends on is
+ * done. */
+bool
+step_is_open (const struct job *job, uint32_t occurrence, uint32_t step)
+{
+  const Sp__JobStep *definition = job->definition->steps[step];
+
+  for (size_t i = 0; i < definition->n_prerequisites; i++)
+    {
+      if (!job_step_is_done (job, occurrence, definition->prerequisites[i]))
+        return false;
+    }
+  return true;
+}
+
+/* Tells whether an occurrence's time has come. */
+static bool
+occurrence_is_due (const struct scheduler *scheduler, const struct job *job, uint32_t occurrence)
+{
+  const Sp__JobDefinition *definition = job->definition;
+
+  if (definition->repeats == 0)
+    return true;
+  return scheduler->wall_ms >= definition->first_ms + occurrence * definition->interval_ms;
+}
+
+/* Opens the steps whose time has come and notes the job's end. */
+void
+job_review (struct scheduler *scheduler, struct job *job)
+{
+  if (!job->scheduled || job_is_over (job))
+    return;
+  for (uint32_t k = 0; k < job->n_occurrences; k++)
+    {
+      if (!occurrence_is_due (scheduler, job, k))
+        break;
+      for (uint32_t s = 0; s < job->definition->n_steps; s++)
+        {
+          struct task *task = job_task (job, k, s, 0);
+          uint32_t n = job->definition->steps[s]->n_tasks;
+
+          if (!step_is_open (job, k, s))
+            continue;
+          for (uint32_t i = 0; i < n; i++)
+            {
+              if (task[i].phase == TASK_BLOCKED && !task[i].done)
+                task_set_phase (scheduler, &task[i], TASK_READY);
+            }
+        }
+    }
+  if (job->n_left > 0)
+    return;
+  job->next_state = SP__JOB_STATE__JOB_COMPLETED;
+  job_mark_dirty (scheduler, job);
+}
+
+/* Gives the moment at which the job's objective passes. */
+static int64_t
+job_due_ms (const struct scheduler *scheduler, const struct job *job)
+{
+  const Sp__JobDefinition *definition = job->definition;
+  int64_t age_ms = CLAMP (scheduler->wall_ms - definition->accepted_ms, 0, JOB_AGE_MAX_MS);
+  int64_t objective_ms =
+      job_chain_ms (job) * definition->slack_permille / PERMILLE + definition->target_ms;
+
+  return scheduler->now_ms - age_ms + objective_ms;
+}
+
+/* Puts the tasks of a job into the state that its durable progress says. */
+static void
+job_prepare (struct job *job)
+{
+  job->n_ready = 0;
+  job->n_live = 0;
+  job->n_left = 0;
+  job->next_state = job->state;
+  for (uint32_t i = 0; i < job->n_tasks; i++)
+    {
+      struct task *task = &job->tasks[i];
+
+      task->endpoint = NULL;
+      task->phase = task->done ? TASK_DONE : TASK_BLOCKED;
+      task->attempt = task->ended_attempt;
+      task->order_in_flight = false;
+      task->pace_in_flight = false;
+      task->pace_percent = 100;
+      task->pace_ordered_percent = 100;
+      task->failed_at = NULL;
+      job->n_left += !task->done;
+    }
+}
+
+/* Numbers the attempts that earlier leaders may have started without a trace; the journal does not
+ * record starts. */
+static void
+job_skip_attempts (const struct scheduler *scheduler, struct job *job)
+{
+  enum
+  {
+    ATTEMPTS_PER_EPOCH = 100,
+  };
+  uint64_t epochs = scheduler->config.epoch - MIN (job->definition->epoch, scheduler->config.epoch);
+  uint32_t least = (uint32_t) MIN (epochs, 10000) * ATTEMPTS_PER_EPOCH;
+
+  for (uint32_t i = 0; i < job->n_tasks; i++)
+    job->tasks[i].attempt = MAX (job->tasks[i].attempt, least);
+}
+
+/* Tells whether a job's tasks have progress, or more failures than its queue allows. This host may
+ * have led before, and what it learnt then may never have become durable. */
+static bool
+job_has_progress (const struct job *job, bool *exhausted)
+{
+  uint32_t limit = job->definition->max_attempts;
+  bool progress = false;
+
+  *exhausted = false;
+  for (uint32_t i = 0; i < job->n_tasks; i++)
+    {
+      const struct task *task = &job->tasks[i];
+
+      progress = progress || task->done || task->ended_attempt > 0;
+      *exhausted = *exhausted || (limit > 0 && task->n_failed >= limit && !task->done &&
+                                  !task_step (task)->long_running);
+    }
+  return progress;
+}
+
+/* Takes a job in. */
+void
+scheduler_job_defined (struct scheduler *scheduler, struct job *job, int64_t now_ms,
+                       int64_t wall_ms)
+{
+  struct pool *pool;
+  bool exhausted;
+
+  scheduler->now_ms = now_ms;
+  scheduler->wall_ms = wall_ms;
+  if (job->scheduled || !job->definition || job_state_is_final (job->state))
+    return;
+  job->scheduled = true;
+  job->inherited = job->offset < scheduler->config.claim_offset;
+  job_prepare (job);
+  if (job->inherited)
+    job_skip_attempts (scheduler, job);
+  job->due_ms = job_due_ms (scheduler, job);
+  pool = scheduler_pool (scheduler, job->definition->pool);
+  TAILQ_INSERT_TAIL (&pool->jobs, job, pool_link);
+  if (!job->inherited)
+    demand_note_arrival (&pool->demand, job, HOST_READY_MS, now_ms);
+  scheduler->counts.jobs++;
+  if (job_has_progress (job, &exhausted))
+    job_mark_dirty (scheduler, job);
+  if (exhausted)
+    job->next_state = SP__JOB_STATE__JOB_FAILED;
+  job_review (scheduler, job);
+  if (job->cancelled)
+    scheduler_job_cancelled (scheduler, job, now_ms);
+}
+
+/* Notes the end of a job that was cancelled or failed, once nothing of it runs. */
+static void
+job_settle (struct scheduler *scheduler, struct job *job)
+{
+  if (!job->cancelled || job->n_live > 0 || job_state_is_final (job->next_state))
+    return;
+  job->next_state = SP__JOB_STATE__JOB_CANCELLED;
+  job_mark_dirty (scheduler, job);
+}
+
+/* Stops all that runs of a job whose cancellation is durable. */
+void
+scheduler_job_cancelled (struct scheduler *scheduler, struct job *job, int64_t now_ms)
+{
+  scheduler->now_ms = now_ms;
+  if (!job->scheduled || job_state_is_final (job->next_state))
+    return;
+  for (uint32_t i = 0; i < job->n_tasks; i++)
+    task_stop (scheduler, &job->tasks[i], "cancelled");
+  job_settle (scheduler, job);
+}
+
+/* Takes a job out of the schedule. */
+void
+scheduler_drop_job (struct scheduler *scheduler, struct job *job)
+{
+  if (!job->scheduled)
+    return;
+  for (uint32_t i = 0; i < job->n_tasks; i++)
+    {
+      if (job->tasks[i].endpoint)
+        endpoint_remove_task (&job->tasks[i], scheduler->now_ms);
+    }
+  job->scheduled = false;
+  job->dirty = false;
+  g_hash_table_remove (scheduler->dirty, job);
+  TAILQ_REMOVE (&scheduler_pool (scheduler, job->definition->pool)->jobs, job, pool_link);
+  scheduler->counts.jobs--;
+}
+
+/* Takes out a job whose records are deleted. */
+void
+scheduler_job_forgotten (struct scheduler *scheduler, struct job *job)
+{
+  scheduler_drop_job (scheduler, job);
+}
+
+/* Finds a task by its name on the endpoints. Gives NULL if there is no such job or task. */
+struct task *
+scheduler_find_task (const struct scheduler *scheduler, const char *name)
+{
+  char id[64];
+  unsigned occurrence;
+  unsigned step;
+  unsigned index;
+  const struct job *job;
+
+  if (sscanf (name, "%63[^.].%u.%u.%u", id, &occurrence, &step, &index) != 4)
+    return NULL;
+  job = job_book_find (scheduler->book, id);
+  return job ? job_task (job, occurrence, step, index) : NULL;
+}
+
+/* Has repeated jobs looked at for occurrences that are due. */
+void
+scheduler_review_jobs (struct scheduler *scheduler)
+{
+  struct pool *pool;
+  struct job *job;
+
+  if (scheduler->now_ms < scheduler->next_review_ms)
+    return;
+  scheduler->next_review_ms = scheduler->now_ms + REVIEW_MS;
+  TAILQ_FOREACH (pool, &scheduler->pools, link)
+    {
+      TAILQ_FOREACH (job, &pool->jobs, pool_link)
+        {
+          if (job->definition->repeats > 0)
+            job_review (scheduler, job);
+          job_settle (scheduler, job);
+        }
+    }
+}
+
+/* Takes out the jobs whose end is durable and of which nothing runs. */
+void
+scheduler_drop_ended (struct scheduler *scheduler)
+{
+  struct pool *pool;
+
+  TAILQ_FOREACH (pool, &scheduler->pools, link)
+    {
+      struct job *job = TAILQ_FIRST (&pool->jobs);
+
+      while (job)
+        {
+          struct job *next = TAILQ_NEXT (job, pool_link);
+
+          if (job_state_is_final (job->state) && job->n_live == 0 && !job->dirty)
+            scheduler_drop_job (scheduler, job);
+          job = next;
+        }
+    }
+}
--- a/lib/jobs/scheduler_state.h
+++ b/lib/jobs/scheduler_state.h
@@ -100,12 +100,17 @@
 void scheduler_drop_endpoint (struct endpoint *endpoint);
 void scheduler_note (struct scheduler *scheduler, const char *format, ...) G_GNUC_PRINTF (2, 3);
 void scheduler_depose (struct scheduler *scheduler, const char *why);
+
+/* scheduled_jobs.c */
 void job_mark_dirty (struct scheduler *scheduler, struct job *job);
 void job_review (struct scheduler *scheduler, struct job *job);
 bool job_is_over (const struct job *job);
 bool job_is_late (const struct job *job, int64_t now_ms);
 bool step_is_open (const struct job *job, uint32_t occurrence, uint32_t step);
 struct task *scheduler_find_task (const struct scheduler *scheduler, const char *name);
+void scheduler_drop_job (struct scheduler *scheduler, struct job *job);
+void scheduler_review_jobs (struct scheduler *scheduler);
+void scheduler_drop_ended (struct scheduler *scheduler);
 
 /* task_run.c: the life of a task's run. */
 void task_set_phase (struct scheduler *scheduler, struct task *task, enum task_phase phase);
--- a/lib/jobs/succession.c
+++ b/lib/jobs/succession.c
@@ -16,8 +16,8 @@
    * span: beyond most places that ten strong hosts draw (test_succession). */
   WEAK_PERCENT = 120,
   PERCENT = 100,
-  /* A heartbeat waits behind this many appends of other hosts in the same partition, up to the length
-   * of a lease: no run lapses for a leader that is only slow to be heard. */
+  /* A heartbeat waits behind this many appends of other hosts in the same partition, up to the
+   * length of a lease: no run lapses for a leader that is only slow to be heard. */
   SLOW_STORE_APPENDS = 4,
   SLOW_STORE_MAX_MS = 3500,
 };
