Hand no requests on while a server is taken down

Cause: a request that arrived on an open connection just as the server was destroyed was handed to its handler and held, and libmicrohttpd ended the process: "MHD_stop_daemon() called while we have suspended connections". Change: from then on such a request's connection is closed. Test: http, request at end (aborted before).

--- a/common/http_server.c
+++ b/common/http_server.c
@@ -41,6 +41,8 @@
 {
   struct http_server_config config;
   struct http_request_list suspended;
+  /* It is being taken down: requests that still arrive are not handed on. */
+  bool ending;
   struct ev_loop *loop;
   struct MHD_Daemon *daemon;
   ev_io ready;
@@ -239,7 +241,7 @@
 {
   struct http_server *server = request->server;
 
-  if (request->connection->hung_up)
+  if (request->connection->hung_up || server->ending)
     return MHD_NO;
   request->state = REQUEST_HANDED;
   request->counted = true;
@@ -491,6 +493,7 @@
 {
   struct http_request *request = LIST_FIRST (&server->suspended);
 
+  server->ending = true;
   while (request)
     {
       struct http_request *next = LIST_NEXT (request, link);
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -270,6 +270,30 @@
   bench_end (&bench);
 }
 
+/* A request that arrives on an open connection just as the server is taken down is not handed on:
+ * its connection is closed. Had it been, and been held, libmicrohttpd would have ended the process.
+ */
+static void
+test_request_at_end (void)
+{
+  static const char first[] = "GET /echo HTTP/1.1\r\nHost: x\r\n\r\n";
+  static const char second[] = "GET /hold HTTP/1.1\r\nHost: x\r\n\r\n";
+  struct bench bench;
+  struct sockaddr_in address = { .sin_family = AF_INET };
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+
+  bench_start (&bench);
+  address.sin_port = htons (bench.port);
+  inet_pton (AF_INET, "127.0.0.1", &address.sin_addr);
+  CU_ASSERT_EQUAL (connect (fd, (struct sockaddr *) &address, sizeof address), 0);
+  CU_ASSERT_EQUAL (send (fd, first, strlen (first), 0), (ssize_t) strlen (first));
+  CU_ASSERT (bench_turn (&bench, &bench.handled, 1, 2.0));
+  CU_ASSERT_EQUAL (send (fd, second, strlen (second), 0), (ssize_t) strlen (second));
+  bench_end (&bench);
+  CU_ASSERT_EQUAL (bench.handled, 1);
+  close (fd);
+}
+
 /* One answer, sent in whatever pieces a raw endpoint chooses, ends in a given result. */
 static void
 expect_raw (struct bench *bench, int listening, const char *answer, enum http_call_result result)
@@ -325,6 +349,7 @@
   { "port taken", test_port_taken },
   { "caller gone", test_caller_gone },
   { "quiesce", test_quiesce },
+  { "request at end", test_request_at_end },
   { "cut answers", test_cut_answers },
 };
 
