Have weak hosts wait beyond what strong ones need to claim

Hosts read the resignation up to 150 ms apart, and a weak host waited 187 ms longer than a strong one. Ruled out: the store (no claim was reordered), the order of starts.

Change: 2.5 spans instead of 1.2 for a host without any processor time, 390 ms at 0.12 of a core; a slow store adds no more than a second's span. Test: test_succession, with six strong of 42 hosts and reads apart (fails with the former figure).

--- a/lib/jobs/succession.c
+++ b/lib/jobs/succession.c
@@ -13,8 +13,10 @@
   SPAN_APPENDS = 6,
   SPAN_MAX_MS = 2000,
   /* What a host without any processor time would wait longer than a strong one, in percent of the
-   * span: beyond most places that ten strong hosts draw (test_succession). */
-  WEAK_PERCENT = 120,
+   * span: hosts also read the leader's last record up to 150 ms apart, and with 0.12 of a core this
+   * is beyond what half a dozen strong hosts need (test_succession). A slow store adds no more. */
+  WEAK_PERCENT = 250,
+  WEAK_SPAN_MAX_MS = 1000,
   PERCENT = 100,
   /* A heartbeat waits behind this many appends of other hosts in the same partition, up to the
    * length of a lease: no run lapses for a leader that is only slow to be heard. */
@@ -58,9 +60,10 @@
 int64_t
 succession_wait_ms (const struct succession *succession)
 {
-  double place =
-      succession->place + weakness (succession->processor_share) * WEAK_PERCENT / PERCENT;
-  int64_t wait_ms = (int64_t) (place * (double) span_ms (succession));
+  int64_t span = span_ms (succession);
+  double weak_ms = weakness (succession->processor_share) * WEAK_PERCENT / PERCENT *
+                   (double) MIN (span, WEAK_SPAN_MAX_MS);
+  int64_t wait_ms = (int64_t) (succession->place * (double) span + weak_ms);
 
   if (succession->led && !succession->resigned)
     wait_ms += succession->timeout_ms +
--- a/tests/jobs/test_succession.c
+++ b/tests/jobs/test_succession.c
@@ -89,10 +89,10 @@
     {
       int64_t first_ms[2] = { INT64_MAX, INT64_MAX };
 
-      for (unsigned i = 0; i < 45; i++)
+      for (unsigned i = 0; i < 42; i++)
         {
           struct succession view = make_view ();
-          bool strong = i < 10;
+          bool strong = i < 6;
           int64_t start_ms = g_rand_int_range (random, 0, 300);
 
           view.led = false;
@@ -105,16 +105,18 @@
   CU_ASSERT (by_strong >= ROUNDS * 95 / 100);
 }
 
-/* Hosts with little processor time leave the leadership to strong ones (derwent-claims-grown, where
- * 35 of 45 hosts have 0.12 of a core): the first claim is a strong host's in all but a few
- * successions, and where all are weak one still comes in time. */
+/* Hosts with little processor time leave the leadership to strong ones, though each reads the last
+ * leader's record at another moment (balapan-signup-grown, where 36 of 42 hosts have 0.12 of a
+ * core: in three of five plays of one day a weak host led, and 0.24 to 0.40 was earned instead of
+ * 0.66). Where all are weak one still claims soon. */
 static void
 test_strong_hosts_lead (void)
 {
   enum
   {
-    STRONG = 10,
-    WEAK = 35,
+    STRONG = 6,
+    WEAK = 36,
+    READ_GAP_MS = 150,
   };
   g_autoptr (GRand) random = g_rand_new_with_seed (1);
   unsigned by_strong = 0;
@@ -127,10 +129,11 @@
         {
           struct succession view = make_view ();
           bool strong = i < STRONG;
+          int64_t read_ms = g_rand_int_range (random, 0, READ_GAP_MS);
 
           view.processor_share = strong ? 0.5 : 0.12;
           view.place = succession_draw (1.0 - g_rand_double (random));
-          first_ms[strong] = MIN (first_ms[strong], succession_wait_ms (&view));
+          first_ms[strong] = MIN (first_ms[strong], read_ms + succession_wait_ms (&view));
         }
       by_strong += first_ms[true] < first_ms[false];
       CU_ASSERT (first_ms[false] <= TIMEOUT_MS + 2 * SPAN_MS);
