--- a/lib/jobs/placement.c
+++ b/lib/jobs/placement.c
@@ -18,9 +18,9 @@
   GANG_MAX = 256,
   /* Needs differ by a few sizes of tasks; what is not kept costs time only. */
   SHORTAGE_NEEDS_MAX = 16,
-  /* Orders of one turn, in all pools. Even if each took the 0.3 ms that a whole task costs the leader
-   * (docs/days.md), a quarter of a core would be done with them within half of the 350 ms between
-   * two heartbeats. */
+  /* Orders of one turn, in all pools. Even if each took the 0.3 ms that a whole task costs the
+   * leader (docs/days.md), a quarter of a core would be done with them within half of the 350 ms
+   * between two heartbeats. */
   STARTS_PER_TURN = 128,
   /* How long a task does not return to where it failed: an endpoint that fails all it starts would
    * use up its attempts. It may return then, since its pool may have no other. */
