--- a/jobd/admin.c
+++ b/jobd/admin.c
@@ -16,7 +16,7 @@
   CONNECTIONS_MAX = 64,
   /* Without word from the store for this long, nothing can be accepted. */
   READY_FRESH_MS = 2500,
-  /* Lines of the log kept to explain jobs. A leader of 49 hosts writes about 50 KB of them a second
+  /* Lines of the log kept to explain jobs. A leader of 49 hosts writes 42 KB of them a second
    * (quiet-1 of balapan-signup): more than a minute. */
   STORY_BYTES_MAX = 4 * 1024 * 1024,
 };
