--- a/standin/cluster_main.c
+++ b/standin/cluster_main.c
@@ -21,17 +21,6 @@
   return cluster->clock.now_ms;
 }
 
-/* Answers with JSON and frees it. */
-void
-http_request_answer_json (struct http_request *request, int status, json_t *json)
-{
-  char *text = json_dumps (json, JSON_COMPACT);
-
-  http_request_answer_text (request, status, "application/json", text);
-  free (text);
-  json_decref (json);
-}
-
 /* Answers with the counts of what must not happen, and of what did. */
 static void
 cluster_report (const struct cluster *cluster, struct http_request *request)
