Keep two leaders' host commands apart by time where no tokens are checked

A leader sent host commands for 1.5 s after its last durable record with a timeout of 1.5 s, while its successor claimed after 1.3 s and sent at once.

Change: lib/jobs/host_command_lease says when a leader may send host commands. Without tokens the lease is 0.9 s and the timeout 1 s, a successor waits 2.1 s from the former leader's last record, a leader resigns after its last host command has ended, and a stall of the event loop aborts those in progress. Fenced deployments keep their times. The setting host_tokens_checked comes from the deploy file.

--- a/include/platform/command_client.h
+++ b/include/platform/command_client.h
@@ -48,6 +48,9 @@
                                uint64_t token);
 void command_client_maintain_host (struct command_client *client, struct host *host, uint32_t wave,
                                    uint64_t token);
+bool command_client_has_host_commands (const struct command_client *client);
+/* Ends the host commands in progress. The scheduler is told that they may have been carried out. */
+void command_client_abort_host_commands (struct command_client *client);
 /* Reads the whole machine list and passes it to the scheduler. Does nothing while a read is in
  * progress. */
 void command_client_list_hosts (struct command_client *client);
--- a/jobd/leader_state.h
+++ b/jobd/leader_state.h
@@ -2,6 +2,7 @@
 #define SESAMEPICK_JOBD_LEADER_STATE_H
 
 #include "jobd.h"
+#include "lib/jobs/host_command_lease.h"
 #include "lib/jobs/scheduler.h"
 #include "platform/command_client.h"
 
@@ -39,8 +40,9 @@
   /* Random fraction, 0 to 1, of the time span over which hosts claim; see
    * leader_election_draw_fraction. */
   double claim_delay_fraction;
-  /* When the claim was sent; not used. */
-  int64_t claim_ms;
+  /* This process is to stop: the leadership ends as soon as its host commands have. */
+  bool resigning;
+  bool resignation_sent;
   /* Why to step down in the next tick; NULL if not. Set in callbacks, which must not destroy what
    * called them. */
   const char *step_down_reason;
@@ -58,7 +60,7 @@
   /* When the last leadership record (claim, heartbeat or resignation) was sent, and when the last
    * durable claim or heartbeat was. */
   int64_t heartbeat_sent_ms;
-  int64_t heartbeat_durable_ms;
+  struct host_command_lease host_lease;
   bool heartbeat_in_flight;
   /* Progress records that are not durable yet. */
   unsigned n_unflushed;
--- a/jobd/main.c
+++ b/jobd/main.c
@@ -258,6 +258,8 @@
   ev_signal_init (&watchers->reload_signal, watchers_on_reload, SIGHUP);
   ev_signal_start (jobd->loop, &watchers->reload_signal);
   ev_timer_init (&watchers->tick, jobd_on_tick, 0.0, 0.0);
+  /* After a pause of the process, the tick runs before sockets do and ends what is out of date. */
+  ev_set_priority (&watchers->tick, EV_MAXPRI);
   watchers->tick.data = watchers;
   ev_timer_start (jobd->loop, &watchers->tick);
 }
@@ -329,8 +331,9 @@
   if (jobd_start (&jobd) != 0)
     return EXIT_FAILURE;
   watchers_init (&watchers, &jobd);
-  log_info ("main", "started: name=%s frontend=%s store=%s lease_ms=%u", settings.name,
-            settings.frontend, settings.store, settings.lease_ms);
+  log_info ("main", "started: name=%s frontend=%s store=%s lease_ms=%u host_tokens_checked=%u",
+            settings.name, settings.frontend, settings.store, settings.lease_ms,
+            settings.host_tokens_checked);
   ev_run (jobd.loop, 0);
   jobd_finish (&jobd);
   log_info ("main", "stopped");
--- a/jobd/scheduling.c
+++ b/jobd/scheduling.c
@@ -15,7 +15,6 @@
   CONNECT_TIMEOUT_MS = 300,
   /* A healthy endpoint responds to a command within some milliseconds. */
   COMMAND_TIMEOUT_MS = 700,
-  MACHINES_TIMEOUT_MS = 1500,
   /* More host commands than a leader sends in one epoch, so that the tokens of a later epoch are
    * always higher. */
   TOKENS_PER_EPOCH = 1000000,
@@ -264,7 +263,7 @@
     .machines = settings->machines,
     .connect_timeout_ms = CONNECT_TIMEOUT_MS,
     .command_timeout_ms = COMMAND_TIMEOUT_MS,
-    .machines_timeout_ms = MACHINES_TIMEOUT_MS,
+    .machines_timeout_ms = host_command_timeout_ms (leader->host_lease.tokens_checked),
     .now_ms = jobd_now_ms,
     .ctx = jobd,
   };
--- a/protocols/settings.pb-c.c
+++ b/protocols/settings.pb-c.c
@@ -1848,7 +1848,8 @@
 static const uint32_t sp__jobd_settings__status_ms__default_value = 120000u;
 static const uint32_t sp__jobd_settings__seed__default_value = 0u;
 static const double sp__jobd_settings__processor_share__default_value = 1;
-static const ProtobufCFieldDescriptor sp__jobd_settings__field_descriptors[15] =
+static const uint32_t sp__jobd_settings__host_tokens_checked__default_value = 1u;
+static const ProtobufCFieldDescriptor sp__jobd_settings__field_descriptors[16] =
 {
   {
     "name",
@@ -2030,12 +2031,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "host_tokens_checked",
+    20,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Sp__JobdSettings, has_host_tokens_checked),
+    offsetof(Sp__JobdSettings, host_tokens_checked),
+    NULL,
+    &sp__jobd_settings__host_tokens_checked__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sp__jobd_settings__field_indices_by_name[] = {
   9,   /* field[9] = body_limit_bytes */
   8,   /* field[8] = caller_connection_limit */
   1,   /* field[1] = frontend */
   7,   /* field[7] = grace_ms */
+  15,   /* field[15] = host_tokens_checked */
   6,   /* field[6] = leader_timeout_ms */
   5,   /* field[5] = lease_ms */
   12,   /* field[12] = log_level */
@@ -2053,7 +2067,7 @@
   { 1, 0 },
   { 7, 5 },
   { 18, 13 },
-  { 0, 15 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor sp__jobd_settings__descriptor =
 {
@@ -2063,7 +2077,7 @@
   "Sp__JobdSettings",
   "sp",
   sizeof(Sp__JobdSettings),
-  15,
+  16,
   sp__jobd_settings__field_descriptors,
   sp__jobd_settings__field_indices_by_name,
   3,  sp__jobd_settings__number_ranges,
--- a/protocols/settings.pb-c.h
+++ b/protocols/settings.pb-c.h
@@ -684,6 +684,13 @@
    */
   protobuf_c_boolean has_processor_share;
   double processor_share;
+  /*
+   * Whether the platform checks the fencing tokens of host commands: 1 if it does. If it does not, a
+   * new leader waits until every host command of the former one has ended.
+   * range 0..1 flag
+   */
+  protobuf_c_boolean has_host_tokens_checked;
+  uint32_t host_tokens_checked;
 };
 extern char sp__jobd_settings__name__default_value[];
 extern char sp__jobd_settings__frontend__default_value[];
@@ -693,7 +700,7 @@
 extern char sp__jobd_settings__log_level__default_value[];
 #define SP__JOBD_SETTINGS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sp__jobd_settings__descriptor) \
-    , sp__jobd_settings__name__default_value, sp__jobd_settings__frontend__default_value, sp__jobd_settings__readiness__default_value, sp__jobd_settings__store__default_value, sp__jobd_settings__machines__default_value, 0, 3500u, 0, 1300u, 0, 6000u, 0, 2000u, 0, 262144u, 0, 400u, 0, 120000u, sp__jobd_settings__log_level__default_value, 0, 0u, 0, 1 }
+    , sp__jobd_settings__name__default_value, sp__jobd_settings__frontend__default_value, sp__jobd_settings__readiness__default_value, sp__jobd_settings__store__default_value, sp__jobd_settings__machines__default_value, 0, 3500u, 0, 1300u, 0, 6000u, 0, 2000u, 0, 262144u, 0, 400u, 0, 120000u, sp__jobd_settings__log_level__default_value, 0, 0u, 0, 1, 0, 1u }
 
 
 struct  Sp__ClusterSettings
--- a/protocols/settings_table.c
+++ b/protocols/settings_table.c
@@ -170,6 +170,7 @@
   { "log_level", "Minimum level of the messages that are logged: debug, info, warning or error.", "", 0u, 0u },
   { "seed", "Seed of the random number generator; 0 draws one from the system.", "seed", 0u, 4294967295u },
   { "processor_share", "Share of a CPU core that this process may use. A host with less than a quarter of a core waits longer before it claims the leadership, so that a host with a larger share becomes the leader.", "cores", 0u, 1024u },
+  { "host_tokens_checked", "Whether the platform checks the fencing tokens of host commands: 1 if it does. If it does not, a new leader waits until every host command of the former one has ended.", "flag", 0u, 1u },
 };
 
 const struct settings_schema jobd_schema = {
