--- /dev/null
+++ b/include/lib/jobs/command_message.h
@@ -0,0 +1,24 @@
+#ifndef SESAMEPICK_LIB_JOBS_COMMAND_MESSAGE_H
+#define SESAMEPICK_LIB_JOBS_COMMAND_MESSAGE_H
+
+#include "command.pb-c.h"
+#include "lib/jobs/scheduler.h"
+
+/* Encoding of what a leader and its relays send each other. Batches are built by appending one
+ * encoded part after the other, which protobuf defines as merging them. */
+
+/* Appends a command to an encoded CommandBatch. */
+void command_batch_add (GByteArray *batch, Sp__EndpointCommand *command);
+/* Appends the sequence and the epoch, which completes the batch. */
+void command_batch_finish (GByteArray *batch, uint64_t sequence, uint64_t epoch);
+
+/* Appends the result of a command to an encoded ResultBatch. report may be NULL. */
+void result_batch_add (GByteArray *batch, uint64_t number, enum command_result result,
+                       int64_t clock_ms, const struct endpoint_report *report);
+void result_batch_finish (GByteArray *batch, uint64_t acked_sequence, uint64_t epoch);
+
+/* Returns a report whose strings belong to message. Free with report_destroy. */
+struct endpoint_report *report_create (const Sp__ReportMessage *message);
+void report_destroy (struct endpoint_report *report);
+
+#endif
--- a/include/lib/jobs/endpoint.h
+++ b/include/lib/jobs/endpoint.h
@@ -7,6 +7,7 @@
 #include <sys/queue.h>
 
 #include "lib/jobs/job.h"
+#include "lib/jobs/relay_set.h"
 
 /* Resources of an endpoint or a host, or those that a task requests. */
 struct resources
@@ -87,6 +88,8 @@
   unsigned n_unknown_attempts;
   int64_t idle_since_ms;
 
+  /* Host that sends the commands to it; belongs to the owner of the scheduler. */
+  struct relay_route route;
   /* Calls in flight, which keep the struct alive. */
   unsigned calls;
   bool heartbeat_in_flight;
--- a/include/platform/command_client.h
+++ b/include/platform/command_client.h
@@ -1,13 +1,26 @@
 #ifndef SESAMEPICK_PLATFORM_COMMAND_CLIENT_H
 #define SESAMEPICK_PLATFORM_COMMAND_CLIENT_H
 
+#include "command.pb-c.h"
 #include "common/http_client.h"
 #include "lib/jobs/scheduler.h"
 
-/* Sends a leader's commands to endpoints and to the platform's machine list. Each result is passed
- * to the scheduler by the function for that command, such as scheduler_start_done. */
+/* Sends commands to endpoints and to the platform's machine list. The results of host commands are
+ * passed to the scheduler. */
 struct command_client;
 
+/* Result of a command to an endpoint. */
+struct endpoint_result
+{
+  enum command_result result;
+  /* The endpoint's clock according to its response; 0 if unknown. */
+  int64_t clock_ms;
+  /* Only of a heartbeat that was carried out, else NULL. Valid until the callback returns. */
+  const struct endpoint_report *report;
+};
+
+typedef void endpoint_command_done (void *ctx, const struct endpoint_result *result);
+
 struct command_client_config
 {
   struct ev_loop *loop;
@@ -28,20 +41,12 @@
 struct command_client *command_client_create (const struct command_client_config *config);
 /* Cancels all commands in progress; the scheduler gets no result for them. */
 void command_client_destroy (struct command_client *client);
+/* Only needed for commands for hosts. */
 void command_client_set_scheduler (struct command_client *client, struct scheduler *scheduler);
 
-/* lease_end_ms is on the endpoint's clock. */
-void command_client_start_task (struct command_client *client, struct endpoint *endpoint,
-                                struct task *task, int64_t lease_end_ms);
-/* known is the scheduler's task, or NULL for an attempt that it doesn't know. */
-void command_client_stop_task (struct command_client *client, struct endpoint *endpoint,
-                               const char *task, uint32_t attempt, struct task *known);
-/* lease_end_ms 0 renews no lease; wait_ms 0 asks for an immediate response. */
-void command_client_send_heartbeat (struct command_client *client, struct endpoint *endpoint,
-                                    int64_t lease_end_ms, int64_t wait_ms);
-/* percent is the share of the task's full speed. */
-void command_client_pace_task (struct command_client *client, struct endpoint *endpoint,
-                               struct task *task, int percent);
+/* Sends a command to an endpoint; done is called once, unless the client is destroyed first. */
+void command_client_send (struct command_client *client, const Sp__EndpointCommand *command,
+                          endpoint_command_done *done, void *ctx);
 /* The machine list rejects a command for a host whose token is lower than the highest one it has
  * seen. */
 void command_client_move_host (struct command_client *client, struct host *host, const char *pool,
--- /dev/null
+++ b/jobd/command_sender.c
@@ -0,0 +1,455 @@
+#include "command_sender.h"
+
+#include <string.h>
+
+#include "common/log.h"
+#include "common/peer_socket.h"
+#include "common/settings.h"
+#include "lib/jobs/command_message.h"
+#include "relay_server.h"
+
+enum
+{
+  /* Interval of batches without commands, which show whether a relay responds. */
+  PING_INTERVAL_MS = 500,
+  /* Time for the way to the relay and back, and for a relay that stands still for a moment, beyond
+   * the time that the call itself may take. */
+  RELAY_MARGIN_MS = 300,
+  TIMEOUT_CHECK_MS = 50,
+  /* A relay that has not responded for this long is removed from the journal. Its host announces
+   * itself again if it is there. */
+  RELAY_FORGET_MS = 60000,
+};
+
+/* A command whose result is not known yet. */
+struct sent_command
+{
+  TAILQ_ENTRY (sent_command) link;
+  struct command_sender *sender;
+  uint64_t number;
+  Sp__EndpointCommandKind kind;
+  struct endpoint *endpoint;
+  struct task *task;
+  uint32_t attempt;
+  uint64_t fence;
+  uint64_t acked_completion;
+  int percent;
+  int64_t sent_ms;
+  /* When it is given up; only of commands that a relay sends. */
+  int64_t deadline_ms;
+  /* NULL if this host sends the command itself. */
+  struct relay *relay;
+};
+
+/* The link to one relay. */
+struct relay_link
+{
+  struct command_sender *sender;
+  struct relay *relay;
+  struct peer_link *peer;
+  /* Encoded commands to be sent in this iteration of the loop. */
+  GByteArray *batch;
+  int64_t next_ping_ms;
+  int64_t heard_ms;
+};
+
+struct command_sender
+{
+  struct jobd *jobd;
+  uint64_t epoch;
+  struct command_client *client;
+  struct scheduler *scheduler;
+  struct relay_set relays;
+  bool relaying;
+  unsigned relays_logged;
+  /* By number, as struct sent_command; the same in the order in which they were sent. */
+  GHashTable *commands;
+  TAILQ_HEAD (, sent_command) in_order;
+  uint64_t last_number;
+  int64_t next_timeout_check_ms;
+  /* Sends the batches before the loop waits. */
+  ev_prepare flush;
+};
+
+static int64_t
+command_sender_now_ms (const struct command_sender *sender)
+{
+  return jobd_now_ms (sender->jobd);
+}
+
+/* Reports the result of a command to the scheduler and frees the command. */
+static void
+sent_command_finish (struct sent_command *command, const struct endpoint_result *result)
+{
+  struct command_sender *sender = command->sender;
+  struct scheduler *scheduler = sender->scheduler;
+  int64_t now_ms = command_sender_now_ms (sender);
+
+  TAILQ_REMOVE (&sender->in_order, command, link);
+  g_hash_table_steal (sender->commands, &command->number);
+  if (command->relay && (result->result == COMMAND_UNKNOWN || result->result == COMMAND_NOT_SENT))
+    relay_route_failed (&command->endpoint->route);
+  switch (command->kind)
+    {
+    case SP__ENDPOINT_COMMAND_KIND__COMMAND_START:
+      scheduler_start_done (scheduler, command->endpoint, command->task, command->attempt,
+                            command->fence, result->result, result->clock_ms, now_ms);
+      break;
+    case SP__ENDPOINT_COMMAND_KIND__COMMAND_STOP:
+      scheduler_stop_done (scheduler, command->endpoint, command->task, command->attempt,
+                           command->fence, result->result, now_ms);
+      break;
+    case SP__ENDPOINT_COMMAND_KIND__COMMAND_PACE:
+      scheduler_pace_done (scheduler, command->endpoint, command->task, command->percent,
+                           command->fence, result->result);
+      break;
+    default:
+      scheduler_heartbeat_done (scheduler, command->endpoint, command->fence, result->result,
+                                result->report, command->acked_completion, command->sent_ms,
+                                now_ms);
+      break;
+    }
+  g_free (command);
+}
+
+/* Reports a command as possibly carried out. */
+static void
+sent_command_give_up (struct sent_command *command)
+{
+  static const struct endpoint_result unknown = { .result = COMMAND_UNKNOWN };
+
+  sent_command_finish (command, &unknown);
+}
+
+static void
+command_sender_on_direct_result (void *ctx, const struct endpoint_result *result)
+{
+  sent_command_finish (ctx, result);
+}
+
+/* Handles one result that a relay has sent. One of a command that was given up changes nothing. */
+static void
+command_sender_on_result (struct command_sender *sender, const Sp__EndpointCommandResult *message)
+{
+  struct sent_command *command = g_hash_table_lookup (sender->commands, &message->number);
+  struct endpoint_report *report;
+  struct endpoint_result result = { .clock_ms = message->clock_ms };
+
+  if (!command)
+    return;
+  report = message->report ? report_create (message->report) : NULL;
+  result.result = MIN (message->result, COMMAND_INVALID);
+  result.report = report;
+  sent_command_finish (command, &result);
+  if (report)
+    report_destroy (report);
+}
+
+/* Handles a message of a relay. */
+static void
+relay_link_on_message (void *ctx, const void *data, size_t len)
+{
+  struct relay_link *link = ctx;
+  struct command_sender *sender = link->sender;
+  Sp__ResultBatch *batch = sp__result_batch__unpack (NULL, len, data);
+
+  if (!batch)
+    {
+      log_warning ("relay", "results cannot be decoded: relay=%s bytes=%zu", link->relay->name,
+                   len);
+      return;
+    }
+  link->heard_ms = command_sender_now_ms (sender);
+  if (batch->epoch == sender->epoch)
+    {
+      relay_batch_acked (&sender->relays, link->relay, batch->acked_sequence, link->heard_ms);
+      for (size_t i = 0; i < batch->n_results; i++)
+        command_sender_on_result (sender, batch->results[i]);
+    }
+  sp__result_batch__free_unpacked (batch, NULL);
+}
+
+/* Sends a link's batch, which may be empty. */
+static void
+relay_link_send (struct relay_link *link, int64_t now_ms)
+{
+  command_batch_finish (link->batch, relay_batch_sent (link->relay, now_ms), link->sender->epoch);
+  /* A batch that can't be sent is not acknowledged, so the relay counts as failed soon. */
+  peer_link_send (link->peer, link->batch->data, link->batch->len);
+  g_byte_array_set_size (link->batch, 0);
+  link->next_ping_ms = now_ms + PING_INTERVAL_MS;
+}
+
+/* Sends all batches before the loop waits for events. */
+static void
+command_sender_on_flush (struct ev_loop *loop, ev_prepare *watcher, int events)
+{
+  struct command_sender *sender = watcher->data;
+  int64_t now_ms = command_sender_now_ms (sender);
+  struct relay *relay;
+
+  (void) loop;
+  (void) events;
+  TAILQ_FOREACH (relay, &sender->relays.relays, link)
+    {
+      struct relay_link *link = relay->data;
+
+      if (link->batch->len > 0)
+        relay_link_send (link, now_ms);
+    }
+}
+
+struct command_sender *
+command_sender_create (struct jobd *jobd, uint64_t epoch, struct command_client *client)
+{
+  struct command_sender *sender = g_new0 (struct command_sender, 1);
+
+  sender->jobd = jobd;
+  sender->epoch = epoch;
+  sender->client = client;
+  relay_set_init (&sender->relays);
+  TAILQ_INIT (&sender->in_order);
+  sender->commands = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  ev_prepare_init (&sender->flush, command_sender_on_flush);
+  sender->flush.data = sender;
+  ev_prepare_start (jobd->loop, &sender->flush);
+  return sender;
+}
+
+void
+command_sender_set_scheduler (struct command_sender *sender, struct scheduler *scheduler)
+{
+  sender->scheduler = scheduler;
+}
+
+/* Gives up all commands of a relay. */
+static void
+command_sender_give_up (struct command_sender *sender, const struct relay *relay)
+{
+  struct sent_command *command = TAILQ_FIRST (&sender->in_order);
+
+  while (command)
+    {
+      struct sent_command *next = TAILQ_NEXT (command, link);
+
+      if (command->relay == relay)
+        sent_command_give_up (command);
+      command = next;
+    }
+}
+
+/* Closes the link to a relay and forgets the relay. */
+static void
+command_sender_remove_relay (struct command_sender *sender, struct relay *relay)
+{
+  struct relay_link *link = relay->data;
+
+  peer_link_destroy (link->peer);
+  g_byte_array_unref (link->batch);
+  g_free (link);
+  relay_set_remove (&sender->relays, relay);
+}
+
+/* Frees the sender; its commands are not reported. The client must have been destroyed before. */
+void
+command_sender_destroy (struct command_sender *sender)
+{
+  ev_prepare_stop (sender->jobd->loop, &sender->flush);
+  while (!TAILQ_EMPTY (&sender->relays.relays))
+    command_sender_remove_relay (sender, TAILQ_FIRST (&sender->relays.relays));
+  relay_set_finish (&sender->relays);
+  g_hash_table_destroy (sender->commands);
+  g_free (sender);
+}
+
+void
+command_sender_set_relay (struct command_sender *sender, const char *name, const char *address)
+{
+  struct jobd *jobd = sender->jobd;
+  struct relay *relay = relay_set_find (&sender->relays, name);
+  struct relay_link *link;
+  char ip[64];
+  uint16_t port;
+
+  if (!jobd->relay_server || strcmp (name, jobd->settings->name) == 0 ||
+      (relay && strcmp (relay->address, address) == 0))
+    return;
+  if (relay)
+    {
+      command_sender_give_up (sender, relay);
+      command_sender_remove_relay (sender, relay);
+    }
+  if (address[0] == '\0')
+    return;
+  if (settings_parse_endpoint (address, ip, &port) != 0)
+    {
+      log_warning ("relay", "address cannot be parsed: relay=%s address=\"%s\"", name, address);
+      return;
+    }
+  relay = relay_set_add (&sender->relays, name, address);
+  link = g_new0 (struct relay_link, 1);
+  link->sender = sender;
+  link->relay = relay;
+  link->batch = g_byte_array_new ();
+  link->heard_ms = command_sender_now_ms (sender);
+  link->peer = peer_link_create (relay_server_node (jobd->relay_server), ip, port,
+                                 relay_link_on_message, link);
+  relay->data = link;
+}
+
+/* Removes the record of a relay that has been gone for long from the journal. */
+static void
+relay_link_forget (struct relay_link *link, int64_t now_ms)
+{
+  g_autofree char *key = g_strconcat ("h/", link->relay->name, NULL);
+
+  log_info ("relay", "host gone, its record is removed: relay=%s silent_ms=%" G_GINT64_FORMAT,
+            link->relay->name, now_ms - link->heard_ms);
+  link->heard_ms = now_ms;
+  writer_append (link->sender->jobd->writer, key, "", 0, NULL, NULL);
+}
+
+/* Pings the relays whose commands are few, and finds those that don't respond. */
+static void
+command_sender_check_relays (struct command_sender *sender, int64_t now_ms)
+{
+  struct relay *relay;
+
+  TAILQ_FOREACH (relay, &sender->relays.relays, link)
+    {
+      struct relay_link *link = relay->data;
+
+      if (now_ms >= link->next_ping_ms)
+        relay_link_send (link, now_ms);
+      if (now_ms - link->heard_ms > RELAY_FORGET_MS)
+        relay_link_forget (link, now_ms);
+    }
+  while ((relay = relay_set_tick (&sender->relays, now_ms)))
+    {
+      log_info ("relay", "relay does not respond: relay=%s used=%u", relay->name,
+                sender->relays.n_used);
+      command_sender_give_up (sender, relay);
+    }
+  if (sender->relays.n_used == sender->relays_logged)
+    return;
+  log_info ("relay", "relays in use: n=%u was=%u", sender->relays.n_used, sender->relays_logged);
+  sender->relays_logged = sender->relays.n_used;
+}
+
+void
+command_sender_tick (struct command_sender *sender, unsigned n_endpoints)
+{
+  int64_t now_ms = command_sender_now_ms (sender);
+  struct sent_command *command;
+
+  sender->relaying = n_endpoints >= sender->jobd->settings->relay_endpoints_min;
+  if (sender->relaying || sender->relays.n_used > 0)
+    command_sender_check_relays (sender, now_ms);
+  if (now_ms < sender->next_timeout_check_ms)
+    return;
+  sender->next_timeout_check_ms = now_ms + TIMEOUT_CHECK_MS;
+  command = TAILQ_FIRST (&sender->in_order);
+  while (command)
+    {
+      struct sent_command *next = TAILQ_NEXT (command, link);
+
+      if (command->relay && now_ms >= command->deadline_ms)
+        sent_command_give_up (command);
+      command = next;
+    }
+}
+
+unsigned
+command_sender_relays (const struct command_sender *sender)
+{
+  return sender->relays.n_used;
+}
+
+/* Sends a command to an endpoint, through its relay if it has one. */
+static void
+command_sender_send (struct command_sender *sender, struct endpoint *endpoint,
+                     Sp__EndpointCommand *message, struct task *task)
+{
+  struct sent_command *command = g_new0 (struct sent_command, 1);
+
+  message->number = ++sender->last_number;
+  message->endpoint = endpoint->id;
+  message->address = endpoint->address;
+  message->fence = endpoint->fence;
+  command->sender = sender;
+  command->number = message->number;
+  command->kind = message->kind;
+  command->endpoint = endpoint;
+  command->task = task;
+  command->attempt = message->attempt;
+  command->fence = message->fence;
+  command->acked_completion = message->acked_completion;
+  command->percent = (int) message->pace_percent;
+  command->sent_ms = command_sender_now_ms (sender);
+  command->deadline_ms = command->sent_ms + COMMAND_TIMEOUT_MS + message->wait_ms + RELAY_MARGIN_MS;
+  command->relay =
+      sender->relaying ? relay_set_choose (&sender->relays, &endpoint->route, endpoint->id) : NULL;
+  g_hash_table_insert (sender->commands, &command->number, command);
+  TAILQ_INSERT_TAIL (&sender->in_order, command, link);
+  if (command->relay)
+    command_batch_add (((struct relay_link *) command->relay->data)->batch, message);
+  else
+    command_client_send (sender->client, message, command_sender_on_direct_result, command);
+}
+
+void
+command_sender_start_task (struct command_sender *sender, struct endpoint *endpoint,
+                           struct task *task, int64_t lease_end_ms)
+{
+  Sp__EndpointCommand message = SP__ENDPOINT_COMMAND__INIT;
+  g_autofree char *name = task_name (task);
+
+  message.kind = SP__ENDPOINT_COMMAND_KIND__COMMAND_START;
+  message.task = name;
+  message.attempt = task->attempt;
+  message.spec = task->job->definition->spec;
+  if (task->checkpoint)
+    message.checkpoint = task->checkpoint;
+  message.lease_end_ms = lease_end_ms;
+  command_sender_send (sender, endpoint, &message, task);
+}
+
+void
+command_sender_stop_task (struct command_sender *sender, struct endpoint *endpoint,
+                          const char *task, uint32_t attempt, struct task *known)
+{
+  Sp__EndpointCommand message = SP__ENDPOINT_COMMAND__INIT;
+
+  message.kind = SP__ENDPOINT_COMMAND_KIND__COMMAND_STOP;
+  message.task = (char *) task;
+  message.attempt = attempt;
+  command_sender_send (sender, endpoint, &message, known);
+}
+
+/* Renews the leases on an endpoint, acknowledges completions and asks for new ones. */
+void
+command_sender_heartbeat (struct command_sender *sender, struct endpoint *endpoint,
+                          int64_t lease_end_ms, int64_t wait_ms)
+{
+  Sp__EndpointCommand message = SP__ENDPOINT_COMMAND__INIT;
+
+  message.kind = SP__ENDPOINT_COMMAND_KIND__COMMAND_HEARTBEAT;
+  message.acked_completion = endpoint->completions_durable;
+  message.lease_end_ms = lease_end_ms;
+  message.wait_ms = (uint32_t) wait_ms;
+  command_sender_send (sender, endpoint, &message, NULL);
+}
+
+void
+command_sender_pace_task (struct command_sender *sender, struct endpoint *endpoint,
+                          struct task *task, int percent)
+{
+  Sp__EndpointCommand message = SP__ENDPOINT_COMMAND__INIT;
+  g_autofree char *name = task_name (task);
+
+  message.kind = SP__ENDPOINT_COMMAND_KIND__COMMAND_PACE;
+  message.task = name;
+  message.attempt = task->attempt;
+  message.pace_percent = (uint32_t) percent;
+  command_sender_send (sender, endpoint, &message, task);
+}
--- a/jobd/jobd.h
+++ b/jobd/jobd.h
@@ -17,6 +17,15 @@
 struct leader;
 struct ingress;
 struct admin;
+struct relay_server;
+
+enum
+{
+  /* Timeouts of connecting to an endpoint, and of a command to it: a healthy one responds within
+   * some milliseconds. */
+  COMMAND_CONNECT_TIMEOUT_MS = 300,
+  COMMAND_TIMEOUT_MS = 700,
+};
 
 /* State shared by the modules of the daemon. */
 struct jobd
@@ -40,6 +49,10 @@
   struct leader *leader;
   struct ingress *ingress;
   struct admin *admin;
+  /* Sends commands of other hosts that lead; NULL if this host doesn't. */
+  struct relay_server *relay_server;
+  /* Entry hosts that the journal names: name to relay address. */
+  GHashTable *relays;
   struct metrics metrics;
   bool stopping;
   /* Time of the last tick; 0 before the first. */
@@ -61,6 +74,8 @@
 void leader_job_defined (struct leader *leader, struct job *job);
 void leader_job_cancelled (struct leader *leader, struct job *job);
 void leader_job_removed (struct leader *leader, struct job *job);
+/* Handles a change of another host's relay; address is empty if it has none any more. */
+void leader_relay_changed (struct leader *leader, const char *name, const char *address);
 void leader_config_changed (struct leader *leader);
 /* Handles a record of the operators' topic other than the configuration. */
 void leader_handle_operator_record (struct leader *leader, const struct store_record *record);
--- a/jobd/leader.c
+++ b/jobd/leader.c
@@ -73,6 +73,8 @@
                       "Moves of hosts that were ordered.");
   metric_add_gauge (metrics, &leader->endpoints_unresponsive, "sesamepick_jobd_endpoints_silent",
                     "", "Endpoints that do not answer.");
+  metric_add_gauge (metrics, &leader->relays_used, "sesamepick_jobd_relays_used", "",
+                    "Hosts that send this leader's commands to endpoints.");
   metric_histogram_add (metrics, &leader->start_time, "sesamepick_jobd_first_start_seconds",
                         "Time from learning of a job to the start of its first task.");
   return leader;
@@ -100,6 +102,9 @@
   if (leader->commands)
     command_client_destroy (leader->commands);
   leader->commands = NULL;
+  if (leader->sender)
+    command_sender_destroy (leader->sender);
+  leader->sender = NULL;
   if (leader->scheduler)
     scheduler_destroy (leader->scheduler);
   leader->scheduler = NULL;
@@ -119,7 +124,8 @@
   struct metric *const metrics[] = { &leader->leading,       &leader->claims,
                                      &leader->tasks_running, &leader->tasks_ready,
                                      &leader->starts,        &leader->lapses,
-                                     &leader->moves,         &leader->endpoints_unresponsive };
+                                     &leader->moves,         &leader->endpoints_unresponsive,
+                                     &leader->relays_used };
 
   for (size_t i = 0; i < G_N_ELEMENTS (metrics); i++)
     metric_remove (metrics[i]);
@@ -253,6 +259,8 @@
     .resigned = table->leader_resigned,
     .leader_seen_ms = leader->leader_seen_ms,
     .journal_readable_since_ms = topic_reader_healthy_since_ms (jobd->journal),
+    .journal_read_ms = topic_reader_read_to_end_ms (jobd->journal),
+    .resumed_ms = leader->resumed_ms,
     .append_ms = writer_latency_ms (jobd->writer),
     .timeout_ms = jobd->settings->leader_timeout_ms,
     .delay_fraction = leader->claim_delay_fraction,
@@ -398,9 +406,9 @@
     }
 }
 
-/* Copies the scheduler's counts into the metrics. */
+/* Checks the relays, and copies the scheduler's counts into the metrics. */
 static void
-leader_update_metrics (struct leader *leader)
+leader_update_counts (struct leader *leader)
 {
   struct scheduler_counts counts = { 0 };
 
@@ -413,6 +421,9 @@
   leader->lapses.value = (int64_t) counts.lapses;
   leader->moves.value = (int64_t) counts.moves;
   leader->endpoints_unresponsive.value = counts.endpoints_unresponsive;
+  leader->relays_used.value = leader->sender ? command_sender_relays (leader->sender) : 0;
+  if (leader->sender)
+    command_sender_tick (leader->sender, counts.endpoints);
 }
 
 /* Handles the result of a resignation. If it failed, the other hosts wait for the leader
@@ -472,8 +483,9 @@
 void
 leader_pause (struct leader *leader)
 {
+  leader->resumed_ms = leader_now_ms (leader);
   if (leader->phase == LEADER_LEADING)
-    leader->stall_seen_ms = leader_now_ms (leader);
+    leader->stall_seen_ms = leader->resumed_ms;
   if (leader->phase == LEADER_LEADING && !leader->host_lease.tokens_checked)
     command_client_abort_host_commands (leader->commands);
 }
@@ -500,7 +512,7 @@
       leader_run_pass (leader);
       break;
     }
-  leader_update_metrics (leader);
+  leader_update_counts (leader);
 }
 
 /* Resigns before a planned stop. A claim that is in progress is abandoned. */
--- a/jobd/leader_state.h
+++ b/jobd/leader_state.h
@@ -1,6 +1,7 @@
 #ifndef SESAMEPICK_JOBD_LEADER_STATE_H
 #define SESAMEPICK_JOBD_LEADER_STATE_H
 
+#include "command_sender.h"
 #include "jobd.h"
 #include "lib/jobs/host_command_lease.h"
 #include "lib/jobs/scheduler.h"
@@ -37,6 +38,8 @@
   int64_t claim_offset;
   /* When the last leadership record was read. */
   int64_t leader_seen_ms;
+  /* When the event loop went on after its last stall; 0 if there was none. */
+  int64_t resumed_ms;
   /* Random fraction, 0 to 1, of the time span over which hosts claim; see
    * leader_election_draw_fraction. */
   double claim_delay_fraction;
@@ -54,6 +57,7 @@
   /* Writes the wave states that operators read; NULL until the first. */
   struct writer *status_writer;
   struct command_client *commands;
+  struct command_sender *sender;
   struct scheduler *scheduler;
   struct topic_reader *registry;
   struct store *registry_store;
@@ -83,6 +87,7 @@
   struct metric lapses;
   struct metric moves;
   struct metric endpoints_unresponsive;
+  struct metric relays_used;
   struct metric_histogram start_time;
 };
 
--- a/jobd/main.c
+++ b/jobd/main.c
@@ -9,6 +9,7 @@
 #include "common/program.h"
 #include "jobd.h"
 #include "platform/documents.h"
+#include "relay_server.h"
 
 enum
 {
@@ -83,6 +84,22 @@
   leader_store_wave_progress (((struct jobd *) ctx)->leader, progress);
 }
 
+/* Keeps where other hosts accept a leader's commands. */
+static void
+jobd_on_host_record (void *ctx, const Sp__EntryHost *host)
+{
+  struct jobd *jobd = ctx;
+
+  if (strcmp (host->name, jobd->settings->name) == 0)
+    {
+      if (jobd->relay_server)
+        relay_server_on_own_record (jobd->relay_server, host->relay);
+      return;
+    }
+  g_hash_table_replace (jobd->relays, g_strdup (host->name), g_strdup (host->relay));
+  leader_relay_changed (jobd->leader, host->name, host->relay);
+}
+
 /* Applies a journal record to the job table and answers the callers that wait for it. */
 static void
 jobd_on_journal_record (void *ctx, const struct store_record *record)
@@ -208,6 +225,8 @@
   jobd->last_tick_ms = now_ms;
   leader_tick (jobd->leader);
   ingress_tick (jobd->ingress);
+  if (jobd->relay_server)
+    relay_server_tick (jobd->relay_server);
   watchers_check_stop (watchers);
   tick_ms = leader_is_leading (jobd->leader) ? TICK_LEADING_MS : TICK_FOLLOWING_MS;
   loop_timer_arm (loop, timer, tick_ms);
@@ -287,9 +306,17 @@
   jobd->jobs.on_removed = jobd_on_job_removed;
   jobd->jobs.on_leadership = jobd_on_leadership_record;
   jobd->jobs.on_wave_progress = jobd_on_wave_progress;
+  jobd->jobs.on_host = jobd_on_host_record;
   jobd->jobs.ctx = jobd;
+  jobd->relays = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   jobd->leader = leader_create (jobd);
   jobd_open_topics (jobd);
+  if (jobd->settings->relay[0] != '\0')
+    {
+      jobd->relay_server = relay_server_create (jobd);
+      if (!jobd->relay_server)
+        return -EADDRNOTAVAIL;
+    }
   error = ingress_create (jobd);
   return error != 0 ? error : admin_create (jobd);
 }
@@ -300,6 +327,7 @@
 jobd_finish (struct jobd *jobd)
 {
   leader_destroy (jobd->leader);
+  relay_server_destroy (jobd->relay_server);
   ingress_destroy (jobd->ingress);
   admin_destroy (jobd->admin);
   store_destroy (jobd->store);
@@ -309,6 +337,7 @@
   http_client_destroy (jobd->client);
   jobd->jobs.on_removed = NULL;
   job_table_finish (&jobd->jobs);
+  g_hash_table_destroy (jobd->relays);
   queue_table_destroy (jobd->queues);
   metrics_finish (&jobd->metrics);
 }
--- /dev/null
+++ b/jobd/relay_server.h
@@ -0,0 +1,20 @@
+#ifndef SESAMEPICK_JOBD_RELAY_SERVER_H
+#define SESAMEPICK_JOBD_RELAY_SERVER_H
+
+#include "jobd.h"
+
+/* Sends commands of the leader to endpoints and returns the results, on a host that doesn't lead.
+ * It holds nothing besides the calls in progress, so its loss costs no more than their results. */
+struct relay_server;
+
+/* Returns NULL, after logging why, if the address is invalid or cannot be bound. */
+struct relay_server *relay_server_create (struct jobd *jobd);
+void relay_server_destroy (struct relay_server *server);
+/* Announces the host in the journal until the announcement is durable. */
+void relay_server_tick (struct relay_server *server);
+/* Handles the journal's record of this host, which another host may have deleted. */
+void relay_server_on_own_record (struct relay_server *server, const char *address);
+/* Node for links to other hosts' relays. */
+struct peer_node *relay_server_node (struct relay_server *server);
+
+#endif
--- a/jobd/scheduling.c
+++ b/jobd/scheduling.c
@@ -12,9 +12,6 @@
   REGISTRY_WAIT_MS = 1000,
   /* For this long after a host command, the machine list and the registry are read more often. */
   HOST_CHANGE_BUSY_MS = 4000,
-  CONNECT_TIMEOUT_MS = 300,
-  /* A healthy endpoint responds to a command within some milliseconds. */
-  COMMAND_TIMEOUT_MS = 700,
   /* More host commands than a leader sends in one epoch, so that the tokens of a later epoch are
    * always higher. */
   TOKENS_PER_EPOCH = 1000000,
@@ -33,7 +30,7 @@
   /* Counts the first attempt of the first task, in each occurrence of a repeated job. */
   if (task->step == 0 && task->index == 0 && task->attempt == 1)
     metric_histogram_observe (&leader->start_time, leader_now_ms (leader) - task->job->seen_ms);
-  command_client_start_task (leader->commands, endpoint, task, lease_end_ms);
+  command_sender_start_task (leader->sender, endpoint, task, lease_end_ms);
 }
 
 /* Sends a stop command. The scheduler has logged the reason for tasks that it knows. */
@@ -46,7 +43,7 @@
   if (!known)
     log_info ("scheduler", "stopping an unknown task instance: task=%s attempt=%u endpoint=%s",
               task, attempt, endpoint->id);
-  command_client_stop_task (leader->commands, endpoint, task, attempt, known);
+  command_sender_stop_task (leader->sender, endpoint, task, attempt, known);
 }
 
 /* Renews the leases on an endpoint and asks for completions. */
@@ -55,7 +52,7 @@
 {
   struct leader *leader = ctx;
 
-  command_client_send_heartbeat (leader->commands, endpoint, lease_end_ms, wait_ms);
+  command_sender_heartbeat (leader->sender, endpoint, lease_end_ms, wait_ms);
 }
 
 /* Sets the pace of a best-effort task, in percent of its full speed. */
@@ -66,7 +63,7 @@
 
   log_info ("scheduler", "pace: task=%s.%u.%u.%u endpoint=%s percent=%d", task->job->id,
             task->occurrence, task->step, task->index, endpoint->id, percent);
-  command_client_pace_task (leader->commands, endpoint, task, percent);
+  command_sender_pace_task (leader->sender, endpoint, task, percent);
 }
 
 /* Returns the fencing token of the next host command. Each is higher than the one before, so that a
@@ -252,6 +249,26 @@
     leader_schedule_wave (leader, key, value);
 }
 
+/* Passes the relays that the journal names to a new sender. */
+static void
+leader_load_relays (struct leader *leader)
+{
+  GHashTableIter each;
+  gpointer name;
+  gpointer address;
+
+  g_hash_table_iter_init (&each, leader->jobd->relays);
+  while (g_hash_table_iter_next (&each, &name, &address))
+    command_sender_set_relay (leader->sender, name, address);
+}
+
+void
+leader_relay_changed (struct leader *leader, const char *name, const char *address)
+{
+  if (leader->sender)
+    command_sender_set_relay (leader->sender, name, address);
+}
+
 void
 leader_start_scheduling (struct leader *leader)
 {
@@ -261,7 +278,7 @@
     .loop = jobd->loop,
     .holder = settings->name,
     .machines = settings->machines,
-    .connect_timeout_ms = CONNECT_TIMEOUT_MS,
+    .connect_timeout_ms = COMMAND_CONNECT_TIMEOUT_MS,
     .command_timeout_ms = COMMAND_TIMEOUT_MS,
     .machines_timeout_ms = host_command_timeout_ms (leader->host_lease.tokens_checked),
     .now_ms = jobd_now_ms,
@@ -298,9 +315,12 @@
   leader->phase = LEADER_LEADING;
   leader->n_host_commands = 0;
   leader->commands = command_client_create (&commands);
+  leader->sender = command_sender_create (jobd, leader->epoch, leader->commands);
   leader->scheduler =
       scheduler_create (&config, &ops, &jobd->jobs, leader_now_ms (leader), jobd->clock.wall_ms);
   command_client_set_scheduler (leader->commands, leader->scheduler);
+  command_sender_set_scheduler (leader->sender, leader->scheduler);
+  leader_load_relays (leader);
   leader_config_changed (leader);
   leader_load_waves (leader);
   leader->registry_store = store_create (jobd->client, settings->store);
--- a/jobd/topic_reader.c
+++ b/jobd/topic_reader.c
@@ -27,6 +27,8 @@
   /* When the reader last reached the end of the partition (when the request was sent while loading,
    * when its response arrived after that), and since when no read has failed. */
   int64_t caught_up_ms;
+  /* When the newest read that reached the end was sent. */
+  int64_t read_to_end_ms;
   int64_t healthy_since_ms;
   bool failing;
 };
@@ -121,6 +123,7 @@
   reader->next_offset = reader->first_page_end;
   reader->loaded = true;
   reader->caught_up_ms = reader->sent_ms;
+  reader->read_to_end_ms = reader->sent_ms;
   if (reader->config.on_loaded)
     reader->config.on_loaded (reader->config.ctx);
   topic_reader_schedule (reader, 0);
@@ -150,7 +153,10 @@
   topic_reader_deliver (reader, response);
   reader->next_offset += (int64_t) response->n_records;
   if (reader->next_offset >= response->end)
-    reader->caught_up_ms = now_ms;
+    {
+      reader->caught_up_ms = now_ms;
+      reader->read_to_end_ms = reader->sent_ms;
+    }
   if (reader->next_offset < response->end)
     topic_reader_schedule (reader, 0);
   else
@@ -216,6 +222,12 @@
   return reader->caught_up_ms;
 }
 
+int64_t
+topic_reader_read_to_end_ms (const struct topic_reader *reader)
+{
+  return reader->read_to_end_ms;
+}
+
 int64_t
 topic_reader_healthy_since_ms (const struct topic_reader *reader)
 {
--- a/jobd/topic_reader.h
+++ b/jobd/topic_reader.h
@@ -36,6 +36,8 @@
 bool topic_reader_is_loaded (const struct topic_reader *reader);
 /* Returns when the reader last reached the end of the topic; 0 if never. */
 int64_t topic_reader_caught_up_ms (const struct topic_reader *reader);
+/* Returns when the newest read that reached the end was sent; 0 if there was none. */
+int64_t topic_reader_read_to_end_ms (const struct topic_reader *reader);
 /* Returns since when all reads have succeeded; 0 while they fail. */
 int64_t topic_reader_healthy_since_ms (const struct topic_reader *reader);
 /* Returns the offset of the next record to read. */
--- /dev/null
+++ b/lib/jobs/command_message.c
@@ -0,0 +1,159 @@
+#include "lib/jobs/command_message.h"
+
+/* Appends an encoded message. */
+static void
+append_message (GByteArray *bytes, const ProtobufCMessage *message)
+{
+  size_t len = protobuf_c_message_get_packed_size (message);
+  guint at = bytes->len;
+
+  g_byte_array_set_size (bytes, at + (guint) len);
+  protobuf_c_message_pack (message, bytes->data + at);
+}
+
+void
+command_batch_add (GByteArray *batch, Sp__EndpointCommand *command)
+{
+  Sp__CommandBatch part = SP__COMMAND_BATCH__INIT;
+
+  part.n_commands = 1;
+  part.commands = &command;
+  append_message (batch, &part.base);
+}
+
+void
+command_batch_finish (GByteArray *batch, uint64_t sequence, uint64_t epoch)
+{
+  Sp__CommandBatch part = SP__COMMAND_BATCH__INIT;
+
+  part.sequence = sequence;
+  part.epoch = epoch;
+  append_message (batch, &part.base);
+}
+
+/* Returns the message of a report, whose strings belong to the report. */
+static Sp__ReportMessage *
+report_message_create (const struct endpoint_report *report)
+{
+  Sp__ReportMessage *message = g_new (Sp__ReportMessage, 1);
+
+  sp__report_message__init (message);
+  message->clock_ms = report->clock_ms;
+  message->born_ms = report->born_ms;
+  message->attempts = g_new (Sp__ReportedAttempt *, report->n_attempts + 1);
+  message->completions = g_new (Sp__ReportedCompletion *, report->n_completions + 1);
+  for (; message->n_attempts < report->n_attempts; message->n_attempts++)
+    {
+      const struct endpoint_attempt *from = &report->attempts[message->n_attempts];
+      Sp__ReportedAttempt *to = g_new (Sp__ReportedAttempt, 1);
+
+      sp__reported_attempt__init (to);
+      to->task = (char *) from->task;
+      to->attempt = from->attempt;
+      to->checkpoint = (char *) (from->checkpoint ? from->checkpoint : "");
+      to->percent = from->percent;
+      to->load = from->load;
+      message->attempts[message->n_attempts] = to;
+    }
+  for (; message->n_completions < report->n_completions; message->n_completions++)
+    {
+      const struct endpoint_completion *from = &report->completions[message->n_completions];
+      Sp__ReportedCompletion *to = g_new (Sp__ReportedCompletion, 1);
+
+      sp__reported_completion__init (to);
+      to->number = from->number;
+      to->task = (char *) from->task;
+      to->attempt = from->attempt;
+      to->outcome = from->outcome;
+      to->checkpoint = (char *) (from->checkpoint ? from->checkpoint : "");
+      message->completions[message->n_completions] = to;
+    }
+  return message;
+}
+
+static void
+report_message_destroy (Sp__ReportMessage *message)
+{
+  for (size_t i = 0; i < message->n_attempts; i++)
+    g_free (message->attempts[i]);
+  for (size_t i = 0; i < message->n_completions; i++)
+    g_free (message->completions[i]);
+  g_free (message->attempts);
+  g_free (message->completions);
+  g_free (message);
+}
+
+void
+result_batch_add (GByteArray *batch, uint64_t number, enum command_result result, int64_t clock_ms,
+                  const struct endpoint_report *report)
+{
+  Sp__ResultBatch part = SP__RESULT_BATCH__INIT;
+  Sp__EndpointCommandResult entry = SP__ENDPOINT_COMMAND_RESULT__INIT;
+  Sp__EndpointCommandResult *results = &entry;
+
+  entry.number = number;
+  entry.result = result;
+  entry.clock_ms = clock_ms;
+  entry.report = report ? report_message_create (report) : NULL;
+  part.n_results = 1;
+  part.results = &results;
+  append_message (batch, &part.base);
+  if (entry.report)
+    report_message_destroy (entry.report);
+}
+
+void
+result_batch_finish (GByteArray *batch, uint64_t acked_sequence, uint64_t epoch)
+{
+  Sp__ResultBatch part = SP__RESULT_BATCH__INIT;
+
+  part.acked_sequence = acked_sequence;
+  part.epoch = epoch;
+  append_message (batch, &part.base);
+}
+
+struct endpoint_report *
+report_create (const Sp__ReportMessage *message)
+{
+  struct endpoint_report *report = g_new0 (struct endpoint_report, 1);
+  struct endpoint_attempt *attempts = g_new0 (struct endpoint_attempt, message->n_attempts + 1);
+  struct endpoint_completion *completions =
+      g_new0 (struct endpoint_completion, message->n_completions + 1);
+
+  for (size_t i = 0; i < message->n_attempts; i++)
+    {
+      const Sp__ReportedAttempt *from = message->attempts[i];
+
+      attempts[i] = (struct endpoint_attempt){ .task = from->task,
+                                               .attempt = from->attempt,
+                                               .checkpoint = from->checkpoint,
+                                               .percent = from->percent,
+                                               .load = from->load };
+    }
+  for (size_t i = 0; i < message->n_completions; i++)
+    {
+      const Sp__ReportedCompletion *from = message->completions[i];
+
+      completions[i] =
+          (struct endpoint_completion){ .number = from->number,
+                                        .task = from->task,
+                                        .attempt = from->attempt,
+                                        .outcome = MIN (from->outcome, ATTEMPT_GANG_INCOMPLETE),
+                                        .checkpoint = from->checkpoint };
+    }
+  *report = (struct endpoint_report){ .clock_ms = message->clock_ms,
+                                      .born_ms = message->born_ms,
+                                      .attempts = attempts,
+                                      .n_attempts = message->n_attempts,
+                                      .completions = completions,
+                                      .n_completions = message->n_completions };
+  return report;
+}
+
+void
+report_destroy (struct endpoint_report *report)
+{
+  g_free ((gpointer) report->attempts);
+  g_free ((gpointer) report->completions);
+  g_free (report);
+}
--- a/lib/jobs/job_table.c
+++ b/lib/jobs/job_table.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #define LEADER_KEY "leader"
+#define HOST_PREFIX "h/"
 
 /* Initializes an empty table. The owner sets the callbacks afterwards. */
 void
@@ -101,6 +102,13 @@
 {
   struct job *job;
 
+  if (g_str_has_prefix (key, HOST_PREFIX) && table->on_host)
+    {
+      Sp__EntryHost host = SP__ENTRY_HOST__INIT;
+
+      host.name = (char *) key + strlen (HOST_PREFIX);
+      table->on_host (table->ctx, &host);
+    }
   if (!g_str_has_prefix (key, "p/"))
     return;
   job = job_table_find (table, key + 2);
@@ -143,6 +151,10 @@
       if (table->on_wave_progress)
         table->on_wave_progress (table->ctx, record->wave);
       break;
+    case SP__JOB_RECORD__BODY_HOST:
+      if (table->on_host)
+        table->on_host (table->ctx, record->host);
+      break;
     default:
       break;
     }
@@ -183,6 +195,8 @@
       return g_strconcat ("p/", record->progress->id, NULL);
     case SP__JOB_RECORD__BODY_WAVE:
       return g_strdup_printf ("w/%u", record->wave->wave);
+    case SP__JOB_RECORD__BODY_HOST:
+      return g_strconcat (HOST_PREFIX, record->host->name, NULL);
     default:
       return g_strdup (LEADER_KEY);
     }
--- a/lib/jobs/leader_election.c
+++ b/lib/jobs/leader_election.c
@@ -79,7 +79,8 @@
   return wait_ms;
 }
 
-/* Returns whether this host must claim now. While the host can't read the journal it knows nothing
+/* Returns whether this host must claim now. After a pause, such as a freeze, the leader's silence is
+ * this host's own until a read sent since then has reached the end of the journal. While the host can't read the journal it knows nothing
  * of the leader, so the wait starts at the first successful read. */
 bool
 leader_election_is_due (const struct leader_election *leader_election, int64_t now_ms)
@@ -87,7 +88,9 @@
   int64_t since_ms =
       MAX (leader_election->journal_readable_since_ms, leader_election->leader_seen_ms);
 
-  if (leader_election->journal_readable_since_ms == 0)
+  if (leader_election->journal_readable_since_ms == 0 ||
+      (leader_election->resumed_ms > 0 &&
+       leader_election->journal_read_ms < leader_election->resumed_ms))
     return false;
   return now_ms - since_ms > leader_election_wait_ms (leader_election);
 }
--- a/protocols/job.pb-c.c
+++ b/protocols/job.pb-c.c
@@ -322,6 +322,51 @@
   assert(message->base.descriptor == &sp__wave_progress__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   sp__entry_host__init
+                     (Sp__EntryHost         *message)
+{
+  static const Sp__EntryHost init_value = SP__ENTRY_HOST__INIT;
+  *message = init_value;
+}
+size_t sp__entry_host__get_packed_size
+                     (const Sp__EntryHost *message)
+{
+  assert(message->base.descriptor == &sp__entry_host__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t sp__entry_host__pack
+                     (const Sp__EntryHost *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &sp__entry_host__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t sp__entry_host__pack_to_buffer
+                     (const Sp__EntryHost *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &sp__entry_host__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Sp__EntryHost *
+       sp__entry_host__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Sp__EntryHost *)
+     protobuf_c_message_unpack (&sp__entry_host__descriptor,
+                                allocator, len, data);
+}
+void   sp__entry_host__free_unpacked
+                     (Sp__EntryHost *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &sp__entry_host__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   sp__job_record__init
                      (Sp__JobRecord         *message)
 {
@@ -1166,7 +1211,58 @@
   (ProtobufCMessageInit) sp__wave_progress__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sp__job_record__field_descriptors[5] =
+static const ProtobufCFieldDescriptor sp__entry_host__field_descriptors[2] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sp__EntryHost, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "relay",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sp__EntryHost, relay),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned sp__entry_host__field_indices_by_name[] = {
+  0,   /* field[0] = name */
+  1,   /* field[1] = relay */
+};
+static const ProtobufCIntRange sp__entry_host__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor sp__entry_host__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "sp.EntryHost",
+  "EntryHost",
+  "Sp__EntryHost",
+  "sp",
+  sizeof(Sp__EntryHost),
+  2,
+  sp__entry_host__field_descriptors,
+  sp__entry_host__field_indices_by_name,
+  1,  sp__entry_host__number_ranges,
+  (ProtobufCMessageInit) sp__entry_host__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor sp__job_record__field_descriptors[6] =
 {
   {
     "definition",
@@ -1228,10 +1324,23 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "host",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sp__JobRecord, body_case),
+    offsetof(Sp__JobRecord, host),
+    &sp__entry_host__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sp__job_record__field_indices_by_name[] = {
   1,   /* field[1] = cancel */
   0,   /* field[0] = definition */
+  5,   /* field[5] = host */
   3,   /* field[3] = leadership */
   2,   /* field[2] = progress */
   4,   /* field[4] = wave */
@@ -1239,7 +1348,7 @@
 static const ProtobufCIntRange sp__job_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor sp__job_record__descriptor =
 {
@@ -1249,7 +1358,7 @@
   "Sp__JobRecord",
   "sp",
   sizeof(Sp__JobRecord),
-  5,
+  6,
   sp__job_record__field_descriptors,
   sp__job_record__field_indices_by_name,
   1,  sp__job_record__number_ranges,
--- a/protocols/job.pb-c.h
+++ b/protocols/job.pb-c.h
@@ -22,6 +22,7 @@
 typedef struct Sp__JobCancel Sp__JobCancel;
 typedef struct Sp__Leadership Sp__Leadership;
 typedef struct Sp__WaveProgress Sp__WaveProgress;
+typedef struct Sp__EntryHost Sp__EntryHost;
 typedef struct Sp__JobRecord Sp__JobRecord;
 
 
@@ -217,13 +218,31 @@
     , 0, 0,NULL, 0 }
 
 
+/*
+ * An entry host, written when its daemon starts.
+ */
+struct  Sp__EntryHost
+{
+  ProtobufCMessage base;
+  char *name;
+  /*
+   * Where the host accepts commands from a leader, as IP:PORT; empty if it doesn't.
+   */
+  char *relay;
+};
+#define SP__ENTRY_HOST__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&sp__entry_host__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+
+
 typedef enum {
   SP__JOB_RECORD__BODY__NOT_SET = 0,
   SP__JOB_RECORD__BODY_DEFINITION = 1,
   SP__JOB_RECORD__BODY_CANCEL = 2,
   SP__JOB_RECORD__BODY_PROGRESS = 3,
   SP__JOB_RECORD__BODY_LEADERSHIP = 4,
-  SP__JOB_RECORD__BODY_WAVE = 5
+  SP__JOB_RECORD__BODY_WAVE = 5,
+  SP__JOB_RECORD__BODY_HOST = 6
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(SP__JOB_RECORD__BODY__CASE)
 } Sp__JobRecord__BodyCase;
 
@@ -237,6 +256,7 @@
     Sp__JobProgress *progress;
     Sp__Leadership *leadership;
     Sp__WaveProgress *wave;
+    Sp__EntryHost *host;
   };
 };
 #define SP__JOB_RECORD__INIT \
@@ -377,6 +397,25 @@
 void   sp__wave_progress__free_unpacked
                      (Sp__WaveProgress *message,
                       ProtobufCAllocator *allocator);
+/* Sp__EntryHost methods */
+void   sp__entry_host__init
+                     (Sp__EntryHost         *message);
+size_t sp__entry_host__get_packed_size
+                     (const Sp__EntryHost   *message);
+size_t sp__entry_host__pack
+                     (const Sp__EntryHost   *message,
+                      uint8_t             *out);
+size_t sp__entry_host__pack_to_buffer
+                     (const Sp__EntryHost   *message,
+                      ProtobufCBuffer     *buffer);
+Sp__EntryHost *
+       sp__entry_host__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   sp__entry_host__free_unpacked
+                     (Sp__EntryHost *message,
+                      ProtobufCAllocator *allocator);
 /* Sp__JobRecord methods */
 void   sp__job_record__init
                      (Sp__JobRecord         *message);
@@ -419,6 +458,9 @@
 typedef void (*Sp__WaveProgress_Closure)
                  (const Sp__WaveProgress *message,
                   void *closure_data);
+typedef void (*Sp__EntryHost_Closure)
+                 (const Sp__EntryHost *message,
+                  void *closure_data);
 typedef void (*Sp__JobRecord_Closure)
                  (const Sp__JobRecord *message,
                   void *closure_data);
@@ -436,6 +478,7 @@
 extern const ProtobufCMessageDescriptor sp__job_cancel__descriptor;
 extern const ProtobufCMessageDescriptor sp__leadership__descriptor;
 extern const ProtobufCMessageDescriptor sp__wave_progress__descriptor;
+extern const ProtobufCMessageDescriptor sp__entry_host__descriptor;
 extern const ProtobufCMessageDescriptor sp__job_record__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/protocols/settings.pb-c.c
+++ b/protocols/settings.pb-c.c
@@ -1839,6 +1839,7 @@
 char sp__jobd_settings__store__default_value[] = "127.0.0.1:8402";
 char sp__jobd_settings__machines__default_value[] = "127.0.0.1:8403";
 char sp__jobd_settings__log_level__default_value[] = "info";
+char sp__jobd_settings__relay__default_value[] = "";
 static const uint32_t sp__jobd_settings__lease_ms__default_value = 3500u;
 static const uint32_t sp__jobd_settings__leader_timeout_ms__default_value = 1300u;
 static const uint32_t sp__jobd_settings__grace_ms__default_value = 6000u;
@@ -1849,7 +1850,8 @@
 static const uint32_t sp__jobd_settings__seed__default_value = 0u;
 static const double sp__jobd_settings__processor_share__default_value = 1;
 static const uint32_t sp__jobd_settings__host_tokens_checked__default_value = 1u;
-static const ProtobufCFieldDescriptor sp__jobd_settings__field_descriptors[16] =
+static const uint32_t sp__jobd_settings__relay_endpoints_min__default_value = 100u;
+static const ProtobufCFieldDescriptor sp__jobd_settings__field_descriptors[18] =
 {
   {
     "name",
@@ -2043,6 +2045,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "relay",
+    21,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sp__JobdSettings, relay),
+    NULL,
+    &sp__jobd_settings__relay__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "relay_endpoints_min",
+    22,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Sp__JobdSettings, has_relay_endpoints_min),
+    offsetof(Sp__JobdSettings, relay_endpoints_min),
+    NULL,
+    &sp__jobd_settings__relay_endpoints_min__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sp__jobd_settings__field_indices_by_name[] = {
   9,   /* field[9] = body_limit_bytes */
@@ -2057,6 +2083,8 @@
   0,   /* field[0] = name */
   14,   /* field[14] = processor_share */
   2,   /* field[2] = readiness */
+  16,   /* field[16] = relay */
+  17,   /* field[17] = relay_endpoints_min */
   13,   /* field[13] = seed */
   11,   /* field[11] = status_ms */
   10,   /* field[10] = stop_ms */
@@ -2067,7 +2095,7 @@
   { 1, 0 },
   { 7, 5 },
   { 18, 13 },
-  { 0, 16 }
+  { 0, 18 }
 };
 const ProtobufCMessageDescriptor sp__jobd_settings__descriptor =
 {
@@ -2077,7 +2105,7 @@
   "Sp__JobdSettings",
   "sp",
   sizeof(Sp__JobdSettings),
-  16,
+  18,
   sp__jobd_settings__field_descriptors,
   sp__jobd_settings__field_indices_by_name,
   3,  sp__jobd_settings__number_ranges,
--- a/protocols/settings.pb-c.h
+++ b/protocols/settings.pb-c.h
@@ -691,6 +691,17 @@
    */
   protobuf_c_boolean has_host_tokens_checked;
   uint32_t host_tokens_checked;
+  /*
+   * Address for commands of the leader that this host passes on to endpoints, as IP:PORT; empty if
+   * it passes on none.
+   */
+  char *relay;
+  /*
+   * Number of endpoints from which on a leader sends its commands through other hosts' relays.
+   * range 0..1000000 endpoints
+   */
+  protobuf_c_boolean has_relay_endpoints_min;
+  uint32_t relay_endpoints_min;
 };
 extern char sp__jobd_settings__name__default_value[];
 extern char sp__jobd_settings__frontend__default_value[];
@@ -698,9 +709,10 @@
 extern char sp__jobd_settings__store__default_value[];
 extern char sp__jobd_settings__machines__default_value[];
 extern char sp__jobd_settings__log_level__default_value[];
+extern char sp__jobd_settings__relay__default_value[];
 #define SP__JOBD_SETTINGS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sp__jobd_settings__descriptor) \
-    , sp__jobd_settings__name__default_value, sp__jobd_settings__frontend__default_value, sp__jobd_settings__readiness__default_value, sp__jobd_settings__store__default_value, sp__jobd_settings__machines__default_value, 0, 3500u, 0, 1300u, 0, 6000u, 0, 2000u, 0, 262144u, 0, 400u, 0, 120000u, sp__jobd_settings__log_level__default_value, 0, 0u, 0, 1, 0, 1u }
+    , sp__jobd_settings__name__default_value, sp__jobd_settings__frontend__default_value, sp__jobd_settings__readiness__default_value, sp__jobd_settings__store__default_value, sp__jobd_settings__machines__default_value, 0, 3500u, 0, 1300u, 0, 6000u, 0, 2000u, 0, 262144u, 0, 400u, 0, 120000u, sp__jobd_settings__log_level__default_value, 0, 0u, 0, 1, 0, 1u, sp__jobd_settings__relay__default_value, 0, 100u }
 
 
 struct  Sp__ClusterSettings
--- a/protocols/settings_table.c
+++ b/protocols/settings_table.c
@@ -171,6 +171,8 @@
   { "seed", "Seed of the random number generator; 0 draws one from the system.", "seed", 0u, 4294967295u },
   { "processor_share", "Share of a CPU core that this process may use. A host with less than a quarter of a core waits longer before it claims the leadership, so that a host with a larger share becomes the leader.", "cores", 0u, 1024u },
   { "host_tokens_checked", "Whether the platform checks the fencing tokens of host commands: 1 if it does. If it does not, a new leader waits until every host command of the former one has ended.", "flag", 0u, 1u },
+  { "relay", "Address for commands of the leader that this host passes on to endpoints, as IP:PORT; empty if it passes on none.", "", 0u, 0u },
+  { "relay_endpoints_min", "Number of endpoints from which on a leader sends its commands through other hosts' relays.", "endpoints", 0u, 1000000u },
 };
 
 const struct settings_schema jobd_schema = {
--- a/tests/jobd/hosts.c
+++ b/tests/jobd/hosts.c
@@ -34,7 +34,7 @@
 void
 hosts_start_jobd (struct hosts *hosts, unsigned n)
 {
-  char args[6][64];
+  char args[8][64];
   char name[16];
 
   snprintf (name, sizeof name, "jobd%u", n);
@@ -44,9 +44,12 @@
   snprintf (args[3], sizeof args[3], "--store=127.0.0.1:%u", hosts->port);
   snprintf (args[4], sizeof args[4], "--machines=127.0.0.1:%u", hosts->port + 1U);
   snprintf (args[5], sizeof args[5], "--seed=%u", n + 1);
-  hosts->jobds[n] = process_create (
-      name, "jobd/sesamepick-jobd",
-      (const char *[]){ args[0], args[1], args[2], args[3], args[4], args[5], NULL });
+  snprintf (args[6], sizeof args[6], "--relay=127.0.0.1:%u", hosts_port (hosts, HOSTS + n));
+  snprintf (args[7], sizeof args[7], "--relay-endpoints-min=1");
+  hosts->jobds[n] =
+      process_create (name, "jobd/sesamepick-jobd",
+                      (const char *[]){ args[0], args[1], args[2], args[3], args[4], args[5],
+                                        hosts->relays ? args[6] : NULL, args[7], NULL });
 }
 
 int
@@ -98,16 +101,22 @@
   return test_wait_ready (url, limit_ms > 0 ? limit_ms : READY_LIMIT_MS);
 }
 
+int64_t
+hosts_metric (struct hosts *hosts, unsigned n, const char *name)
+{
+  char url[URL_BYTES];
+
+  snprintf (url, sizeof url, "http://127.0.0.1:%u", hosts_port (hosts, n) + 1U);
+  return fetch_metric (url, name);
+}
+
 int
 hosts_leader (struct hosts *hosts)
 {
   for (unsigned n = 0; n < HOSTS; n++)
     {
-      char url[URL_BYTES];
-
-      snprintf (url, sizeof url, "http://127.0.0.1:%u", hosts_port (hosts, n) + 1U);
       if (process_is_running (hosts->jobds[n]) &&
-          fetch_metric (url, "sesamepick_jobd_leading") == 1)
+          hosts_metric (hosts, n, "sesamepick_jobd_leading") == 1)
         return (int) n;
     }
   return -1;
--- a/tests/jobd/hosts.h
+++ b/tests/jobd/hosts.h
@@ -17,6 +17,8 @@
 {
   /* First port of the simulated platform; the ports of the hosts follow at a fixed distance. */
   uint16_t port;
+  /* The leader sends its commands through the other hosts. Set before hosts_start. */
+  bool relays;
   struct process *cluster;
   struct process *jobds[HOSTS];
 };
@@ -28,6 +30,8 @@
 void hosts_start_jobd (struct hosts *hosts, unsigned n);
 /* Waits until a host reports ready; limit_ms 0 means the default limit. */
 bool hosts_wait_ready (struct hosts *hosts, unsigned n, int64_t limit_ms);
+/* Returns the value of a host's metric. */
+int64_t hosts_metric (struct hosts *hosts, unsigned n, const char *name);
 /* Returns the index of the host that leads, or -1. */
 int hosts_leader (struct hosts *hosts);
 int hosts_wait_leader (struct hosts *hosts, int64_t limit_ms);
--- a/tests/jobs/test_succession.c
+++ b/tests/jobs/test_succession.c
@@ -51,6 +51,25 @@
   CU_ASSERT (leader_election_is_due (&election, 99000 + TIMEOUT_MS + 1));
 }
 
+/* A host that was frozen doesn't claim before it has read the journal again: the leader was not
+ * silent. A response that had arrived during the freeze doesn't count. */
+static void
+test_pause (void)
+{
+  struct leader_election election = make_election ();
+
+  election.journal_read_ms = 9900;
+  election.resumed_ms = 15000;
+  CU_ASSERT_FALSE (leader_election_is_due (&election, 15001));
+  election.journal_read_ms = 15002;
+  election.leader_seen_ms = 15010;
+  CU_ASSERT_FALSE (leader_election_is_due (&election, 15011));
+  CU_ASSERT (leader_election_is_due (&election, 15011 + TIMEOUT_MS));
+  /* The leader was lost during the freeze. */
+  election.leader_seen_ms = 10000;
+  CU_ASSERT (leader_election_is_due (&election, 15011));
+}
+
 /* A slow store delays heartbeats, so the leader gets more time, up to the length of a lease. */
 static void
 test_slow_store (void)
@@ -211,6 +230,7 @@
 static const struct suite_test tests[] = {
   { "timeout", test_timeout },
   { "unreadable journal", test_unreadable_journal },
+  { "pause", test_pause },
   { "slow store", test_slow_store },
   { "no leader", test_no_leader },
   { "first leader has ample CPU", test_first_leader_has_ample_cpu },
