Don't stop a long-running task because its start got no response

Cause: a start without a response was invalidated by a stop after three sends.

Change: such a start is repeated while the step's limit forbids the stop, and not repeated while the endpoint is unresponsive, whose next report shows whether the task runs.

--- a/lib/jobs/leader_election.c
+++ b/lib/jobs/leader_election.c
@@ -79,9 +79,10 @@
   return wait_ms;
 }
 
-/* Returns whether this host must claim now. After a pause, such as a freeze, the leader's silence is
- * this host's own until a read sent since then has reached the end of the journal. While the host can't read the journal it knows nothing
- * of the leader, so the wait starts at the first successful read. */
+/* Returns whether this host must claim now. After a pause, such as a freeze, the leader's silence
+ * is this host's own until a read sent since then has reached the end of the journal. While the
+ * host can't read the journal it knows nothing of the leader, so the wait starts at the first
+ * successful read. */
 bool
 leader_election_is_due (const struct leader_election *leader_election, int64_t now_ms)
 {
--- a/lib/jobs/scheduler_state.h
+++ b/lib/jobs/scheduler_state.h
@@ -125,6 +125,7 @@
                              const struct endpoint_completion *completion);
 void task_send_commands (struct scheduler *scheduler, struct task *task);
 bool task_is_available (const struct task *task);
+bool task_may_be_stopped (const struct scheduler *scheduler, const struct task *task);
 
 /* endpoint_heartbeats.c */
 int64_t endpoint_extend_lease (struct scheduler *scheduler, struct endpoint *endpoint);
--- a/lib/jobs/task_attempt.c
+++ b/lib/jobs/task_attempt.c
@@ -11,6 +11,8 @@
   START_RETRY_MS = 100,
   STOP_RETRY_MS = 250,
   PERCENT_AVAILABLE = 100,
+  /* Time for the last commands of a former leader to arrive. */
+  TAKEOVER_STOP_MARGIN_MS = 700,
   /* Number of jobs in a row with failed tasks after which an endpoint is avoided. */
   FAILED_JOBS_MAX = 2,
   /* How long such an endpoint gets no tasks. */
@@ -43,6 +45,26 @@
          task->progress_percent >= PERCENT_AVAILABLE;
 }
 
+/* Returns whether a task may be stopped without exceeding its step's limit of unavailable tasks.
+ * Tasks that are unavailable for any other reason count too. */
+bool
+task_may_be_stopped (const struct scheduler *scheduler, const struct task *task)
+{
+  const struct task *first = job_task (task->job, task->occurrence, task->step, 0);
+  const Sp__JobStep *step = task_step (task);
+  unsigned unavailable = 1;
+
+  if (step->away_limit == 0)
+    return true;
+  /* Endpoints report a task that a former leader has stopped as running until it ends. */
+  if (scheduler->now_ms - scheduler->leading_since_ms <
+      scheduler->config.stop_ms + TAKEOVER_STOP_MARGIN_MS)
+    return false;
+  for (uint32_t i = 0; i < step->n_tasks; i++)
+    unavailable += &first[i] != task && !task_is_available (&first[i]);
+  return unavailable <= step->away_limit;
+}
+
 static void
 task_send_start (struct scheduler *scheduler, struct task *task)
 {
@@ -298,6 +320,14 @@
     job_advance (scheduler, job);
 }
 
+/* Returns whether a start that got no response is sent again rather than invalidated by a stop. A
+ * task that may already be at work is not stopped while too many of its step are unavailable. */
+static bool
+task_start_is_repeated (const struct scheduler *scheduler, const struct task *task)
+{
+  return task->starts_unanswered < START_SENDS_MAX || !task_may_be_stopped (scheduler, task);
+}
+
 /* Sends a task's command again if it is due: a start without a response, or a stop. */
 void
 task_send_commands (struct scheduler *scheduler, struct task *task)
@@ -306,9 +336,13 @@
     return;
   if (task->phase == TASK_STARTING)
     {
-      if (task->starts_unanswered < START_SENDS_MAX)
+      if (task_start_is_repeated (scheduler, task))
         {
-          task_send_start (scheduler, task);
+          /* A repetition would renew the lease of an endpoint that doesn't respond. Its next report
+           * shows whether the task runs. */
+          if (task->starts_unanswered < START_SENDS_MAX ||
+              task->endpoint->unresponsive_since_ms == 0)
+            task_send_start (scheduler, task);
           return;
         }
       /* A stop invalidates the attempt on the endpoint, so that it can't start any more. */
--- a/lib/jobs/wave.c
+++ b/lib/jobs/wave.c
@@ -14,8 +14,6 @@
   /* A batch task without checkpoints that has not ended this long after its host was cordoned is
    * stopped. */
   EVICT_BATCH_AFTER_MS = 1500,
-  /* Time for the last commands of a former leader to arrive. */
-  TAKEOVER_STOP_MARGIN_MS = 700,
   /* How often the state of a wave is logged. */
   WAVE_LOG_INTERVAL_MS = 2000,
 };
@@ -108,26 +106,6 @@
   return n;
 }
 
-/* Returns whether a task may be stopped without exceeding its step's limit of unavailable tasks.
- * Tasks that are unavailable for any other reason count too. */
-static bool
-task_may_be_stopped (const struct scheduler *scheduler, const struct task *task)
-{
-  const struct task *first = job_task (task->job, task->occurrence, task->step, 0);
-  const Sp__JobStep *step = task_step (task);
-  unsigned unavailable = 1;
-
-  if (step->away_limit == 0)
-    return true;
-  /* Endpoints report a task that a former leader has stopped as running until it ends. */
-  if (scheduler->now_ms - scheduler->leading_since_ms <
-      scheduler->config.stop_ms + TAKEOVER_STOP_MARGIN_MS)
-    return false;
-  for (uint32_t i = 0; i < step->n_tasks; i++)
-    unavailable += &first[i] != task && !task_is_available (&first[i]);
-  return unavailable <= step->away_limit;
-}
-
 /* Stops tasks that keep a cordoned endpoint from being drained. Long-running tasks are stopped one
  * by one within their steps' limits: the next one may be stopped once the last is available
  * elsewhere. */
--- a/tests/jobs/test_scheduler.c
+++ b/tests/jobs/test_scheduler.c
@@ -350,6 +350,43 @@
   simulation_destroy (simulation);
 }
 
+/* The starts of a step that lasts get no response, as from an overloaded leader, though some are
+ * carried out. The tasks that run may not be stopped, since the others of the step are away. */
+static void
+test_unanswered_starts_of_a_limited_step (void)
+{
+  enum
+  {
+    SEEDS = 20,
+  };
+
+  for (guint32 seed = 1; seed <= SEEDS; seed++)
+    {
+      struct simulation *simulation = simulation_create (seed);
+      Sp__JobStep step = make_step (16);
+
+      simulation_add_hosts (simulation, "pool", 8);
+      simulation_start_new_leader (simulation);
+      simulation_run (simulation, 100);
+      step.long_running = true;
+      step.away_limit = 2;
+      simulation->lost_permille = 800;
+      simulation_submit (simulation, "job", "pool", &step, 1, 3);
+      simulation_run (simulation, 5000);
+      simulation->lost_permille = 0;
+      simulation_run (simulation, 8000);
+      CU_ASSERT_EQUAL (simulation->over_unavailable_limit, 0);
+      CU_ASSERT_EQUAL (simulation_violations (simulation), 0);
+      for (unsigned i = 0; i < step.n_tasks; i++)
+        {
+          g_autofree char *name = g_strdup_printf ("job.0.0.%u", i);
+
+          CU_ASSERT_PTR_NOT_NULL (simulation_find_attempt (simulation, name, NULL));
+        }
+      simulation_destroy (simulation);
+    }
+}
+
 /* A gang starts as a whole or not at all. */
 static void
 test_gang (void)
@@ -409,6 +446,7 @@
   { "cancel", test_cancel },
   { "endpoint restart", test_endpoint_restart },
   { "long-running", test_long_running },
+  { "unanswered starts of a limited step", test_unanswered_starts_of_a_limited_step },
   { "gang", test_gang },
   { "store down", test_store_down },
 };
