--- /dev/null
+++ b/include/lib/jobs/host_command_guard.h
@@ -0,0 +1,58 @@
+#ifndef SESAMEPICK_LIB_JOBS_HOST_COMMAND_GUARD_H
+#define SESAMEPICK_LIB_JOBS_HOST_COMMAND_GUARD_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "job.pb-c.h"
+
+/* Keeps the host commands of two leaders apart on a platform that doesn't check their fencing
+ * tokens. A leader records in the journal which hosts it is about to command, and sends the
+ * commands once the record is durable. A new leader's claim keeps later records of the former one
+ * out of the journal, so the former can only command hosts that the journal names. The new leader
+ * leaves those alone until their commands have certainly ended, and may command all others at once.
+ * All times are monotonic ms of one host's own clock. */
+
+enum
+{
+  /* A command is only sent this long after its record was first sent. */
+  HOST_COMMAND_SEND_WINDOW_MS = 1500,
+  /* Timeout of a host command, from sending it to the response, and the same where tokens are
+   * checked. */
+  HOST_COMMAND_TIMEOUT_MS = 1000,
+  HOST_COMMAND_TIMEOUT_FENCED_MS = 1500,
+};
+
+struct host_command_guard
+{
+  /* Hosts that the journal's newest record names, each with the time until which a command for it
+   * may be in progress. */
+  GHashTable *recorded;
+  /* The same as of the beginning of this host's leadership: commands of former leaders. */
+  GHashTable *inherited;
+  /* Set of the hosts whose commands of this leadership are in progress. */
+  GHashTable *own;
+  /* Commands have ended since the last record. */
+  bool changed;
+};
+
+void host_command_guard_init (struct host_command_guard *guard);
+void host_command_guard_finish (struct host_command_guard *guard);
+/* Handles a record read from the journal, which replaces the one before. */
+void host_command_guard_observe (struct host_command_guard *guard, const Sp__HostCommands *commands,
+                                 int64_t now_ms);
+/* Begins a leadership of this host, which has read the journal up to its claim. */
+void host_command_guard_begin (struct host_command_guard *guard, int64_t now_ms);
+/* Returns until when a former leader's command for a host may be in progress; 0 if none is. */
+int64_t host_command_guard_busy_until_ms (const struct host_command_guard *guard, const char *host);
+/* A command for the host is to be recorded and sent, or has ended. */
+void host_command_guard_add (struct host_command_guard *guard, const char *host);
+void host_command_guard_remove (struct host_command_guard *guard, const char *host);
+/* Returns the hosts that a record must name: all whose commands may be in progress.
+ * NULL-terminated; free with g_strfreev. */
+char **host_command_guard_hosts (struct host_command_guard *guard, int64_t now_ms);
+/* Returns whether a command may still be sent whose record was first sent at recorded_ms. */
+bool host_command_may_be_sent (int64_t recorded_ms, int64_t now_ms);
+
+#endif
--- a/include/lib/jobs/job_table.h
+++ b/include/lib/jobs/job_table.h
@@ -22,6 +22,8 @@
   void (*on_leadership) (void *ctx, int64_t offset);
   /* Called for each record of a leader's progress in a maintenance wave. May be NULL. */
   void (*on_wave_progress) (void *ctx, const Sp__WaveProgress *progress);
+  /* Called for each record of the hosts that a leader commands. May be NULL. */
+  void (*on_host_commands) (void *ctx, const Sp__HostCommands *commands);
   /* Called for each record of an entry host. May be NULL. */
   void (*on_host) (void *ctx, const Sp__EntryHost *host);
   void *ctx;
--- a/include/lib/jobs/scheduler.h
+++ b/include/lib/jobs/scheduler.h
@@ -93,6 +93,9 @@
   void (*pace) (void *ctx, struct endpoint *endpoint, struct task *task, int percent);
   void (*move_host) (void *ctx, struct host *host, const char *pool);
   void (*maintain_host) (void *ctx, struct host *host, uint32_t wave);
+  /* Returns until when a command of an earlier leader for a host may be in progress, or 0. May be
+   * NULL. */
+  int64_t (*host_busy_until_ms) (void *ctx, const char *host);
   /* A wave has started or, if completed is true, each of its hosts has been maintained, is in
    * maintenance or has left the machine list. */
   void (*wave_state) (void *ctx, uint32_t wave, bool completed);
--- a/include/platform/command_client.h
+++ b/include/platform/command_client.h
@@ -33,6 +33,8 @@
   long connect_timeout_ms;
   long command_timeout_ms;
   long machines_timeout_ms;
+  /* Called when a command for a host has ended, before its result is reported. May be NULL. */
+  void (*host_command_ended) (void *ctx, const char *host);
   /* Returns the time of the scheduler's clock in milliseconds. */
   int64_t (*now_ms) (void *ctx);
   void *ctx;
@@ -53,7 +55,6 @@
                                uint64_t token);
 void command_client_maintain_host (struct command_client *client, struct host *host, uint32_t wave,
                                    uint64_t token);
-bool command_client_has_host_commands (const struct command_client *client);
 /* Ends the host commands in progress. The scheduler is told that they may have been carried out. */
 void command_client_abort_host_commands (struct command_client *client);
 /* Reads the whole machine list and passes it to the scheduler. Does nothing while a read is in
--- a/jobd/jobd.h
+++ b/jobd/jobd.h
@@ -7,6 +7,7 @@
 #include "common/http_client.h"
 #include "common/http_server.h"
 #include "common/metrics.h"
+#include "lib/jobs/host_command_guard.h"
 #include "lib/jobs/job_table.h"
 #include "lib/jobs/queue_table.h"
 #include "platform/store.h"
@@ -51,6 +52,7 @@
   struct admin *admin;
   /* Sends commands of other hosts that lead; NULL if this host doesn't. */
   struct relay_server *relay_server;
+  struct host_command_guard host_guard;
   /* Entry hosts that the journal names: name to relay address. */
   GHashTable *relays;
   struct metrics metrics;
--- a/jobd/leader.c
+++ b/jobd/leader.c
@@ -2,6 +2,7 @@
 #include <xxhash.h>
 
 #include "common/log.h"
+#include "host_command_queue.h"
 #include "leader_state.h"
 #include "lib/jobs/leader_election.h"
 
@@ -13,6 +14,8 @@
 {
   /* Interval of the leader's heartbeat records; the leader timeout covers three of them. */
   HEARTBEAT_INTERVAL_MS = 350,
+  /* Without a durable heartbeat for this long, no host is moved or maintained. */
+  HEARTBEAT_VALID_MS = 1500,
   /* Minimum time between two appends, so that progress is written in batches. */
   LEADER_APPEND_INTERVAL_MS = 25,
   /* Minimum time between two reads of the journal. */
@@ -55,7 +58,6 @@
       g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify) g_bytes_unref);
   leader->wave_progress =
       g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, (GDestroyNotify) g_bytes_unref);
-  leader->host_lease.tokens_checked = jobd->settings->host_tokens_checked;
   leader->claim_delay_fraction = leader_election_draw_fraction (1.0 - g_random_double ());
   metric_add_gauge (metrics, &leader->leading, "sesamepick_jobd_leading", "",
                     "1 while this host leads.");
@@ -87,8 +89,6 @@
   log_info ("leader", "leadership ended: epoch=%" G_GUINT64_FORMAT " reason=\"%s\"", leader->epoch,
             leader->step_down_reason);
   leader->step_down_reason = NULL;
-  if (leader->phase == LEADER_LEADING)
-    host_command_lease_observe (&leader->host_lease, leader->epoch, false, leader_now_ms (leader));
   leader->phase = LEADER_FOLLOWING;
   leader->leader_seen_ms = leader_now_ms (leader);
   leader->heartbeat_in_flight = false;
@@ -105,6 +105,9 @@
   if (leader->sender)
     command_sender_destroy (leader->sender);
   leader->sender = NULL;
+  if (leader->host_commands)
+    host_command_queue_destroy (leader->host_commands);
+  leader->host_commands = NULL;
   if (leader->scheduler)
     scheduler_destroy (leader->scheduler);
   leader->scheduler = NULL;
@@ -201,7 +204,7 @@
     }
   leader->phase = LEADER_CATCHING_UP;
   leader->claim_offset = offset;
-  leader->host_lease.renewed_ms = leader->heartbeat_sent_ms;
+  leader->heartbeat_durable_ms = leader->heartbeat_sent_ms;
   topic_reader_set_min_interval (leader->jobd->journal, LEADER_READ_INTERVAL_MS);
   log_info ("leader", "claim durable: epoch=%" G_GUINT64_FORMAT " offset=%" G_GINT64_FORMAT,
             leader->epoch, offset);
@@ -280,27 +283,13 @@
   return leader_election_is_due (&election, leader_now_ms (leader));
 }
 
-/* Returns whether the journal's newest leadership record is of this host's present epoch. */
-static bool
-leader_record_is_own (const struct leader *leader)
-{
-  const struct job_table *table = &leader->jobd->jobs;
-
-  return leader->phase != LEADER_FOLLOWING && table->leader_epoch == leader->epoch &&
-         strcmp (table->leader_node, leader->jobd->settings->name) == 0;
-}
-
 void
 leader_on_leadership_record (struct leader *leader, int64_t offset)
 {
   const struct job_table *table = &leader->jobd->jobs;
-  int64_t now_ms = leader_now_ms (leader);
 
   (void) offset;
-  leader->leader_seen_ms = now_ms;
-  if (leader->phase != LEADER_LEADING && !leader_record_is_own (leader))
-    host_command_lease_observe (&leader->host_lease, table->leader_epoch, table->leader_resigned,
-                                now_ms);
+  leader->leader_seen_ms = leader_now_ms (leader);
   if (leader->phase == LEADER_FOLLOWING)
     return;
   if (table->leader_epoch > leader->epoch)
@@ -325,7 +314,7 @@
           leader, "heartbeat rejected: another host has used this epoch or a newer one");
       return;
     }
-  leader->host_lease.renewed_ms = leader->heartbeat_sent_ms;
+  leader->heartbeat_durable_ms = leader->heartbeat_sent_ms;
 }
 
 /* Handles the result of a progress record: durable, or rejected because another host has used this
@@ -426,28 +415,6 @@
     command_sender_tick (leader->sender, counts.endpoints);
 }
 
-/* Handles the result of a resignation. If it failed, the other hosts wait for the leader
- * timeout. */
-static void
-leader_on_resigned (void *ctx, enum writer_result result, int64_t offset)
-{
-  (void) result;
-  (void) offset;
-  leader_request_step_down (ctx, "resigned");
-}
-
-/* Appends the resignation. Where tokens aren't checked, the successor relies on it that all host
- * commands have ended. */
-static void
-leader_append_resignation (struct leader *leader)
-{
-  if (leader->resignation_sent ||
-      (!leader->host_lease.tokens_checked && command_client_has_host_commands (leader->commands)))
-    return;
-  leader->resignation_sent = true;
-  leader_append_leadership (leader, true, leader_on_resigned);
-}
-
 /* Runs one scheduling pass, unless scheduling is paused after a stall of the event loop. */
 static void
 leader_run_pass (struct leader *leader)
@@ -461,8 +428,7 @@
     return;
   leader->stall_seen_ms = 0;
   scheduler_allow_host_commands (leader->scheduler,
-                                 !leader->resigning &&
-                                     host_command_lease_is_held (&leader->host_lease, now_ms));
+                                 now_ms - leader->heartbeat_durable_ms < HEARTBEAT_VALID_MS);
   topic_reader_set_min_interval (leader->registry, now_ms < leader->hosts_busy_until_ms
                                                        ? REGISTRY_BUSY_INTERVAL_MS
                                                        : REGISTRY_INTERVAL_MS);
@@ -474,10 +440,10 @@
       command_client_list_hosts (leader->commands);
     }
   scheduler_tick (leader->scheduler, now_ms, jobd->clock.wall_ms);
+  if (leader->host_commands)
+    host_command_queue_flush (leader->host_commands);
   leader_append_records (leader);
   leader_purge_jobs (leader);
-  if (leader->resigning)
-    leader_append_resignation (leader);
 }
 
 void
@@ -486,7 +452,8 @@
   leader->resumed_ms = leader_now_ms (leader);
   if (leader->phase == LEADER_LEADING)
     leader->stall_seen_ms = leader->resumed_ms;
-  if (leader->phase == LEADER_LEADING && !leader->host_lease.tokens_checked)
+  /* A command that waited for its connection must not be sent late. */
+  if (leader->host_commands)
     command_client_abort_host_commands (leader->commands);
 }
 
@@ -515,6 +482,16 @@
   leader_update_counts (leader);
 }
 
+/* Handles the result of a resignation. If it failed, the other hosts wait for the leader
+ * timeout. */
+static void
+leader_on_resigned (void *ctx, enum writer_result result, int64_t offset)
+{
+  (void) result;
+  (void) offset;
+  leader_request_step_down (ctx, "resigned");
+}
+
 /* Resigns before a planned stop. A claim that is in progress is abandoned. */
 void
 leader_resign (struct leader *leader)
@@ -526,6 +503,5 @@
       leader_request_step_down (leader, "stop");
       return;
     }
-  leader->resigning = true;
-  leader_append_resignation (leader);
+  leader_append_leadership (leader, true, leader_on_resigned);
 }
--- a/jobd/leader_state.h
+++ b/jobd/leader_state.h
@@ -3,7 +3,6 @@
 
 #include "command_sender.h"
 #include "jobd.h"
-#include "lib/jobs/host_command_lease.h"
 #include "lib/jobs/scheduler.h"
 #include "platform/command_client.h"
 
@@ -29,6 +28,8 @@
   LEADER_LEADING,
 };
 
+struct host_command_queue;
+
 struct leader
 {
   struct jobd *jobd;
@@ -43,9 +44,6 @@
   /* Random fraction, 0 to 1, of the time span over which hosts claim; see
    * leader_election_draw_fraction. */
   double claim_delay_fraction;
-  /* This process is to stop: the leadership ends as soon as its host commands have. */
-  bool resigning;
-  bool resignation_sent;
   /* Why to step down in the next tick; NULL if not. Set in callbacks, which must not destroy what
    * called them. */
   const char *step_down_reason;
@@ -58,13 +56,15 @@
   struct writer *status_writer;
   struct command_client *commands;
   struct command_sender *sender;
+  /* NULL where the platform checks the tokens of host commands. */
+  struct host_command_queue *host_commands;
   struct scheduler *scheduler;
   struct topic_reader *registry;
   struct store *registry_store;
   /* When the last leadership record (claim, heartbeat or resignation) was sent, and when the last
    * durable claim or heartbeat was. */
   int64_t heartbeat_sent_ms;
-  struct host_command_lease host_lease;
+  int64_t heartbeat_durable_ms;
   bool heartbeat_in_flight;
   /* Progress records that are not durable yet. */
   unsigned n_unflushed;
@@ -100,6 +100,9 @@
 void leader_request_step_down (struct leader *leader, const char *reason);
 
 /* scheduling.c */
+/* Sends a command for a host: a move to a pool, or maintenance in a wave if pool is NULL. */
+void leader_send_host_command (struct leader *leader, struct host *host, const char *pool,
+                               uint32_t wave);
 /* Starts the scheduler, once the journal has been read up to the claim. */
 void leader_start_scheduling (struct leader *leader);
 
--- a/jobd/main.c
+++ b/jobd/main.c
@@ -84,6 +84,15 @@
   leader_store_wave_progress (((struct jobd *) ctx)->leader, progress);
 }
 
+/* Keeps which hosts a leader commands, for a later leadership of this host. */
+static void
+jobd_on_host_commands (void *ctx, const Sp__HostCommands *commands)
+{
+  struct jobd *jobd = ctx;
+
+  host_command_guard_observe (&jobd->host_guard, commands, jobd_now_ms (jobd));
+}
+
 /* Keeps where other hosts accept a leader's commands. */
 static void
 jobd_on_host_record (void *ctx, const Sp__EntryHost *host)
@@ -307,8 +316,10 @@
   jobd->jobs.on_leadership = jobd_on_leadership_record;
   jobd->jobs.on_wave_progress = jobd_on_wave_progress;
   jobd->jobs.on_host = jobd_on_host_record;
+  jobd->jobs.on_host_commands = jobd_on_host_commands;
   jobd->jobs.ctx = jobd;
   jobd->relays = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  host_command_guard_init (&jobd->host_guard);
   jobd->leader = leader_create (jobd);
   jobd_open_topics (jobd);
   if (jobd->settings->relay[0] != '\0')
@@ -338,6 +349,7 @@
   jobd->jobs.on_removed = NULL;
   job_table_finish (&jobd->jobs);
   g_hash_table_destroy (jobd->relays);
+  host_command_guard_finish (&jobd->host_guard);
   queue_table_destroy (jobd->queues);
   metrics_finish (&jobd->metrics);
 }
--- a/jobd/scheduling.c
+++ b/jobd/scheduling.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "common/log.h"
+#include "host_command_queue.h"
 #include "leader_state.h"
 #include "platform/documents.h"
 
@@ -74,24 +75,49 @@
   return leader->epoch * TOKENS_PER_EPOCH + ++leader->n_host_commands;
 }
 
+void
+leader_send_host_command (struct leader *leader, struct host *host, const char *pool, uint32_t wave)
+{
+  if (pool)
+    command_client_move_host (leader->commands, host, pool, leader_next_token (leader));
+  else
+    command_client_maintain_host (leader->commands, host, wave, leader_next_token (leader));
+}
+
+/* Sends a command for a host, after the journal names the host if nothing checks its token. */
 static void
-leader_move_host (void *ctx, struct host *host, const char *pool)
+leader_command_host (struct leader *leader, struct host *host, const char *pool, uint32_t wave)
 {
-  struct leader *leader = ctx;
+  leader->hosts_busy_until_ms = leader_now_ms (leader) + HOST_CHANGE_BUSY_MS;
+  if (leader->host_commands)
+    host_command_queue_add (leader->host_commands, host, pool, wave);
+  else
+    leader_send_host_command (leader, host, pool, wave);
+}
 
+static void
+leader_move_host (void *ctx, struct host *host, const char *pool)
+{
   log_info ("machines", "move: host=%s from=%s to=%s", host->id, host->pool, pool);
-  leader->hosts_busy_until_ms = leader_now_ms (leader) + HOST_CHANGE_BUSY_MS;
-  command_client_move_host (leader->commands, host, pool, leader_next_token (leader));
+  leader_command_host (ctx, host, pool, 0);
 }
 
 static void
 leader_maintain_host (void *ctx, struct host *host, uint32_t wave)
+{
+  log_info ("machines", "maintain: host=%s pool=%s wave=%u", host->id, host->pool, wave);
+  leader_command_host (ctx, host, NULL, wave);
+}
+
+/* Returns until when another leader's command for a host may be in progress; 0 if none is. */
+static int64_t
+leader_host_busy_until_ms (void *ctx, const char *host)
 {
   struct leader *leader = ctx;
 
-  log_info ("machines", "maintain: host=%s pool=%s wave=%u", host->id, host->pool, wave);
-  leader->hosts_busy_until_ms = leader_now_ms (leader) + HOST_CHANGE_BUSY_MS;
-  command_client_maintain_host (leader->commands, host, wave, leader_next_token (leader));
+  if (!leader->host_commands)
+    return 0;
+  return host_command_guard_busy_until_ms (&leader->jobd->host_guard, host);
 }
 
 /* Writes a wave's state to the status topic, where its operator reads it. */
@@ -269,6 +295,15 @@
     command_sender_set_relay (leader->sender, name, address);
 }
 
+/* Handles the end of a command for a host. */
+static void
+leader_on_host_command_ended (void *ctx, const char *host)
+{
+  struct jobd *jobd = ctx;
+
+  host_command_guard_remove (&jobd->host_guard, host);
+}
+
 void
 leader_start_scheduling (struct leader *leader)
 {
@@ -280,7 +315,9 @@
     .machines = settings->machines,
     .connect_timeout_ms = COMMAND_CONNECT_TIMEOUT_MS,
     .command_timeout_ms = COMMAND_TIMEOUT_MS,
-    .machines_timeout_ms = host_command_timeout_ms (leader->host_lease.tokens_checked),
+    .machines_timeout_ms =
+        settings->host_tokens_checked ? HOST_COMMAND_TIMEOUT_FENCED_MS : HOST_COMMAND_TIMEOUT_MS,
+    .host_command_ended = leader_on_host_command_ended,
     .now_ms = jobd_now_ms,
     .ctx = jobd,
   };
@@ -297,6 +334,7 @@
     .pace = leader_pace_task,
     .move_host = leader_move_host,
     .maintain_host = leader_maintain_host,
+    .host_busy_until_ms = leader_host_busy_until_ms,
     .wave_state = leader_publish_wave_status,
     .log = leader_log_decision,
     .superseded = leader_on_superseded,
@@ -315,6 +353,11 @@
   leader->phase = LEADER_LEADING;
   leader->n_host_commands = 0;
   leader->commands = command_client_create (&commands);
+  if (!settings->host_tokens_checked)
+    {
+      host_command_guard_begin (&jobd->host_guard, leader_now_ms (leader));
+      leader->host_commands = host_command_queue_create (leader);
+    }
   leader->sender = command_sender_create (jobd, leader->epoch, leader->commands);
   leader->scheduler =
       scheduler_create (&config, &ops, &jobd->jobs, leader_now_ms (leader), jobd->clock.wall_ms);
--- a/lib/jobs/hosts.c
+++ b/lib/jobs/hosts.c
@@ -145,6 +145,9 @@
         {
           host = g_new0 (struct host, 1);
           host->id = g_strdup (entries[i].id);
+          if (scheduler->ops.host_busy_until_ms)
+            host->next_command_ms =
+                scheduler->ops.host_busy_until_ms (scheduler->ops.ctx, host->id);
           TAILQ_INSERT_TAIL (&scheduler->hosts, host, link);
           g_hash_table_insert (scheduler->hosts_by_id, host->id, host);
         }
--- a/lib/jobs/job_table.c
+++ b/lib/jobs/job_table.c
@@ -5,6 +5,7 @@
 
 #define LEADER_KEY "leader"
 #define HOST_PREFIX "h/"
+#define HOST_COMMANDS_KEY "host-commands"
 
 /* Initializes an empty table. The owner sets the callbacks afterwards. */
 void
@@ -151,6 +152,10 @@
       if (table->on_wave_progress)
         table->on_wave_progress (table->ctx, record->wave);
       break;
+    case SP__JOB_RECORD__BODY_HOST_COMMANDS:
+      if (table->on_host_commands)
+        table->on_host_commands (table->ctx, record->host_commands);
+      break;
     case SP__JOB_RECORD__BODY_HOST:
       if (table->on_host)
         table->on_host (table->ctx, record->host);
@@ -195,6 +200,8 @@
       return g_strconcat ("p/", record->progress->id, NULL);
     case SP__JOB_RECORD__BODY_WAVE:
       return g_strdup_printf ("w/%u", record->wave->wave);
+    case SP__JOB_RECORD__BODY_HOST_COMMANDS:
+      return g_strdup (HOST_COMMANDS_KEY);
     case SP__JOB_RECORD__BODY_HOST:
       return g_strconcat (HOST_PREFIX, record->host->name, NULL);
     default:
--- a/protocols/job.pb-c.c
+++ b/protocols/job.pb-c.c
@@ -367,6 +367,51 @@
   assert(message->base.descriptor == &sp__entry_host__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   sp__host_commands__init
+                     (Sp__HostCommands         *message)
+{
+  static const Sp__HostCommands init_value = SP__HOST_COMMANDS__INIT;
+  *message = init_value;
+}
+size_t sp__host_commands__get_packed_size
+                     (const Sp__HostCommands *message)
+{
+  assert(message->base.descriptor == &sp__host_commands__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t sp__host_commands__pack
+                     (const Sp__HostCommands *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &sp__host_commands__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t sp__host_commands__pack_to_buffer
+                     (const Sp__HostCommands *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &sp__host_commands__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Sp__HostCommands *
+       sp__host_commands__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Sp__HostCommands *)
+     protobuf_c_message_unpack (&sp__host_commands__descriptor,
+                                allocator, len, data);
+}
+void   sp__host_commands__free_unpacked
+                     (Sp__HostCommands *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &sp__host_commands__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   sp__job_record__init
                      (Sp__JobRecord         *message)
 {
@@ -1262,7 +1307,45 @@
   (ProtobufCMessageInit) sp__entry_host__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sp__job_record__field_descriptors[6] =
+static const ProtobufCFieldDescriptor sp__host_commands__field_descriptors[1] =
+{
+  {
+    "hosts",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Sp__HostCommands, n_hosts),
+    offsetof(Sp__HostCommands, hosts),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned sp__host_commands__field_indices_by_name[] = {
+  0,   /* field[0] = hosts */
+};
+static const ProtobufCIntRange sp__host_commands__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor sp__host_commands__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "sp.HostCommands",
+  "HostCommands",
+  "Sp__HostCommands",
+  "sp",
+  sizeof(Sp__HostCommands),
+  1,
+  sp__host_commands__field_descriptors,
+  sp__host_commands__field_indices_by_name,
+  1,  sp__host_commands__number_ranges,
+  (ProtobufCMessageInit) sp__host_commands__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor sp__job_record__field_descriptors[7] =
 {
   {
     "definition",
@@ -1336,11 +1419,24 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "host_commands",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sp__JobRecord, body_case),
+    offsetof(Sp__JobRecord, host_commands),
+    &sp__host_commands__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sp__job_record__field_indices_by_name[] = {
   1,   /* field[1] = cancel */
   0,   /* field[0] = definition */
   5,   /* field[5] = host */
+  6,   /* field[6] = host_commands */
   3,   /* field[3] = leadership */
   2,   /* field[2] = progress */
   4,   /* field[4] = wave */
@@ -1348,7 +1444,7 @@
 static const ProtobufCIntRange sp__job_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor sp__job_record__descriptor =
 {
@@ -1358,7 +1454,7 @@
   "Sp__JobRecord",
   "sp",
   sizeof(Sp__JobRecord),
-  6,
+  7,
   sp__job_record__field_descriptors,
   sp__job_record__field_indices_by_name,
   1,  sp__job_record__number_ranges,
--- a/protocols/job.pb-c.h
+++ b/protocols/job.pb-c.h
@@ -23,6 +23,7 @@
 typedef struct Sp__Leadership Sp__Leadership;
 typedef struct Sp__WaveProgress Sp__WaveProgress;
 typedef struct Sp__EntryHost Sp__EntryHost;
+typedef struct Sp__HostCommands Sp__HostCommands;
 typedef struct Sp__JobRecord Sp__JobRecord;
 
 
@@ -235,6 +236,20 @@
     , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
 
 
+/*
+ * Hosts for which commands of a leader may be in progress. Each record replaces the one before.
+ */
+struct  Sp__HostCommands
+{
+  ProtobufCMessage base;
+  size_t n_hosts;
+  char **hosts;
+};
+#define SP__HOST_COMMANDS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&sp__host_commands__descriptor) \
+    , 0,NULL }
+
+
 typedef enum {
   SP__JOB_RECORD__BODY__NOT_SET = 0,
   SP__JOB_RECORD__BODY_DEFINITION = 1,
@@ -242,7 +257,8 @@
   SP__JOB_RECORD__BODY_PROGRESS = 3,
   SP__JOB_RECORD__BODY_LEADERSHIP = 4,
   SP__JOB_RECORD__BODY_WAVE = 5,
-  SP__JOB_RECORD__BODY_HOST = 6
+  SP__JOB_RECORD__BODY_HOST = 6,
+  SP__JOB_RECORD__BODY_HOST_COMMANDS = 7
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(SP__JOB_RECORD__BODY__CASE)
 } Sp__JobRecord__BodyCase;
 
@@ -257,6 +273,7 @@
     Sp__Leadership *leadership;
     Sp__WaveProgress *wave;
     Sp__EntryHost *host;
+    Sp__HostCommands *host_commands;
   };
 };
 #define SP__JOB_RECORD__INIT \
@@ -416,6 +433,25 @@
 void   sp__entry_host__free_unpacked
                      (Sp__EntryHost *message,
                       ProtobufCAllocator *allocator);
+/* Sp__HostCommands methods */
+void   sp__host_commands__init
+                     (Sp__HostCommands         *message);
+size_t sp__host_commands__get_packed_size
+                     (const Sp__HostCommands   *message);
+size_t sp__host_commands__pack
+                     (const Sp__HostCommands   *message,
+                      uint8_t             *out);
+size_t sp__host_commands__pack_to_buffer
+                     (const Sp__HostCommands   *message,
+                      ProtobufCBuffer     *buffer);
+Sp__HostCommands *
+       sp__host_commands__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   sp__host_commands__free_unpacked
+                     (Sp__HostCommands *message,
+                      ProtobufCAllocator *allocator);
 /* Sp__JobRecord methods */
 void   sp__job_record__init
                      (Sp__JobRecord         *message);
@@ -461,6 +497,9 @@
 typedef void (*Sp__EntryHost_Closure)
                  (const Sp__EntryHost *message,
                   void *closure_data);
+typedef void (*Sp__HostCommands_Closure)
+                 (const Sp__HostCommands *message,
+                  void *closure_data);
 typedef void (*Sp__JobRecord_Closure)
                  (const Sp__JobRecord *message,
                   void *closure_data);
@@ -479,6 +518,7 @@
 extern const ProtobufCMessageDescriptor sp__leadership__descriptor;
 extern const ProtobufCMessageDescriptor sp__wave_progress__descriptor;
 extern const ProtobufCMessageDescriptor sp__entry_host__descriptor;
+extern const ProtobufCMessageDescriptor sp__host_commands__descriptor;
 extern const ProtobufCMessageDescriptor sp__job_record__descriptor;
 
 PROTOBUF_C__END_DECLS
