Hand callers' records to the leader, which appends those of all hosts

Cause: the store appends to a partition one call after the other, 4 ms each. With 147 hosts each job's definition is a call of its own, 386 a second at a turn's peak for at most 250.

Change: over the links for commands, hosts hand their callers' records to the leader (jobd/record_sender), which appends them with its own every 25 ms. A record without a response after 400 ms is appended by its host; if that is refused, the caller gets 504, as the leader's append may still come.

Process test: records handed over, and a leader that freezes with one.

--- a/jobd/command_sender.c
+++ b/jobd/command_sender.c
@@ -53,11 +53,24 @@
   int64_t heard_ms;
 };
 
+/* A record of another host that is being appended. */
+struct appending_record
+{
+  TAILQ_ENTRY (appending_record) entry;
+  struct command_sender *sender;
+  /* NULL once the link is closed. */
+  struct relay_link *link;
+  uint64_t number;
+};
+
 struct command_sender
 {
   struct jobd *jobd;
   uint64_t epoch;
   struct command_client *client;
+  struct writer *writer;
+  /* Records of other hosts that are being appended. */
+  TAILQ_HEAD (, appending_record) handed;
   struct scheduler *scheduler;
   struct relay_set relays;
   bool relaying;
@@ -145,6 +158,34 @@
     report_destroy (report);
 }
 
+/* Handles the result of an append for another host. Without a response that host appends the record
+ * itself. */
+static void
+appending_record_on_done (void *ctx, enum writer_result result, int64_t offset)
+{
+  struct appending_record *record = ctx;
+
+  if (result == WRITER_DURABLE && record->link)
+    command_batch_add_appended (record->link->batch, record->number, offset);
+  TAILQ_REMOVE (&record->sender->handed, record, entry);
+  g_free (record);
+}
+
+/* Appends a record that another host has handed over. */
+static void
+relay_link_append (struct relay_link *link, const Sp__HandedRecord *message)
+{
+  struct command_sender *sender = link->sender;
+  struct appending_record *record = g_new0 (struct appending_record, 1);
+
+  record->sender = sender;
+  record->link = link;
+  record->number = message->number;
+  TAILQ_INSERT_TAIL (&sender->handed, record, entry);
+  writer_append (sender->writer, message->key, message->value.data, message->value.len,
+                 appending_record_on_done, record);
+}
+
 /* Handles a message of a relay. */
 static void
 relay_link_on_message (void *ctx, const void *data, size_t len)
@@ -165,6 +206,8 @@
       relay_batch_acked (&sender->relays, link->relay, batch->acked_sequence, link->heard_ms);
       for (size_t i = 0; i < batch->n_results; i++)
         command_sender_on_result (sender, batch->results[i]);
+      for (size_t i = 0; i < batch->n_records; i++)
+        relay_link_append (link, batch->records[i]);
     }
   sp__result_batch__free_unpacked (batch, NULL);
 }
@@ -200,13 +243,16 @@
 }
 
 struct command_sender *
-command_sender_create (struct jobd *jobd, uint64_t epoch, struct command_client *client)
+command_sender_create (struct jobd *jobd, uint64_t epoch, struct command_client *client,
+                       struct writer *writer)
 {
   struct command_sender *sender = g_new0 (struct command_sender, 1);
 
   sender->jobd = jobd;
   sender->epoch = epoch;
   sender->client = client;
+  sender->writer = writer;
+  TAILQ_INIT (&sender->handed);
   relay_set_init (&sender->relays);
   TAILQ_INIT (&sender->in_order);
   sender->commands = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
@@ -243,14 +289,21 @@
 command_sender_remove_relay (struct command_sender *sender, struct relay *relay)
 {
   struct relay_link *link = relay->data;
+  struct appending_record *record;
 
+  TAILQ_FOREACH (record, &sender->handed, entry)
+    {
+      if (record->link == link)
+        record->link = NULL;
+    }
   peer_link_destroy (link->peer);
   g_byte_array_unref (link->batch);
   g_free (link);
   relay_set_remove (&sender->relays, relay);
 }
 
-/* Frees the sender; its commands are not reported. The client must have been destroyed before. */
+/* Frees the sender; its commands are not reported. The client and the writer must have been
+ * destroyed before. */
 void
 command_sender_destroy (struct command_sender *sender)
 {
@@ -258,6 +311,13 @@
   while (!TAILQ_EMPTY (&sender->relays.relays))
     command_sender_remove_relay (sender, TAILQ_FIRST (&sender->relays.relays));
   relay_set_finish (&sender->relays);
+  while (!TAILQ_EMPTY (&sender->handed))
+    {
+      struct appending_record *record = TAILQ_FIRST (&sender->handed);
+
+      TAILQ_REMOVE (&sender->handed, record, entry);
+      g_free (record);
+    }
   g_hash_table_destroy (sender->commands);
   g_free (sender);
 }
--- a/jobd/command_sender.h
+++ b/jobd/command_sender.h
@@ -5,12 +5,14 @@
 #include "lib/jobs/scheduler.h"
 #include "platform/command_client.h"
 
-/* Sends the scheduler's commands to endpoints: by itself while the fleet is small, through the
- * relays of other hosts when it is large. Reports each result to the scheduler. */
+/* Links to the other hosts while this one leads. Sends the scheduler's commands to endpoints: by
+ * itself while the fleet is small, through the relays of other hosts when it is large. Reports each
+ * result to the scheduler. Appends the records of callers that other hosts hand over. */
 struct command_sender;
 
+/* Records that other hosts hand over are appended by writer. */
 struct command_sender *command_sender_create (struct jobd *jobd, uint64_t epoch,
-                                              struct command_client *client);
+                                              struct command_client *client, struct writer *writer);
 void command_sender_destroy (struct command_sender *sender);
 void command_sender_set_scheduler (struct command_sender *sender, struct scheduler *scheduler);
 /* Adds, changes or (with an empty address) removes another host's relay. */
--- a/jobd/ingress.c
+++ b/jobd/ingress.c
@@ -4,6 +4,7 @@
 #include "common/settings.h"
 #include "jobd.h"
 #include "platform/callers.h"
+#include "record_sender.h"
 
 /* HTTP port for callers: submit a job, query its state, cancel it, count the pending jobs of a
  * queue. */
@@ -131,7 +132,8 @@
   return pending;
 }
 
-/* Handles the result of an append: the record is durable, or will certainly never be written. */
+/* Handles the result of an append: the record is durable, will certainly never be written, or may
+ * be. */
 static void
 pending_request_on_append (void *ctx, enum writer_result result, int64_t offset)
 {
@@ -143,8 +145,9 @@
   const void *value = g_bytes_get_data (pending->value, &len);
 
   log_info ("ingress", "%s: job=%s offset=%" G_GINT64_FORMAT " key=%s",
-            durable ? "record durable" : "record refused", pending->id, durable ? offset : -1,
-            pending->key);
+            durable ? "record durable"
+                    : (result == WRITER_UNKNOWN ? "record's fate is unknown" : "record refused"),
+            pending->id, durable ? offset : -1, pending->key);
   /* A follower applies the record now, so that the job is known here at once. A leader must apply
    * jobs in journal order only: the journal may hold another host's claim before this job, in which
    * case the new leader starts it. */
@@ -152,6 +155,8 @@
     job_table_apply (&jobd->jobs, pending->key, value, len, offset, jobd_now_ms (jobd));
   if (request && durable)
     answer_json (request, 200, EMPTY_RESPONSE_BODY);
+  else if (request && result == WRITER_UNKNOWN)
+    answer_error (request, 504, "the store is not available; the record may still be stored");
   else if (request)
     answer_unavailable (request, "the store is not available; nothing was stored");
   if (durable)
@@ -160,6 +165,8 @@
       metric_histogram_observe (&pending->ingress->durable_time,
                                 jobd_now_ms (jobd) - pending->created_ms);
     }
+  else if (result == WRITER_UNKNOWN)
+    pending->ingress->unknown.value++;
   else
     pending->ingress->refused.value++;
   pending_request_destroy (pending);
@@ -193,8 +200,8 @@
   pending->value = job_record_pack (record);
   pending->appended = true;
   value = g_bytes_get_data (pending->value, &len);
-  writer_append (pending->ingress->jobd->writer, pending->key, value, len,
-                 pending_request_on_append, pending);
+  record_sender_append (pending->ingress->jobd->records, pending->key, value, len,
+                        pending_request_on_append, pending);
 }
 
 /* Returns whether a string is a well-formed job id. */
--- a/jobd/jobd.h
+++ b/jobd/jobd.h
@@ -19,6 +19,7 @@
 struct ingress;
 struct admin;
 struct relay_server;
+struct record_sender;
 
 enum
 {
@@ -45,8 +46,10 @@
   /* Readers of the journal and of the operators' topic. */
   struct topic_reader *journal;
   struct topic_reader *operators;
-  /* Appends the records of callers (jobs and cancellations) to the journal. */
+  /* Appends this host's records to the journal. */
   struct writer *writer;
+  /* Makes the records of callers (jobs and cancellations) durable. */
+  struct record_sender *records;
   struct leader *leader;
   struct ingress *ingress;
   struct admin *admin;
--- a/jobd/leader.c
+++ b/jobd/leader.c
@@ -102,9 +102,6 @@
   if (leader->commands)
     command_client_destroy (leader->commands);
   leader->commands = NULL;
-  if (leader->sender)
-    command_sender_destroy (leader->sender);
-  leader->sender = NULL;
   if (leader->host_commands)
     host_command_queue_destroy (leader->host_commands);
   leader->host_commands = NULL;
@@ -114,6 +111,9 @@
   store_destroy (leader->store);
   writer_destroy (leader->writer);
   leader->writer = NULL;
+  if (leader->sender)
+    command_sender_destroy (leader->sender);
+  leader->sender = NULL;
   if (leader->status_writer)
     writer_destroy (leader->status_writer);
   leader->status_writer = NULL;
--- a/jobd/main.c
+++ b/jobd/main.c
@@ -9,6 +9,7 @@
 #include "common/program.h"
 #include "jobd.h"
 #include "platform/documents.h"
+#include "record_sender.h"
 #include "relay_server.h"
 
 enum
@@ -234,6 +235,7 @@
   jobd->last_tick_ms = now_ms;
   leader_tick (jobd->leader);
   ingress_tick (jobd->ingress);
+  record_sender_tick (jobd->records);
   if (jobd->relay_server)
     relay_server_tick (jobd->relay_server);
   watchers_check_stop (watchers);
@@ -319,6 +321,7 @@
   jobd->jobs.on_host_commands = jobd_on_host_commands;
   jobd->jobs.ctx = jobd;
   jobd->relays = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  jobd->records = record_sender_create (jobd);
   host_command_guard_init (&jobd->host_guard);
   jobd->leader = leader_create (jobd);
   jobd_open_topics (jobd);
@@ -345,6 +348,7 @@
   topic_reader_destroy (jobd->journal);
   topic_reader_destroy (jobd->operators);
   writer_destroy (jobd->writer);
+  record_sender_destroy (jobd->records);
   http_client_destroy (jobd->client);
   jobd->jobs.on_removed = NULL;
   job_table_finish (&jobd->jobs);
--- /dev/null
+++ b/jobd/record_sender.c
@@ -0,0 +1,151 @@
+#include "record_sender.h"
+
+#include "common/log.h"
+#include "relay_server.h"
+
+enum
+{
+  /* The leader appends every 25 ms. */
+  HANDOVER_TIMEOUT_MS = 400,
+};
+
+/* A record that was handed to the leader. */
+struct handed_record
+{
+  TAILQ_ENTRY (handed_record) link;
+  struct record_sender *sender;
+  uint64_t number;
+  int64_t sent_ms;
+  char *key;
+  GBytes *value;
+  writer_done *done;
+  void *ctx;
+  /* This host appends it by now; the leader's response may still come first. */
+  bool appending;
+};
+
+struct record_sender
+{
+  struct jobd *jobd;
+  /* In the order in which they were handed over. */
+  TAILQ_HEAD (, handed_record) records;
+  uint64_t last_number;
+  struct metric handed;
+};
+
+struct record_sender *
+record_sender_create (struct jobd *jobd)
+{
+  struct record_sender *sender = g_new0 (struct record_sender, 1);
+
+  sender->jobd = jobd;
+  TAILQ_INIT (&sender->records);
+  metric_add_counter (&jobd->metrics, &sender->handed, "sesamepick_jobd_records_handed_total", "",
+                      "Records of callers that were handed to the leader.");
+  return sender;
+}
+
+static void
+handed_record_destroy (struct handed_record *record)
+{
+  TAILQ_REMOVE (&record->sender->records, record, link);
+  g_free (record->key);
+  g_bytes_unref (record->value);
+  g_free (record);
+}
+
+/* Frees the sender without reporting results. The writer must have been destroyed before. */
+void
+record_sender_destroy (struct record_sender *sender)
+{
+  while (!TAILQ_EMPTY (&sender->records))
+    handed_record_destroy (TAILQ_FIRST (&sender->records));
+  metric_remove (&sender->handed);
+  g_free (sender);
+}
+
+void
+record_sender_append (struct record_sender *sender, const char *key, const void *value, size_t len,
+                      writer_done *done, void *ctx)
+{
+  struct jobd *jobd = sender->jobd;
+  struct handed_record *record;
+
+  if (!jobd->relay_server ||
+      !relay_server_hand_over (jobd->relay_server, sender->last_number + 1, key, value, len))
+    {
+      writer_append (jobd->writer, key, value, len, done, ctx);
+      return;
+    }
+  sender->handed.value++;
+  record = g_new0 (struct handed_record, 1);
+  record->sender = sender;
+  record->number = ++sender->last_number;
+  record->sent_ms = jobd_now_ms (jobd);
+  record->key = g_strdup (key);
+  record->value = g_bytes_new (value, len);
+  record->done = done;
+  record->ctx = ctx;
+  TAILQ_INSERT_TAIL (&sender->records, record, link);
+}
+
+/* Reports a record's result and frees the record. */
+static void
+handed_record_finish (struct handed_record *record, enum writer_result result, int64_t offset)
+{
+  if (record->done)
+    record->done (record->ctx, result, offset);
+  record->done = NULL;
+  if (!record->appending)
+    handed_record_destroy (record);
+}
+
+void
+record_sender_on_appended (struct record_sender *sender, uint64_t number, int64_t offset)
+{
+  struct handed_record *record;
+
+  TAILQ_FOREACH (record, &sender->records, link)
+    {
+      if (record->number != number)
+        continue;
+      handed_record_finish (record, WRITER_DURABLE, offset);
+      return;
+    }
+}
+
+/* Handles the result of this host's own append. The leader may still append a record that the store
+ * refused here. */
+static void
+handed_record_on_append (void *ctx, enum writer_result result, int64_t offset)
+{
+  struct handed_record *record = ctx;
+
+  record->appending = false;
+  handed_record_finish (record, result == WRITER_DURABLE ? WRITER_DURABLE : WRITER_UNKNOWN, offset);
+}
+
+void
+record_sender_tick (struct record_sender *sender)
+{
+  int64_t now_ms = jobd_now_ms (sender->jobd);
+  struct handed_record *record = TAILQ_FIRST (&sender->records);
+
+  while (record && now_ms - record->sent_ms >= HANDOVER_TIMEOUT_MS)
+    {
+      struct handed_record *next = TAILQ_NEXT (record, link);
+
+      if (!record->appending)
+        {
+          gsize len;
+          const void *value = g_bytes_get_data (record->value, &len);
+
+          log_info ("writer", "the leader has not appended a record, appending it here: key=%s",
+                    record->key);
+          record->appending = true;
+          writer_append (sender->jobd->writer, record->key, value, len, handed_record_on_append,
+                         record);
+        }
+      record = next;
+    }
+}
--- /dev/null
+++ b/jobd/record_sender.h
@@ -0,0 +1,22 @@
+#ifndef SESAMEPICK_JOBD_RECORD_SENDER_H
+#define SESAMEPICK_JOBD_RECORD_SENDER_H
+
+#include "jobd.h"
+
+/* Makes the records of callers durable. The store appends to a partition one call after the other,
+ * so with many hosts their calls, and the leader's heartbeats, wait for each other. A host that has
+ * a link to the leader therefore hands its records to the leader, which appends those of all hosts
+ * together. Without a response it appends them itself; a second record of a job changes nothing. */
+struct record_sender;
+
+struct record_sender *record_sender_create (struct jobd *jobd);
+void record_sender_destroy (struct record_sender *sender);
+/* Reports the result like writer_append, and WRITER_UNKNOWN if the record may become durable. */
+void record_sender_append (struct record_sender *sender, const char *key, const void *value,
+                           size_t len, writer_done *done, void *ctx);
+/* The leader has appended a record that was handed to it. */
+void record_sender_on_appended (struct record_sender *sender, uint64_t number, int64_t offset);
+/* Appends the records to which the leader hasn't responded in time. */
+void record_sender_tick (struct record_sender *sender);
+
+#endif
--- a/jobd/relay_server.c
+++ b/jobd/relay_server.c
@@ -9,6 +9,7 @@
 #include "common/settings.h"
 #include "lib/jobs/command_message.h"
 #include "platform/command_client.h"
+#include "record_sender.h"
 
 enum
 {
@@ -18,6 +19,8 @@
   /* A leader that has sent nothing for this long is forgotten. */
   SESSION_IDLE_MS = 10000,
   SESSION_CHECK_MS = 2000,
+  /* A leader sends something every 500 ms. */
+  LEADER_SILENT_MS = 800,
 };
 
 /* A leader that has sent commands to this host. */
@@ -52,6 +55,8 @@
   struct command_client *commands;
   /* Routing id of the leader's link to struct relay_session. */
   GHashTable *sessions;
+  /* Session of the highest epoch; NULL if there is none. */
+  struct relay_session *leader;
   bool destroying;
   bool announced;
   int64_t next_announce_ms;
@@ -83,6 +88,8 @@
   struct relay_session *session = data;
 
   session->closed = true;
+  if (session->server->leader == session)
+    session->server->leader = NULL;
   if (LIST_EMPTY (&session->calls) || session->server->destroying)
     relay_session_free (session);
 }
@@ -175,6 +182,21 @@
   command_client_send (server->commands, command, relay_call_on_done, call);
 }
 
+bool
+relay_server_hand_over (struct relay_server *server, uint64_t number, const char *key,
+                        const void *value, size_t len)
+{
+  const struct job_table *jobs = &server->jobd->jobs;
+  struct relay_session *session = server->leader;
+
+  if (!session || session->epoch != jobs->leader_epoch || jobs->leader_resigned ||
+      jobd_now_ms (server->jobd) - session->heard_ms > LEADER_SILENT_MS)
+    return false;
+  result_batch_add_record (session->results, number, key, value, len);
+  relay_session_schedule (session);
+  return true;
+}
+
 /* Handles a batch of commands. */
 static void
 relay_server_on_batch (void *ctx, const void *reply_to, size_t reply_to_len, const void *data,
@@ -195,8 +217,13 @@
   session->heard_ms = jobd_now_ms (server->jobd);
   session->epoch = batch->epoch;
   session->acked_sequence = batch->sequence;
+  if (!server->leader || session->epoch >= server->leader->epoch)
+    server->leader = session;
   for (size_t i = 0; i < batch->n_commands; i++)
     relay_session_send (session, batch->commands[i]);
+  for (size_t i = 0; i < batch->n_appended; i++)
+    record_sender_on_appended (server->jobd->records, batch->appended[i]->number,
+                               batch->appended[i]->offset);
   relay_session_schedule (session);
   sp__command_batch__free_unpacked (batch, NULL);
 }
--- a/jobd/relay_server.h
+++ b/jobd/relay_server.h
@@ -14,6 +14,10 @@
 void relay_server_tick (struct relay_server *server);
 /* Handles the journal's record of this host, which another host may have deleted. */
 void relay_server_on_own_record (struct relay_server *server, const char *address);
+/* Passes a record to the leader, which appends it to the journal. Returns false if there is no link
+ * to a leader that responds. */
+bool relay_server_hand_over (struct relay_server *server, uint64_t number, const char *key,
+                             const void *value, size_t len);
 /* Node for links to other hosts' relays. */
 struct peer_node *relay_server_node (struct relay_server *server);
 
--- a/jobd/scheduling.c
+++ b/jobd/scheduling.c
@@ -358,7 +358,7 @@
       host_command_guard_begin (&jobd->host_guard, leader_now_ms (leader));
       leader->host_commands = host_command_queue_create (leader);
     }
-  leader->sender = command_sender_create (jobd, leader->epoch, leader->commands);
+  leader->sender = command_sender_create (jobd, leader->epoch, leader->commands, leader->writer);
   leader->scheduler =
       scheduler_create (&config, &ops, &jobd->jobs, leader_now_ms (leader), jobd->clock.wall_ms);
   command_client_set_scheduler (leader->commands, leader->scheduler);
--- a/jobd/writer.h
+++ b/jobd/writer.h
@@ -20,6 +20,8 @@
   /* Rejected by the store: another writer has used the producer's name with a higher epoch or the
    * same one. */
   WRITER_FENCED,
+  /* May be written or not; only of records that were handed to the leader. */
+  WRITER_UNKNOWN,
 };
 
 /* Reports a record's result; offset is valid for WRITER_DURABLE. */
--- a/lib/jobs/command_message.c
+++ b/lib/jobs/command_message.c
@@ -21,6 +21,20 @@
   append_message (batch, &part.base);
 }
 
+void
+command_batch_add_appended (GByteArray *batch, uint64_t number, int64_t offset)
+{
+  Sp__CommandBatch part = SP__COMMAND_BATCH__INIT;
+  Sp__AppendedRecord record = SP__APPENDED_RECORD__INIT;
+  Sp__AppendedRecord *records = &record;
+
+  record.number = number;
+  record.offset = offset;
+  part.n_appended = 1;
+  part.appended = &records;
+  append_message (batch, &part.base);
+}
+
 void
 command_batch_finish (GByteArray *batch, uint64_t sequence, uint64_t epoch)
 {
@@ -102,6 +116,23 @@
     report_message_destroy (entry.report);
 }
 
+void
+result_batch_add_record (GByteArray *batch, uint64_t number, const char *key, const void *value,
+                         size_t len)
+{
+  Sp__ResultBatch part = SP__RESULT_BATCH__INIT;
+  Sp__HandedRecord record = SP__HANDED_RECORD__INIT;
+  Sp__HandedRecord *records = &record;
+
+  record.number = number;
+  record.key = (char *) key;
+  record.value.data = (uint8_t *) value;
+  record.value.len = len;
+  part.n_records = 1;
+  part.records = &records;
+  append_message (batch, &part.base);
+}
+
 void
 result_batch_finish (GByteArray *batch, uint64_t acked_sequence, uint64_t epoch)
 {
--- a/protocols/command.pb-c.c
+++ b/protocols/command.pb-c.c
@@ -232,6 +232,96 @@
   assert(message->base.descriptor == &sp__endpoint_command_result__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   sp__handed_record__init
+                     (Sp__HandedRecord         *message)
+{
+  static const Sp__HandedRecord init_value = SP__HANDED_RECORD__INIT;
+  *message = init_value;
+}
+size_t sp__handed_record__get_packed_size
+                     (const Sp__HandedRecord *message)
+{
+  assert(message->base.descriptor == &sp__handed_record__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t sp__handed_record__pack
+                     (const Sp__HandedRecord *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &sp__handed_record__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t sp__handed_record__pack_to_buffer
+                     (const Sp__HandedRecord *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &sp__handed_record__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Sp__HandedRecord *
+       sp__handed_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Sp__HandedRecord *)
+     protobuf_c_message_unpack (&sp__handed_record__descriptor,
+                                allocator, len, data);
+}
+void   sp__handed_record__free_unpacked
+                     (Sp__HandedRecord *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &sp__handed_record__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   sp__appended_record__init
+                     (Sp__AppendedRecord         *message)
+{
+  static const Sp__AppendedRecord init_value = SP__APPENDED_RECORD__INIT;
+  *message = init_value;
+}
+size_t sp__appended_record__get_packed_size
+                     (const Sp__AppendedRecord *message)
+{
+  assert(message->base.descriptor == &sp__appended_record__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t sp__appended_record__pack
+                     (const Sp__AppendedRecord *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &sp__appended_record__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t sp__appended_record__pack_to_buffer
+                     (const Sp__AppendedRecord *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &sp__appended_record__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Sp__AppendedRecord *
+       sp__appended_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Sp__AppendedRecord *)
+     protobuf_c_message_unpack (&sp__appended_record__descriptor,
+                                allocator, len, data);
+}
+void   sp__appended_record__free_unpacked
+                     (Sp__AppendedRecord *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &sp__appended_record__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   sp__command_batch__init
                      (Sp__CommandBatch         *message)
 {
@@ -850,7 +940,122 @@
   (ProtobufCMessageInit) sp__endpoint_command_result__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sp__command_batch__field_descriptors[3] =
+static const ProtobufCFieldDescriptor sp__handed_record__field_descriptors[3] =
+{
+  {
+    "number",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sp__HandedRecord, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "key",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sp__HandedRecord, key),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "value",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Sp__HandedRecord, value),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned sp__handed_record__field_indices_by_name[] = {
+  1,   /* field[1] = key */
+  0,   /* field[0] = number */
+  2,   /* field[2] = value */
+};
+static const ProtobufCIntRange sp__handed_record__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor sp__handed_record__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "sp.HandedRecord",
+  "HandedRecord",
+  "Sp__HandedRecord",
+  "sp",
+  sizeof(Sp__HandedRecord),
+  3,
+  sp__handed_record__field_descriptors,
+  sp__handed_record__field_indices_by_name,
+  1,  sp__handed_record__number_ranges,
+  (ProtobufCMessageInit) sp__handed_record__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor sp__appended_record__field_descriptors[2] =
+{
+  {
+    "number",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sp__AppendedRecord, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "offset",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Sp__AppendedRecord, offset),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned sp__appended_record__field_indices_by_name[] = {
+  0,   /* field[0] = number */
+  1,   /* field[1] = offset */
+};
+static const ProtobufCIntRange sp__appended_record__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor sp__appended_record__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "sp.AppendedRecord",
+  "AppendedRecord",
+  "Sp__AppendedRecord",
+  "sp",
+  sizeof(Sp__AppendedRecord),
+  2,
+  sp__appended_record__field_descriptors,
+  sp__appended_record__field_indices_by_name,
+  1,  sp__appended_record__number_ranges,
+  (ProtobufCMessageInit) sp__appended_record__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor sp__command_batch__field_descriptors[4] =
 {
   {
     "sequence",
@@ -888,8 +1093,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "appended",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sp__CommandBatch, n_appended),
+    offsetof(Sp__CommandBatch, appended),
+    &sp__appended_record__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sp__command_batch__field_indices_by_name[] = {
+  3,   /* field[3] = appended */
   2,   /* field[2] = commands */
   1,   /* field[1] = epoch */
   0,   /* field[0] = sequence */
@@ -897,7 +1115,7 @@
 static const ProtobufCIntRange sp__command_batch__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor sp__command_batch__descriptor =
 {
@@ -907,14 +1125,14 @@
   "Sp__CommandBatch",
   "sp",
   sizeof(Sp__CommandBatch),
-  3,
+  4,
   sp__command_batch__field_descriptors,
   sp__command_batch__field_indices_by_name,
   1,  sp__command_batch__number_ranges,
   (ProtobufCMessageInit) sp__command_batch__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sp__result_batch__field_descriptors[3] =
+static const ProtobufCFieldDescriptor sp__result_batch__field_descriptors[4] =
 {
   {
     "acked_sequence",
@@ -952,16 +1170,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "records",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sp__ResultBatch, n_records),
+    offsetof(Sp__ResultBatch, records),
+    &sp__handed_record__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sp__result_batch__field_indices_by_name[] = {
   0,   /* field[0] = acked_sequence */
   1,   /* field[1] = epoch */
+  3,   /* field[3] = records */
   2,   /* field[2] = results */
 };
 static const ProtobufCIntRange sp__result_batch__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor sp__result_batch__descriptor =
 {
@@ -971,7 +1202,7 @@
   "Sp__ResultBatch",
   "sp",
   sizeof(Sp__ResultBatch),
-  3,
+  4,
   sp__result_batch__field_descriptors,
   sp__result_batch__field_indices_by_name,
   1,  sp__result_batch__number_ranges,
--- a/protocols/command.pb-c.h
+++ b/protocols/command.pb-c.h
@@ -20,6 +20,8 @@
 typedef struct Sp__ReportedCompletion Sp__ReportedCompletion;
 typedef struct Sp__ReportMessage Sp__ReportMessage;
 typedef struct Sp__EndpointCommandResult Sp__EndpointCommandResult;
+typedef struct Sp__HandedRecord Sp__HandedRecord;
+typedef struct Sp__AppendedRecord Sp__AppendedRecord;
 typedef struct Sp__CommandBatch Sp__CommandBatch;
 typedef struct Sp__ResultBatch Sp__ResultBatch;
 
@@ -156,6 +158,38 @@
     , 0, 0, 0, NULL }
 
 
+/*
+ * A record that a host hands to the leader, which appends it to the journal.
+ */
+struct  Sp__HandedRecord
+{
+  ProtobufCMessage base;
+  /*
+   * Number of the record, unique within one process of the host.
+   */
+  uint64_t number;
+  char *key;
+  ProtobufCBinaryData value;
+};
+#define SP__HANDED_RECORD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&sp__handed_record__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, {0,NULL} }
+
+
+/*
+ * A handed record that is durable.
+ */
+struct  Sp__AppendedRecord
+{
+  ProtobufCMessage base;
+  uint64_t number;
+  int64_t offset;
+};
+#define SP__APPENDED_RECORD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&sp__appended_record__descriptor) \
+    , 0, 0 }
+
+
 /*
  * Leader -> relay. A batch without commands asks whether the relay responds.
  */
@@ -169,10 +203,12 @@
   uint64_t epoch;
   size_t n_commands;
   Sp__EndpointCommand **commands;
+  size_t n_appended;
+  Sp__AppendedRecord **appended;
 };
 #define SP__COMMAND_BATCH__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sp__command_batch__descriptor) \
-    , 0, 0, 0,NULL }
+    , 0, 0, 0,NULL, 0,NULL }
 
 
 /*
@@ -188,10 +224,12 @@
   uint64_t epoch;
   size_t n_results;
   Sp__EndpointCommandResult **results;
+  size_t n_records;
+  Sp__HandedRecord **records;
 };
 #define SP__RESULT_BATCH__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sp__result_batch__descriptor) \
-    , 0, 0, 0,NULL }
+    , 0, 0, 0,NULL, 0,NULL }
 
 
 /* Sp__EndpointCommand methods */
@@ -289,6 +327,44 @@
 void   sp__endpoint_command_result__free_unpacked
                      (Sp__EndpointCommandResult *message,
                       ProtobufCAllocator *allocator);
+/* Sp__HandedRecord methods */
+void   sp__handed_record__init
+                     (Sp__HandedRecord         *message);
+size_t sp__handed_record__get_packed_size
+                     (const Sp__HandedRecord   *message);
+size_t sp__handed_record__pack
+                     (const Sp__HandedRecord   *message,
+                      uint8_t             *out);
+size_t sp__handed_record__pack_to_buffer
+                     (const Sp__HandedRecord   *message,
+                      ProtobufCBuffer     *buffer);
+Sp__HandedRecord *
+       sp__handed_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   sp__handed_record__free_unpacked
+                     (Sp__HandedRecord *message,
+                      ProtobufCAllocator *allocator);
+/* Sp__AppendedRecord methods */
+void   sp__appended_record__init
+                     (Sp__AppendedRecord         *message);
+size_t sp__appended_record__get_packed_size
+                     (const Sp__AppendedRecord   *message);
+size_t sp__appended_record__pack
+                     (const Sp__AppendedRecord   *message,
+                      uint8_t             *out);
+size_t sp__appended_record__pack_to_buffer
+                     (const Sp__AppendedRecord   *message,
+                      ProtobufCBuffer     *buffer);
+Sp__AppendedRecord *
+       sp__appended_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   sp__appended_record__free_unpacked
+                     (Sp__AppendedRecord *message,
+                      ProtobufCAllocator *allocator);
 /* Sp__CommandBatch methods */
 void   sp__command_batch__init
                      (Sp__CommandBatch         *message);
@@ -344,6 +420,12 @@
 typedef void (*Sp__EndpointCommandResult_Closure)
                  (const Sp__EndpointCommandResult *message,
                   void *closure_data);
+typedef void (*Sp__HandedRecord_Closure)
+                 (const Sp__HandedRecord *message,
+                  void *closure_data);
+typedef void (*Sp__AppendedRecord_Closure)
+                 (const Sp__AppendedRecord *message,
+                  void *closure_data);
 typedef void (*Sp__CommandBatch_Closure)
                  (const Sp__CommandBatch *message,
                   void *closure_data);
@@ -362,6 +444,8 @@
 extern const ProtobufCMessageDescriptor sp__reported_completion__descriptor;
 extern const ProtobufCMessageDescriptor sp__report_message__descriptor;
 extern const ProtobufCMessageDescriptor sp__endpoint_command_result__descriptor;
+extern const ProtobufCMessageDescriptor sp__handed_record__descriptor;
+extern const ProtobufCMessageDescriptor sp__appended_record__descriptor;
 extern const ProtobufCMessageDescriptor sp__command_batch__descriptor;
 extern const ProtobufCMessageDescriptor sp__result_batch__descriptor;
 
--- a/tests/jobd/test_relays.c
+++ b/tests/jobd/test_relays.c
@@ -95,6 +95,43 @@
   CU_ASSERT (count_relayed ((unsigned) leader) >= JOB_COUNT * 5);
 }
 
+/* Returns whether a job was accepted by a host. */
+static bool
+submit_at (unsigned host, char **id)
+{
+  g_autofree char *path = NULL;
+
+  *id = g_strdup_printf ("%016x", next_id++);
+  path = g_strdup_printf ("/one/%s", *id);
+  return hosts_call (&hosts, host, "POST", path, TWO_STEP_JOB, NULL) == 200;
+}
+
+/* Another host hands the records of its callers to the leader, and appends them itself if the
+ * leader freezes with them. */
+static void
+test_records_are_handed_over (void)
+{
+  int leader = hosts_wait_leader (&hosts, ELECTION_LIMIT_MS);
+  unsigned other;
+  g_autofree char *first = NULL;
+  g_autofree char *second = NULL;
+
+  SUITE_REQUIRE (leader >= 0);
+  other = ((unsigned) leader + 1) % HOSTS;
+  CU_ASSERT_TRUE (wait_relays ((unsigned) leader, HOSTS - 1));
+  CU_ASSERT_TRUE (submit_at (other, &first));
+  CU_ASSERT_EQUAL (hosts_metric (&hosts, other, "sesamepick_jobd_records_handed_total"), 1);
+  process_signal (hosts.jobds[leader], SIGSTOP);
+  CU_ASSERT_TRUE (submit_at (other, &second));
+  CU_ASSERT_EQUAL (hosts_metric (&hosts, other, "sesamepick_jobd_records_handed_total"), 2);
+  CU_ASSERT_TRUE (hosts_wait_job_state (&hosts, other, first, "completed", COMPLETION_LIMIT_MS));
+  CU_ASSERT_TRUE (hosts_wait_job_state (&hosts, other, second, "completed", COMPLETION_LIMIT_MS));
+  process_signal (hosts.jobds[leader], SIGCONT);
+  test_sleep_ms (1000);
+  CU_ASSERT_EQUAL (hosts_report_count (&hosts, "doubled"), 0);
+  CU_ASSERT_EQUAL (hosts_report_count (&hosts, "after_done"), 0);
+}
+
 /* A relay freezes with commands in its hands: they are given up, repeated through the other one,
  * and change nothing when the frozen process wakes. */
 static void
@@ -148,6 +185,7 @@
 {
   static const struct suite_test tests[] = {
     { "commands are relayed", test_commands_are_relayed },
+    { "records are handed over", test_records_are_handed_over },
     { "relay is frozen", test_relay_is_frozen },
     { "relays are killed", test_relays_are_killed },
   };
