Send no more commands to relays whose hosts are about to stop

Change: a host that is about to stop says so in its messages; the leader chooses another relay for its endpoints and takes the results of the calls in progress.

--- a/include/lib/jobs/command_message.h
+++ b/include/lib/jobs/command_message.h
@@ -20,7 +20,8 @@
 /* Appends a record that the leader is to append to the journal. */
 void result_batch_add_record (GByteArray *batch, uint64_t number, const char *key,
                               const void *value, size_t len);
-void result_batch_finish (GByteArray *batch, uint64_t acked_sequence, uint64_t epoch);
+void result_batch_finish (GByteArray *batch, uint64_t acked_sequence, uint64_t epoch,
+                          bool stopping);
 
 /* Returns a report whose strings belong to message. Free with report_destroy. */
 struct endpoint_report *report_create (const Sp__ReportMessage *message);
--- a/include/lib/jobs/relay_set.h
+++ b/include/lib/jobs/relay_set.h
@@ -33,6 +33,8 @@
   int64_t usable_ms;
   /* It is used: the set's generation rises when this changes. */
   bool used;
+  /* Its host is about to stop. */
+  bool stopping;
   /* It has failed before, so it must respond for RELAY_RETURN_MS first. */
   bool has_failed;
   uint64_t hash;
@@ -72,6 +74,9 @@
 uint64_t relay_batch_sent (struct relay *relay, int64_t now_ms);
 void relay_batch_acked (struct relay_set *set, struct relay *relay, uint64_t sequence,
                         int64_t now_ms);
+/* Handles what a relay says of its host. A relay that is about to stop gets no more commands; those
+ * in progress are not affected. */
+void relay_set_stopping (struct relay_set *set, struct relay *relay, bool stopping);
 /* Updates which relays are used. Returns a relay that has just failed, or NULL; call it until then.
  */
 struct relay *relay_set_tick (struct relay_set *set, int64_t now_ms);
--- a/jobd/command_sender.c
+++ b/jobd/command_sender.c
@@ -203,6 +203,7 @@
   link->heard_ms = command_sender_now_ms (sender);
   if (batch->epoch == sender->epoch)
     {
+      relay_set_stopping (&sender->relays, link->relay, batch->stopping);
       relay_batch_acked (&sender->relays, link->relay, batch->acked_sequence, link->heard_ms);
       for (size_t i = 0; i < batch->n_results; i++)
         command_sender_on_result (sender, batch->results[i]);
--- a/jobd/main.c
+++ b/jobd/main.c
@@ -259,6 +259,8 @@
   watchers->jobd->stopping = true;
   watchers->stop_begun_ms = jobd_now_ms (watchers->jobd);
   leader_resign (watchers->jobd->leader);
+  if (watchers->jobd->relay_server)
+    relay_server_stop (watchers->jobd->relay_server);
 }
 
 /* Handles a reload request. All settings are command-line flags, so that there is nothing to
--- a/jobd/relay_server.c
+++ b/jobd/relay_server.c
@@ -101,7 +101,8 @@
   gsize len;
   const void *reply_to = g_bytes_get_data (session->reply_to, &len);
 
-  result_batch_finish (session->results, session->acked_sequence, session->epoch);
+  result_batch_finish (session->results, session->acked_sequence, session->epoch,
+                       session->server->jobd->stopping);
   /* A message that can't be sent is lost like one in transit; the leader repeats its commands. */
   peer_node_reply (session->server->node, reply_to, len, session->results->data,
                    session->results->len);
@@ -182,6 +183,13 @@
   command_client_send (server->commands, command, relay_call_on_done, call);
 }
 
+void
+relay_server_stop (struct relay_server *server)
+{
+  if (server->leader)
+    relay_session_flush (server->leader);
+}
+
 bool
 relay_server_hand_over (struct relay_server *server, uint64_t number, const char *key,
                         const void *value, size_t len)
--- a/jobd/relay_server.h
+++ b/jobd/relay_server.h
@@ -18,6 +18,8 @@
  * to a leader that responds. */
 bool relay_server_hand_over (struct relay_server *server, uint64_t number, const char *key,
                              const void *value, size_t len);
+/* Tells the leader that this host is about to stop, so that it sends no more commands. */
+void relay_server_stop (struct relay_server *server);
 /* Node for links to other hosts' relays. */
 struct peer_node *relay_server_node (struct relay_server *server);
 
--- a/lib/jobs/command_message.c
+++ b/lib/jobs/command_message.c
@@ -134,11 +134,12 @@
 }
 
 void
-result_batch_finish (GByteArray *batch, uint64_t acked_sequence, uint64_t epoch)
+result_batch_finish (GByteArray *batch, uint64_t acked_sequence, uint64_t epoch, bool stopping)
 {
   Sp__ResultBatch part = SP__RESULT_BATCH__INIT;
 
   part.acked_sequence = acked_sequence;
+  part.stopping = stopping;
   part.epoch = epoch;
   append_message (batch, &part.base);
 }
--- a/lib/jobs/relay_set.c
+++ b/lib/jobs/relay_set.c
@@ -88,10 +88,18 @@
   relay->unacked_since_ms = sequence == relay->sent_sequence ? 0 : now_ms;
   if (relay->usable_ms == 0)
     relay->usable_ms = now_ms + (relay->has_failed ? RELAY_RETURN_MS : 0);
-  if (now_ms >= relay->usable_ms)
+  if (now_ms >= relay->usable_ms && !relay->stopping)
     relay_set_used (set, relay, true);
 }
 
+void
+relay_set_stopping (struct relay_set *set, struct relay *relay, bool stopping)
+{
+  relay->stopping = stopping;
+  if (stopping)
+    relay_set_used (set, relay, false);
+}
+
 struct relay *
 relay_set_tick (struct relay_set *set, int64_t now_ms)
 {
--- a/protocols/command.pb-c.c
+++ b/protocols/command.pb-c.c
@@ -1132,7 +1132,7 @@
   (ProtobufCMessageInit) sp__command_batch__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sp__result_batch__field_descriptors[4] =
+static const ProtobufCFieldDescriptor sp__result_batch__field_descriptors[5] =
 {
   {
     "acked_sequence",
@@ -1182,17 +1182,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "stopping",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Sp__ResultBatch, stopping),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sp__result_batch__field_indices_by_name[] = {
   0,   /* field[0] = acked_sequence */
   1,   /* field[1] = epoch */
   3,   /* field[3] = records */
   2,   /* field[2] = results */
+  4,   /* field[4] = stopping */
 };
 static const ProtobufCIntRange sp__result_batch__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor sp__result_batch__descriptor =
 {
@@ -1202,7 +1215,7 @@
   "Sp__ResultBatch",
   "sp",
   sizeof(Sp__ResultBatch),
-  4,
+  5,
   sp__result_batch__field_descriptors,
   sp__result_batch__field_indices_by_name,
   1,  sp__result_batch__number_ranges,
--- a/protocols/command.pb-c.h
+++ b/protocols/command.pb-c.h
@@ -226,10 +226,14 @@
   Sp__EndpointCommandResult **results;
   size_t n_records;
   Sp__HandedRecord **records;
+  /*
+   * The host is about to stop; it finishes the calls in progress.
+   */
+  protobuf_c_boolean stopping;
 };
 #define SP__RESULT_BATCH__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sp__result_batch__descriptor) \
-    , 0, 0, 0,NULL, 0,NULL }
+    , 0, 0, 0,NULL, 0,NULL, 0 }
 
 
 /* Sp__EndpointCommand methods */
--- a/tests/jobs/test_relay_set.c
+++ b/tests/jobs/test_relay_set.c
@@ -133,6 +133,28 @@
   relay_set_finish (&set);
 }
 
+/* A host that is about to stop gets no more commands, though it still responds, until its next
+ * process is there. */
+static void
+test_stopping_relay (void)
+{
+  struct relay_set set;
+  struct relay_route route = { 0 };
+  struct relay *relay;
+
+  make_set (&set, 2);
+  relay = choose (&set, &route, 1);
+  relay_set_stopping (&set, relay, true);
+  CU_ASSERT_PTR_NOT_EQUAL (choose (&set, &route, 1), relay);
+  relay_batch_acked (&set, relay, relay_batch_sent (relay, 2000), 2005);
+  CU_ASSERT_PTR_NOT_EQUAL (choose (&set, &route, 1), relay);
+  CU_ASSERT_PTR_NULL (relay_set_tick (&set, 2400));
+  relay_set_stopping (&set, relay, false);
+  relay_batch_acked (&set, relay, relay_batch_sent (relay, 5000), 5005);
+  CU_ASSERT_PTR_EQUAL (choose (&set, &route, 1), relay);
+  relay_set_finish (&set);
+}
+
 /* A relay that responds but doesn't reach an endpoint: the endpoint gets other relays. */
 static void
 test_detour (void)
@@ -182,6 +204,7 @@
     { "peak of one pool is spread", test_peak_of_one_pool_is_spread },
     { "only the endpoints of a lost relay move", test_only_the_endpoints_of_a_lost_relay_move },
     { "slow relay stays", test_slow_relay_stays },
+    { "stopping relay", test_stopping_relay },
     { "detour", test_detour },
     { "changes", test_changes },
   };
