Count records appended twice as known from before any claim

Cause (read in review, not seen): a record that the former leader appended and its host appended again may be counted by the host at the second offset. If that host then led with a claim between the two, it would not expect tasks started by the former leader. And a leader whose fleet grows past the limit for relays after a minute would have taken all relays for gone.

Change: a host reports no offset for a record that it appends after handing it over; relays count as silent from when they are first used.

--- a/include/lib/jobs/job.h
+++ b/include/lib/jobs/job.h
@@ -81,7 +81,7 @@
   uint32_t n_occurrences;
   uint32_t n_tasks;
   struct task *tasks;
-  /* Journal offset of the definition; -1 if it was read from a compacted journal. */
+  /* Journal offset of the definition; -1 if it is not known, which counts as before any claim. */
   int64_t offset;
   /* When this process learned of the job, and of its final state. */
   int64_t seen_ms;
--- a/jobd/command_sender.c
+++ b/jobd/command_sender.c
@@ -397,13 +397,29 @@
   sender->relays_logged = sender->relays.n_used;
 }
 
+/* Begins or ends the use of relays as the fleet grows or shrinks. */
+static void
+command_sender_set_relaying (struct command_sender *sender, bool relaying, int64_t now_ms)
+{
+  struct relay *relay;
+
+  if (relaying && !sender->relaying)
+    {
+      /* Nothing was sent to the relays before, so they have not been silent. */
+      TAILQ_FOREACH (relay, &sender->relays.relays, link)
+        ((struct relay_link *) relay->data)->heard_ms = now_ms;
+    }
+  sender->relaying = relaying;
+}
+
 void
 command_sender_tick (struct command_sender *sender, unsigned n_endpoints)
 {
   int64_t now_ms = command_sender_now_ms (sender);
   struct sent_command *command;
 
-  sender->relaying = n_endpoints >= sender->jobd->settings->relay_endpoints_min;
+  command_sender_set_relaying (sender, n_endpoints >= sender->jobd->settings->relay_endpoints_min,
+                               now_ms);
   if (sender->relaying || sender->relays.n_used > 0)
     command_sender_check_relays (sender, now_ms);
   scheduler_set_starts_per_pass (sender->scheduler, sender->relaying && sender->relays.n_used > 0
--- a/jobd/record_sender.c
+++ b/jobd/record_sender.c
@@ -115,14 +115,16 @@
 }
 
 /* Handles the result of this host's own append. The leader may still append a record that the store
- * refused here. */
+ * refused here, or may have appended it before: then the offset of the first record, which counts,
+ * is unknown. */
 static void
 handed_record_on_append (void *ctx, enum writer_result result, int64_t offset)
 {
   struct handed_record *record = ctx;
 
+  (void) offset;
   record->appending = false;
-  handed_record_finish (record, result == WRITER_DURABLE ? WRITER_DURABLE : WRITER_UNKNOWN, offset);
+  handed_record_finish (record, result == WRITER_DURABLE ? WRITER_DURABLE : WRITER_UNKNOWN, -1);
 }
 
 void
--- a/jobd/writer.h
+++ b/jobd/writer.h
@@ -24,7 +24,7 @@
   WRITER_UNKNOWN,
 };
 
-/* Reports a record's result; offset is valid for WRITER_DURABLE. */
+/* Reports a record's result; offset is valid for WRITER_DURABLE, and -1 if it is not known. */
 typedef void writer_done (void *ctx, enum writer_result result, int64_t offset);
 
 struct writer_config
