Log how an append ended, how often it was sent, and the reads before a 410

The HTTP client counts the sends of a call in libcurl's callback before each request. The writer passes status, sends, epoch and sequence on to the owners of its records and logs each append that did not become durable. A read before a 410 logs from where it read, how many records and to which end.

No decision changes.

--- a/common/http_client.c
+++ b/common/http_client.c
@@ -68,6 +68,7 @@
   bool head_request;
   /* The connection is used for this call only. */
   bool single_use;
+  unsigned n_sends;
   void (*done) (void *ctx, const struct http_call_done *done);
   void *ctx;
   LIST_ENTRY (http_call) link;
@@ -178,6 +179,20 @@
   return CURL_SOCKOPT_OK;
 }
 
+/* libcurl's callback before it sends the request, each time that it does. */
+static int
+call_count_send (void *ctx, char *remote_ip, char *local_ip, int remote_port, int local_port)
+{
+  struct http_call *call = ctx;
+
+  (void) remote_ip;
+  (void) local_ip;
+  (void) remote_port;
+  (void) local_port;
+  call->n_sends++;
+  return CURL_PREREQFUNC_OK;
+}
+
 /* Appends a part of the response body; aborts the call if the body exceeds the limit. */
 static size_t
 call_append_body (const char *data, size_t size, size_t n, void *ctx)
@@ -347,6 +362,7 @@
   done.headers = (const struct http_header *) (void *) headers->data;
   done.n_headers = headers->len;
   done.reused_connection = connects == 0;
+  done.n_sends = call->n_sends;
   if (done.result == HTTP_CALL_TIMEOUT || done.result == HTTP_CALL_LOST)
     http_client_exclude_connections (client, call->authority);
   curl_multi_remove_handle (client->multi, call->easy);
@@ -519,6 +535,8 @@
   curl_easy_setopt (easy, CURLOPT_TCP_KEEPINTVL, (long) KEEPALIVE_INTERVAL_S);
   curl_easy_setopt (easy, CURLOPT_SOCKOPTFUNCTION, call_set_socket);
   curl_easy_setopt (easy, CURLOPT_SOCKOPTDATA, call);
+  curl_easy_setopt (easy, CURLOPT_PREREQFUNCTION, call_count_send);
+  curl_easy_setopt (easy, CURLOPT_PREREQDATA, call);
   curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, call_append_body);
   curl_easy_setopt (easy, CURLOPT_WRITEDATA, call);
   curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, call_append_header);
--- a/include/common/http_client.h
+++ b/include/common/http_client.h
@@ -39,6 +39,9 @@
   const void *body;
   size_t body_len;
   bool reused_connection;
+  /* How often the request was sent: libcurl sends it again by itself if a reused connection closes
+   * before the response. 0 if no connection was established. */
+  unsigned n_sends;
 };
 
 struct http_call_config
--- a/include/platform/store.h
+++ b/include/platform/store.h
@@ -69,6 +69,9 @@
 {
   enum store_result result;
   int status;
+  /* How often the request was sent, counting the times that the HTTP client sent it again by
+   * itself. */
+  unsigned n_sends;
   /* For an append: offset of its first record, and for STORE_BAD_SEQUENCE the sequence that the
    * store expects. */
   int64_t offset;
--- a/jobd/command_sender.c
+++ b/jobd/command_sender.c
@@ -161,12 +161,12 @@
 /* Handles the result of an append for another host. Without a response that host appends the record
  * itself. */
 static void
-appending_record_on_done (void *ctx, enum writer_result result, int64_t offset)
+appending_record_on_done (void *ctx, const struct writer_outcome *outcome)
 {
   struct appending_record *record = ctx;
 
-  if (result == WRITER_DURABLE && record->link)
-    command_batch_add_appended (record->link->batch, record->number, offset);
+  if (outcome->result == WRITER_DURABLE && record->link)
+    command_batch_add_appended (record->link->batch, record->number, outcome->offset);
   TAILQ_REMOVE (&record->sender->handed, record, entry);
   g_free (record);
 }
--- a/jobd/host_command_queue.c
+++ b/jobd/host_command_queue.c
@@ -92,12 +92,11 @@
 
 /* Handles the end of a record: durable, or rejected because another host leads. */
 static void
-host_command_queue_on_recorded (void *ctx, enum writer_result result, int64_t offset)
+host_command_queue_on_recorded (void *ctx, const struct writer_outcome *outcome)
 {
   struct host_command_queue *queue = ctx;
 
-  (void) offset;
-  if (result != WRITER_DURABLE)
+  if (outcome->result != WRITER_DURABLE)
     {
       leader_request_step_down (queue->leader, "record of host commands rejected: another host has "
                                                "used this epoch or a newer one");
--- a/jobd/ingress.c
+++ b/jobd/ingress.c
@@ -135,27 +135,31 @@
 /* Handles the result of an append: the record is durable, will certainly never be written, or may
  * be. */
 static void
-pending_request_on_append (void *ctx, enum writer_result result, int64_t offset)
+pending_request_on_append (void *ctx, const struct writer_outcome *outcome)
 {
   struct pending_request *pending = ctx;
   struct jobd *jobd = pending->ingress->jobd;
   struct http_request *request = pending_request_detach (pending);
-  bool durable = result == WRITER_DURABLE;
+  bool durable = outcome->result == WRITER_DURABLE;
   gsize len;
   const void *value = g_bytes_get_data (pending->value, &len);
 
-  log_info ("ingress", "%s: job=%s offset=%" G_GINT64_FORMAT " key=%s",
-            durable ? "record durable"
-                    : (result == WRITER_UNKNOWN ? "record's fate is unknown" : "record refused"),
-            pending->id, durable ? offset : -1, pending->key);
+  log_info (
+      "ingress",
+      "%s: job=%s offset=%" G_GINT64_FORMAT " key=%s result=%d status=%d sends=%u"
+      " epoch=%" G_GUINT64_FORMAT " sequence=%" G_GUINT64_FORMAT,
+      durable ? "record durable"
+              : (outcome->result == WRITER_UNKNOWN ? "record's fate is unknown" : "record refused"),
+      pending->id, durable ? outcome->offset : -1, pending->key, outcome->result, outcome->status,
+      outcome->n_sends, outcome->epoch, outcome->sequence);
   /* A follower applies the record now, so that the job is known here at once. A leader must apply
    * jobs in journal order only: the journal may hold another host's claim before this job, in which
    * case the new leader starts it. */
   if (durable && !leader_is_leading (jobd->leader))
-    job_table_apply (&jobd->jobs, pending->key, value, len, offset, jobd_now_ms (jobd));
+    job_table_apply (&jobd->jobs, pending->key, value, len, outcome->offset, jobd_now_ms (jobd));
   if (request && durable)
     answer_json (request, 200, EMPTY_RESPONSE_BODY);
-  else if (request && result == WRITER_UNKNOWN)
+  else if (request && outcome->result == WRITER_UNKNOWN)
     answer_error (request, 504, "the store is not available; the record may still be stored");
   else if (request)
     answer_unavailable (request, "the store is not available; nothing was stored");
@@ -165,7 +169,7 @@
       metric_histogram_observe (&pending->ingress->durable_time,
                                 jobd_now_ms (jobd) - pending->created_ms);
     }
-  else if (result == WRITER_UNKNOWN)
+  else if (outcome->result == WRITER_UNKNOWN)
     pending->ingress->unknown.value++;
   else
     pending->ingress->refused.value++;
@@ -340,7 +344,10 @@
   if (request && job && job->definition)
     answer_state (ingress, request, job);
   else if (request && success)
-    answer_error (request, 410, "no such job");
+    {
+      log_info ("ingress", "no such job in the journal: job=%s", pending->id);
+      answer_error (request, 410, "no such job");
+    }
   else if (request)
     answer_unavailable (request, "the store does not answer, and the job is not known here");
   pending_request_destroy (pending);
--- a/jobd/leader.c
+++ b/jobd/leader.c
@@ -193,21 +193,21 @@
 /* Handles the result of a claim: durable, or rejected because another host claimed the epoch
  * first. */
 static void
-leader_on_claim (void *ctx, enum writer_result result, int64_t offset)
+leader_on_claim (void *ctx, const struct writer_outcome *outcome)
 {
   struct leader *leader = ctx;
 
-  if (result != WRITER_DURABLE)
+  if (outcome->result != WRITER_DURABLE)
     {
       leader_request_step_down (leader, "another host claimed the epoch first");
       return;
     }
   leader->phase = LEADER_CATCHING_UP;
-  leader->claim_offset = offset;
+  leader->claim_offset = outcome->offset;
   leader->heartbeat_durable_ms = leader->heartbeat_sent_ms;
   topic_reader_set_min_interval (leader->jobd->journal, LEADER_READ_INTERVAL_MS);
   log_info ("leader", "claim durable: epoch=%" G_GUINT64_FORMAT " offset=%" G_GINT64_FORMAT,
-            leader->epoch, offset);
+            leader->epoch, outcome->offset);
 }
 
 /* Returns a random first sequence number. It differs for each claim of each host, so that the store
@@ -303,13 +303,12 @@
 /* Handles the result of a heartbeat: durable, or rejected because another host has used this epoch
  * or a higher one. */
 static void
-leader_on_heartbeat (void *ctx, enum writer_result result, int64_t offset)
+leader_on_heartbeat (void *ctx, const struct writer_outcome *outcome)
 {
   struct leader *leader = ctx;
 
-  (void) offset;
   leader->heartbeat_in_flight = false;
-  if (result != WRITER_DURABLE)
+  if (outcome->result != WRITER_DURABLE)
     {
       leader_request_step_down (
           leader, "heartbeat rejected: another host has used this epoch or a newer one");
@@ -321,12 +320,11 @@
 /* Handles the result of a progress record: durable, or rejected because another host has used this
  * epoch or a higher one. */
 static void
-leader_on_progress (void *ctx, enum writer_result result, int64_t offset)
+leader_on_progress (void *ctx, const struct writer_outcome *outcome)
 {
   struct leader *leader = ctx;
 
-  (void) offset;
-  if (result != WRITER_DURABLE)
+  if (outcome->result != WRITER_DURABLE)
     {
       leader_request_step_down (
           leader, "progress record rejected: another host has used this epoch or a newer one");
@@ -486,10 +484,9 @@
 /* Handles the result of a resignation. If it failed, the other hosts wait for the leader
  * timeout. */
 static void
-leader_on_resigned (void *ctx, enum writer_result result, int64_t offset)
+leader_on_resigned (void *ctx, const struct writer_outcome *outcome)
 {
-  (void) result;
-  (void) offset;
+  (void) outcome;
   leader_request_step_down (ctx, "resigned");
 }
 
--- a/jobd/record_sender.c
+++ b/jobd/record_sender.c
@@ -89,12 +89,12 @@
   TAILQ_INSERT_TAIL (&sender->records, record, link);
 }
 
-/* Reports a record's result and frees the record. */
+/* Reports a record's outcome and frees the record. */
 static void
-handed_record_finish (struct handed_record *record, enum writer_result result, int64_t offset)
+handed_record_finish (struct handed_record *record, const struct writer_outcome *outcome)
 {
   if (record->done)
-    record->done (record->ctx, result, offset);
+    record->done (record->ctx, outcome);
   record->done = NULL;
   if (!record->appending)
     handed_record_destroy (record);
@@ -103,13 +103,14 @@
 void
 record_sender_on_appended (struct record_sender *sender, uint64_t number, int64_t offset)
 {
+  struct writer_outcome outcome = { .result = WRITER_DURABLE, .offset = offset };
   struct handed_record *record;
 
   TAILQ_FOREACH (record, &sender->records, link)
     {
       if (record->number != number)
         continue;
-      handed_record_finish (record, WRITER_DURABLE, offset);
+      handed_record_finish (record, &outcome);
       return;
     }
 }
@@ -118,13 +119,16 @@
  * refused here, or may have appended it before: then the offset of the first record, which counts,
  * is unknown. */
 static void
-handed_record_on_append (void *ctx, enum writer_result result, int64_t offset)
+handed_record_on_append (void *ctx, const struct writer_outcome *outcome)
 {
   struct handed_record *record = ctx;
+  struct writer_outcome reported = *outcome;
 
-  (void) offset;
+  reported.offset = -1;
+  if (outcome->result != WRITER_DURABLE)
+    reported.result = WRITER_UNKNOWN;
   record->appending = false;
-  handed_record_finish (record, result == WRITER_DURABLE ? WRITER_DURABLE : WRITER_UNKNOWN, -1);
+  handed_record_finish (record, &reported);
 }
 
 void
--- a/jobd/relay_server.c
+++ b/jobd/relay_server.c
@@ -239,14 +239,14 @@
 
 /* Handles the result of the announcement. */
 static void
-relay_server_on_announced (void *ctx, enum writer_result result, int64_t offset)
+relay_server_on_announced (void *ctx, const struct writer_outcome *outcome)
 {
   struct relay_server *server = ctx;
 
-  (void) offset;
-  if (result == WRITER_DURABLE)
+  if (outcome->result == WRITER_DURABLE)
     return;
-  log_info ("relay", "announcement not written, retrying: result=%d", result);
+  log_info ("relay", "announcement not written, retrying: result=%d status=%d", outcome->result,
+            outcome->status);
   server->announced = false;
 }
 
--- a/jobd/topic_reader.c
+++ b/jobd/topic_reader.c
@@ -37,6 +37,7 @@
 struct extra_read
 {
   struct topic_reader *reader;
+  int64_t from;
   void (*done) (void *ctx, bool success);
   void *ctx;
 };
@@ -248,6 +249,11 @@
   struct extra_read *extra = ctx;
   bool success = response->result == STORE_DONE;
 
+  log_info ("tail",
+            "additional read: topic=%s from=%" G_GINT64_FORMAT " records=%zu end=%" G_GINT64_FORMAT
+            " result=%d status=%d sends=%u",
+            extra->reader->config.topic, extra->from, response->n_records, response->end,
+            response->result, response->status, response->n_sends);
   if (success)
     topic_reader_deliver (extra->reader, response);
   extra->done (extra->ctx, success);
@@ -266,7 +272,9 @@
       return;
     }
   extra = g_new (struct extra_read, 1);
-  *extra = (struct extra_read){ .reader = reader, .done = done, .ctx = ctx };
-  store_read (reader->store, reader->config.topic, reader->config.partition, reader->next_offset, 0,
+  *extra = (struct extra_read){
+    .reader = reader, .from = reader->next_offset, .done = done, .ctx = ctx
+  };
+  store_read (reader->store, reader->config.topic, reader->config.partition, extra->from, 0,
               READ_MARGIN_MS, extra_read_on_done, extra);
 }
--- a/jobd/writer.c
+++ b/jobd/writer.c
@@ -40,6 +40,7 @@
   int64_t sent_ms;
   int64_t latency_ms;
   unsigned n_tries;
+  unsigned n_sends;
   /* A try of this batch had no response: the batch may have been written. */
   bool maybe_written;
   /* Points to a flag of the caller while callbacks run; set by writer_destroy. */
@@ -70,10 +71,10 @@
   loop_timer_arm (writer->loop, &writer->timer, after_ms);
 }
 
-/* Reports the result to the owners of some records and frees the records. Returns false if a
- * callback destroyed the writer. */
+/* Reports the outcome to the owners of some records, whose offsets count up from the first one's,
+ * and frees the records. Returns false if a callback destroyed the writer. */
 static bool
-writer_report (struct writer *writer, GPtrArray *records, enum writer_result result, int64_t offset)
+writer_report (struct writer *writer, GPtrArray *records, struct writer_outcome outcome)
 {
   bool destroyed = false;
 
@@ -83,7 +84,8 @@
       const struct pending_record *pending = g_ptr_array_index (records, i);
 
       if (pending->done && !destroyed)
-        pending->done (pending->ctx, result, offset + i);
+        pending->done (pending->ctx, &outcome);
+      outcome.offset++;
     }
   g_ptr_array_free (records, TRUE);
   if (destroyed)
@@ -92,29 +94,52 @@
   return true;
 }
 
-/* Reports the result for all records that have not been sent yet. */
+/* Reports the result for all records that have not been sent yet, because of a response. */
 static bool
-writer_finish_waiting (struct writer *writer, enum writer_result result)
+writer_finish_waiting (struct writer *writer, enum writer_result result,
+                       const struct store_response *response)
 {
+  struct writer_outcome outcome = { .result = result, .status = response->status };
   GPtrArray *records = g_ptr_array_new_with_free_func (pending_record_destroy);
   struct pending_record *pending;
 
   while ((pending = g_queue_pop_head (&writer->waiting)))
     g_ptr_array_add (records, pending);
-  return writer_report (writer, records, result, 0);
+  return writer_report (writer, records, outcome);
 }
 
 /* Ends the call in progress with a result. Returns false if a callback destroyed the writer. */
 static bool
-writer_finish_batch (struct writer *writer, enum writer_result result, int64_t offset)
+writer_finish_batch (struct writer *writer, enum writer_result result,
+                     const struct store_response *response)
 {
   GPtrArray *records = g_steal_pointer (&writer->batch);
+  struct writer_outcome outcome = {
+    .result = result,
+    .offset = response->offset,
+    .status = response->status,
+    .n_sends = writer->n_sends,
+    .epoch = writer->config.epoch,
+    .sequence = writer->sequence,
+  };
+
+  if (result != WRITER_DURABLE)
+    log_info (
+        "writer",
+        "append not durable: producer=%s epoch=%" G_GUINT64_FORMAT " sequence=%" G_GUINT64_FORMAT
+        " records=%u result=%d status=%d tries=%u sends=%u unanswered=%d ms=%" G_GINT64_FORMAT,
+        writer->producer, outcome.epoch, outcome.sequence, records->len, result, outcome.status,
+        writer->n_tries, outcome.n_sends, writer->maybe_written,
+        writer_now_ms (writer) - writer->batch_begun_ms);
 
   g_clear_pointer (&writer->body, g_byte_array_unref);
+  if (result == WRITER_DURABLE)
+    writer->sequence++;
   writer->latency_ms = writer_now_ms (writer) - writer->batch_begun_ms;
   writer->maybe_written = false;
   writer->n_tries = 0;
-  return writer_report (writer, records, result, offset);
+  writer->n_sends = 0;
+  return writer_report (writer, records, outcome);
 }
 
 /* Schedules the next call, if records are waiting. */
@@ -129,25 +154,25 @@
 /* Handles a call that the store has certainly not carried out. It is retried if an earlier try may
  * have been, or if the writer keeps records while the store is unavailable. */
 static void
-writer_on_refused (struct writer *writer)
+writer_on_refused (struct writer *writer, const struct store_response *response)
 {
   if (writer->maybe_written || writer->config.keep_while_unavailable)
     {
       writer_schedule (writer, RETRY_DELAY_MS);
       return;
     }
-  if (writer_finish_batch (writer, WRITER_REFUSED, 0) &&
-      writer_finish_waiting (writer, WRITER_REFUSED))
+  if (writer_finish_batch (writer, WRITER_REFUSED, response) &&
+      writer_finish_waiting (writer, WRITER_REFUSED, response))
     writer_schedule_next (writer);
 }
 
 /* Handles a rejection: another producer with the same name has written with a higher epoch, or with
  * the same one. */
 static void
-writer_on_fenced (struct writer *writer)
+writer_on_fenced (struct writer *writer, const struct store_response *response)
 {
-  if (writer_finish_batch (writer, WRITER_FENCED, 0))
-    writer_finish_waiting (writer, WRITER_FENCED);
+  if (writer_finish_batch (writer, WRITER_FENCED, response))
+    writer_finish_waiting (writer, WRITER_FENCED, response);
 }
 
 /* Handles the response to a call, or its absence. */
@@ -156,11 +181,17 @@
 {
   struct writer *writer = ctx;
 
+  writer->n_sends += response->n_sends;
+  if (response->n_sends > 1)
+    log_info ("writer",
+              "append resent by the HTTP client: producer=%s epoch=%" G_GUINT64_FORMAT
+              " sequence=%" G_GUINT64_FORMAT " sends=%u result=%d status=%d",
+              writer->producer, writer->config.epoch, writer->sequence, response->n_sends,
+              response->result, response->status);
   switch (response->result)
     {
     case STORE_DONE:
-      writer->sequence++;
-      if (writer_finish_batch (writer, WRITER_DURABLE, response->offset))
+      if (writer_finish_batch (writer, WRITER_DURABLE, response))
         writer_schedule_next (writer);
       break;
     case STORE_UNKNOWN:
@@ -168,7 +199,7 @@
       /* Before the callbacks, since these may destroy the writer. */
       writer_schedule (writer, 0);
       if (!writer->config.keep_while_unavailable)
-        writer_finish_waiting (writer, WRITER_REFUSED);
+        writer_finish_waiting (writer, WRITER_REFUSED, response);
       break;
     case STORE_FENCED:
     case STORE_BAD_SEQUENCE:
@@ -176,10 +207,10 @@
                 "append rejected, the store has seen a newer epoch or another sequence: "
                 "producer=%s epoch=%" G_GUINT64_FORMAT " result=%d",
                 writer->producer, writer->config.epoch, response->result);
-      writer_on_fenced (writer);
+      writer_on_fenced (writer, response);
       break;
     default:
-      writer_on_refused (writer);
+      writer_on_refused (writer, response);
       break;
     }
 }
--- a/jobd/writer.h
+++ b/jobd/writer.h
@@ -24,8 +24,23 @@
   WRITER_UNKNOWN,
 };
 
-/* Reports a record's result; offset is valid for WRITER_DURABLE, and -1 if it is not known. */
-typedef void writer_done (void *ctx, enum writer_result result, int64_t offset);
+/* What became of a record, and the append that decided it. */
+struct writer_outcome
+{
+  enum writer_result result;
+  /* Valid for WRITER_DURABLE; -1 if it is not known. */
+  int64_t offset;
+  /* HTTP status of the last response; 0 if there was none. */
+  int status;
+  /* How often the append was sent, counting the times that the HTTP client sent it again by itself;
+   * 0 for a record that was never sent. */
+  unsigned n_sends;
+  /* Epoch and sequence of the append. */
+  uint64_t epoch;
+  uint64_t sequence;
+};
+
+typedef void writer_done (void *ctx, const struct writer_outcome *outcome);
 
 struct writer_config
 {
