--- a/standin/cluster.h
+++ b/standin/cluster.h
@@ -25,6 +25,57 @@
   STORE_UNRESPONSIVE,
   /* Stores appended records without acknowledging them; answers all other requests. */
   STORE_LOSES_ACKS,
+  /* Stores appended records and closes the connection without a response. */
+  STORE_CUTS,
+  /* Stores appended records and answers 502. */
+  STORE_GATEWAY,
+  /* Draws for each append whether its response is lost, and how. */
+  STORE_MIXED,
+};
+
+/* The store's faults beside its mode. */
+struct store_faults
+{
+  enum store_mode mode;
+  GRand *rand;
+  /* Share of the appends with a fault in the mode STORE_MIXED. */
+  unsigned permille;
+  /* After an append whose response was lost, the store answers 503 for 0 to busy_max_ms. */
+  unsigned busy_max_ms;
+  int64_t busy_until_ms;
+};
+
+/* What happens to an append. */
+enum append_fault_kind
+{
+  APPEND_ANSWERED,
+  /* Carried out, but its connection is closed without a response. */
+  APPEND_CUT,
+  /* Carried out, but a gateway answers. */
+  APPEND_GATEWAY,
+  /* Not carried out; its connection is closed. */
+  APPEND_DROPPED,
+  /* Its connection is closed; carried out later. */
+  APPEND_LATE,
+};
+
+struct append_fault
+{
+  enum append_fault_kind kind;
+  /* Status that the gateway answers. */
+  int status;
+  /* Delay of an append that is carried out later. */
+  int64_t delay_ms;
+};
+
+/* Parameters of an append. producer is NULL if there is none. */
+struct append_call
+{
+  const char *producer;
+  uint64_t epoch;
+  uint64_t sequence;
+  const uint8_t *body;
+  size_t len;
 };
 
 struct cluster;
@@ -105,12 +156,15 @@
   /* From name to struct topic. */
   GHashTable *topics;
   LIST_HEAD (, pending_read) pending_reads;
-  enum store_mode store_mode;
+  LIST_HEAD (, late_append) late_appends;
+  struct store_faults store_faults;
   GPtrArray *hosts;
   char *standby_pool;
   struct cluster_endpoint_list endpoints;
   /* From task to the id of the endpoint on which it last completed as done. */
   GHashTable *done_tasks;
+  /* From job id to the time of the last start of one of its tasks (int64_t). */
+  GHashTable *started_jobs;
   uint64_t starts;
   /* Starts of a task that was already running; reported as doubled. */
   uint64_t concurrent_starts;
@@ -128,6 +182,15 @@
 void cluster_store_handle (void *ctx, struct http_request *request);
 void cluster_store_disconnected (void *ctx, struct http_request *request);
 void cluster_store_tick (struct cluster *cluster);
+/* Sets the store's mode and faults from a request {"store":MODE,"seed":N,"permille":N,"busy_ms":N};
+ * the modes are up, busy, silent, mute, cut, gateway and mix. */
+void store_faults_set (struct cluster *cluster, const json_t *body);
+void store_faults_init (struct cluster *cluster);
+void store_faults_finish (struct cluster *cluster);
+/* Returns whether the store answers 503. */
+bool store_is_busy (struct cluster *cluster);
+/* Draws what happens to the next append. */
+struct append_fault store_faults_draw (struct cluster *cluster);
 /* Appends a record to a topic; a NULL value deletes the key. */
 void cluster_store_put (struct cluster *cluster, const char *topic, const char *key,
                         const char *value);
--- a/standin/cluster_endpoints.c
+++ b/standin/cluster_endpoints.c
@@ -149,7 +149,10 @@
 cluster_count_start (struct cluster *cluster, const char *task)
 {
   const struct cluster_endpoint *other;
+  int64_t *last_ms = g_new (int64_t, 1);
 
+  *last_ms = cluster->clock.now_ms;
+  g_hash_table_replace (cluster->started_jobs, g_strndup (task, strcspn (task, ".")), last_ms);
   cluster->starts++;
   cluster->starts_after_done += task_is_done_under_lease (cluster, task);
   LIST_FOREACH (other, &cluster->endpoints, link)
--- a/standin/cluster_main.c
+++ b/standin/cluster_main.c
@@ -35,20 +35,42 @@
                  (int) cluster->max_in_maintenance));
 }
 
-/* Sets faults: {"store":"up|busy|silent|mute"} sets the store's mode, {"dark":"HOST"} makes a
- * host's endpoint unresponsive, {"light":"HOST"} makes it respond again. */
+/* Answers with the time, the last start of each job whose tasks were started, and the tasks that
+ * run now. */
+static void
+cluster_answer_started (const struct cluster *cluster, struct http_request *request)
+{
+  json_t *jobs = json_object ();
+  json_t *running = json_array ();
+  const struct cluster_endpoint *endpoint;
+  const struct cluster_task_instance *instance;
+  GHashTableIter iter;
+  gpointer id;
+  gpointer last_ms;
+
+  g_hash_table_iter_init (&iter, cluster->started_jobs);
+  while (g_hash_table_iter_next (&iter, &id, &last_ms))
+    json_object_set_new (jobs, id, json_integer (*(const int64_t *) last_ms));
+  LIST_FOREACH (endpoint, &cluster->endpoints, link)
+    {
+      LIST_FOREACH (instance, &endpoint->instances, link)
+        json_array_append_new (running, json_string (instance->task));
+    }
+  http_request_respond_json (request, 200,
+                             json_pack ("{s:I,s:o,s:o}", "now_ms",
+                                        (json_int_t) cluster->clock.now_ms, "jobs", jobs, "running",
+                                        running));
+}
+
+/* Sets faults: {"store":MODE,...} sets the store's mode, {"dark":"HOST"} makes a host's endpoint
+ * unresponsive, {"light":"HOST"} makes it respond again. */
 static void
 cluster_set_faults (struct cluster *cluster, struct http_request *request, const json_t *body)
 {
-  const char *store = json_string_value (json_object_get (body, "store"));
   const char *unresponsive = json_string_value (json_object_get (body, "dark"));
   const char *responsive = json_string_value (json_object_get (body, "light"));
 
-  if (store)
-    cluster->store_mode = strcmp (store, "up") == 0     ? STORE_UP
-                          : strcmp (store, "busy") == 0 ? STORE_BUSY
-                          : strcmp (store, "mute") == 0 ? STORE_LOSES_ACKS
-                                                        : STORE_UNRESPONSIVE;
+  store_faults_set (cluster, body);
   for (guint i = 0; i < cluster->hosts->len; i++)
     {
       struct cluster_host *host = g_ptr_array_index (cluster->hosts, i);
@@ -104,6 +126,8 @@
   body = json_loadb (data, len, 0, NULL);
   if (strcmp (path, "/report") == 0)
     cluster_report (cluster, request);
+  else if (strcmp (path, "/started") == 0)
+    cluster_answer_started (cluster, request);
   else if (strcmp (path, "/faults") == 0)
     cluster_set_faults (cluster, request, body);
   else if (strcmp (path, "/operator") == 0)
@@ -176,6 +200,7 @@
     return started;
   cluster_now_ms (&cluster);
   cluster.done_tasks = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  cluster.started_jobs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   cluster_store_init (&cluster);
   if (!cluster_hosts_init (&cluster) || !cluster_listen (&cluster))
     {
@@ -199,5 +224,6 @@
   cluster_hosts_finish (&cluster);
   cluster_store_finish (&cluster);
   g_hash_table_destroy (cluster.done_tasks);
+  g_hash_table_destroy (cluster.started_jobs);
   return 0;
 }
--- a/standin/cluster_store.c
+++ b/standin/cluster_store.c
@@ -46,6 +46,17 @@
   int64_t end_ms;
 };
 
+/* An append that the store carries out after it closed the connection. */
+struct late_append
+{
+  LIST_ENTRY (late_append) link;
+  struct topic *topic;
+  char *producer;
+  GByteArray *body;
+  struct append_call call;
+  int64_t due_ms;
+};
+
 static void
 record_destroy (gpointer data)
 {
@@ -72,6 +83,17 @@
 {
   cluster->topics = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, topic_destroy);
   LIST_INIT (&cluster->pending_reads);
+  LIST_INIT (&cluster->late_appends);
+  store_faults_init (cluster);
+}
+
+static void
+late_append_destroy (struct late_append *late)
+{
+  LIST_REMOVE (late, link);
+  g_free (late->producer);
+  g_byte_array_unref (late->body);
+  g_free (late);
 }
 
 void
@@ -84,6 +106,9 @@
       LIST_REMOVE (read, link);
       g_free (read);
     }
+  while (!LIST_EMPTY (&cluster->late_appends))
+    late_append_destroy (LIST_FIRST (&cluster->late_appends));
+  store_faults_finish (cluster);
   g_hash_table_destroy (cluster->topics);
 }
 
@@ -150,29 +175,6 @@
   g_byte_array_unref (body);
 }
 
-/* Answers the waiting reads that have a record to return and those whose wait time is over. They
- * stay pending while the store is busy or unresponsive. */
-void
-cluster_store_tick (struct cluster *cluster)
-{
-  struct pending_read *read = LIST_FIRST (&cluster->pending_reads);
-  int64_t now_ms = cluster_now_ms (cluster);
-
-  while (read)
-    {
-      struct pending_read *next = LIST_NEXT (read, link);
-
-      if ((cluster->store_mode == STORE_UP || cluster->store_mode == STORE_LOSES_ACKS) &&
-          ((int64_t) read->topic->records->len > read->from || now_ms >= read->end_ms))
-        {
-          LIST_REMOVE (read, link);
-          read_answer (read->request, read->topic, read->from);
-          g_free (read);
-        }
-      read = next;
-    }
-}
-
 /* Appends the records in the body of an append request, in the format of read_answer without the
  * two offsets. Returns false if the body is malformed; the records before the fault are kept. */
 static bool
@@ -200,34 +202,34 @@
   return at == len;
 }
 
-/* Checks a producer's epoch and sequence. Returns true if the records should be appended; otherwise
- * the request has been answered: an older epoch with a rejection, a repetition of one of the last
- * appends with that append's offset, and any other sequence with a rejection that names the
+/* Checks a producer's epoch and sequence. Returns 0 if the records should be appended; otherwise
+ * the status of the response, with its body in *answer: an older epoch is rejected, a repetition of
+ * one of the last appends gets that append's offset, and any other sequence is rejected with the
  * expected one. For a sequence ahead of the expected one, age wraps around to a large value. */
-static bool
-producer_check (struct http_request *request, const struct topic *topic, struct producer *producer,
-                uint64_t epoch, uint64_t sequence)
+static int
+producer_check (const struct topic *topic, const struct producer *producer,
+                const struct append_call *call, json_t **answer)
 {
-  uint64_t age = producer->sequence - sequence;
+  uint64_t age = producer->sequence - call->sequence;
 
-  if (epoch < producer->epoch)
+  if (call->epoch < producer->epoch)
     {
-      http_request_respond_json (request, 409, json_pack ("{s:s}", "reason", "fenced"));
-      return false;
+      *answer = json_pack ("{s:s}", "reason", "fenced");
+      return 409;
     }
-  if (epoch > producer->epoch || producer->n_offsets == 0 || sequence == producer->sequence + 1)
-    return true;
+  if (call->epoch > producer->epoch || producer->n_offsets == 0 ||
+      call->sequence == producer->sequence + 1)
+    return 0;
   if (age < producer->n_offsets)
-    http_request_respond_json (
-        request, 200,
-        json_pack ("{s:I,s:I}", "offset",
-                   (json_int_t) producer->offsets[producer->n_offsets - 1 - age], "end",
-                   (json_int_t) topic->records->len));
-  else
-    http_request_respond_json (
-        request, 409,
-        json_pack ("{s:s,s:I}", "reason", "seq", "sequence", (json_int_t) producer->sequence + 1));
-  return false;
+    {
+      *answer = json_pack ("{s:I,s:I}", "offset",
+                           (json_int_t) producer->offsets[producer->n_offsets - 1 - age], "end",
+                           (json_int_t) topic->records->len);
+      return 200;
+    }
+  *answer =
+      json_pack ("{s:s,s:I}", "reason", "seq", "sequence", (json_int_t) producer->sequence + 1);
+  return 409;
 }
 
 /* Records a producer's append, to detect repetitions. */
@@ -247,49 +249,159 @@
   producer->sequence = sequence;
 }
 
-/* Handles an append. */
-static void
-store_append_request (const struct cluster *cluster, struct topic *topic,
-                      struct http_request *request)
+/* Returns the producer of an append, created if it is new; NULL if the append names none. */
+static struct producer *
+topic_get_producer (struct topic *topic, const struct append_call *call)
 {
-  const char *name = http_request_query (request, "producer");
-  const char *epoch_text = http_request_query (request, "epoch");
-  const char *sequence_text = http_request_query (request, "sequence");
-  uint64_t epoch = epoch_text ? g_ascii_strtoull (epoch_text, NULL, 10) : 0;
-  uint64_t sequence = sequence_text ? g_ascii_strtoull (sequence_text, NULL, 10) : 0;
+  struct producer *producer;
+
+  if (!call->producer)
+    return NULL;
+  producer = g_hash_table_lookup (topic->producers, call->producer);
+  if (!producer)
+    {
+      producer = g_new0 (struct producer, 1);
+      g_hash_table_insert (topic->producers, g_strdup (call->producer), producer);
+    }
+  return producer;
+}
+
+/* Carries out an append, unless its producer's epoch and sequence forbid it or it is a repetition.
+ * Returns the status of the response, with its body in *answer. */
+static int
+topic_append_call (struct topic *topic, const struct append_call *call, json_t **answer)
+{
+  struct producer *producer = topic_get_producer (topic, call);
   int64_t offset = topic->records->len;
-  struct producer *producer = NULL;
-  size_t len;
-  const uint8_t *body = http_request_body (request, &len);
+  int status = producer ? producer_check (topic, producer, call, answer) : 0;
 
-  if (name)
+  if (status != 0)
+    return status;
+  if (!topic_append_batch (topic, call->body, call->len))
     {
-      producer = g_hash_table_lookup (topic->producers, name);
-      if (!producer)
-        {
-          producer = g_new0 (struct producer, 1);
-          g_hash_table_insert (topic->producers, g_strdup (name), producer);
-        }
-      /* A repetition of an unacknowledged append isn't acknowledged either. */
-      if (cluster->store_mode == STORE_LOSES_ACKS && producer->epoch == epoch &&
-          producer->n_offsets > 0 && producer->sequence >= sequence)
-        return;
-      if (!producer_check (request, topic, producer, epoch, sequence))
-        return;
+      *answer = json_pack ("{s:s}", "error", "not a list of records");
+      return 400;
+    }
+  if (producer)
+    producer_record_append (producer, call->epoch, call->sequence, offset);
+  *answer = json_pack ("{s:I,s:I}", "offset", (json_int_t) offset, "end",
+                       (json_int_t) topic->records->len);
+  return 200;
+}
+
+/* Keeps an append to carry it out later. */
+static void
+topic_append_later (struct cluster *cluster, struct topic *topic, const struct append_call *call,
+                    int64_t delay_ms)
+{
+  struct late_append *late = g_new0 (struct late_append, 1);
+
+  late->topic = topic;
+  late->producer = g_strdup (call->producer);
+  late->body = g_byte_array_new ();
+  g_byte_array_append (late->body, call->body, (guint) call->len);
+  late->call = *call;
+  late->call.producer = late->producer;
+  late->call.body = late->body->data;
+  late->due_ms = cluster_now_ms (cluster) + delay_ms;
+  LIST_INSERT_HEAD (&cluster->late_appends, late, link);
+}
+
+/* Returns whether an append was carried out before. In the mode STORE_LOSES_ACKS, a repetition of
+ * an unacknowledged append isn't acknowledged either. */
+static bool
+append_is_repetition (struct topic *topic, const struct append_call *call)
+{
+  const struct producer *producer = topic_get_producer (topic, call);
+
+  return producer && producer->epoch == call->epoch && producer->n_offsets > 0 &&
+         producer->sequence >= call->sequence;
+}
+
+/* Handles an append, with the fault that is drawn for it. */
+static void
+store_append_request (struct cluster *cluster, struct topic *topic, struct http_request *request)
+{
+  const char *epoch = http_request_query (request, "epoch");
+  const char *sequence = http_request_query (request, "sequence");
+  struct append_call call = {
+    .producer = http_request_query (request, "producer"),
+    .epoch = epoch ? g_ascii_strtoull (epoch, NULL, 10) : 0,
+    .sequence = sequence ? g_ascii_strtoull (sequence, NULL, 10) : 0,
+  };
+  struct append_fault fault = store_faults_draw (cluster);
+  bool loses_acks = cluster->store_faults.mode == STORE_LOSES_ACKS;
+  json_t *answer = NULL;
+  int status;
+
+  call.body = http_request_body (request, &call.len);
+  if (loses_acks && append_is_repetition (topic, &call))
+    return;
+  if (fault.kind == APPEND_LATE)
+    topic_append_later (cluster, topic, &call, fault.delay_ms);
+  if (fault.kind == APPEND_LATE || fault.kind == APPEND_DROPPED)
+    {
+      http_request_drop (request);
+      return;
     }
-  if (!topic_append_batch (topic, body, len))
+  status = topic_append_call (topic, &call, &answer);
+  if (fault.kind == APPEND_ANSWERED && !(loses_acks && status == 200))
     {
-      http_request_respond_json (request, 400,
-                                 json_pack ("{s:s}", "error", "not a list of records"));
+      http_request_respond_json (request, status, answer);
       return;
     }
-  if (producer)
-    producer_record_append (producer, epoch, sequence, offset);
-  if (cluster->store_mode == STORE_LOSES_ACKS)
+  json_decref (answer);
+  if (fault.kind == APPEND_CUT)
+    http_request_drop (request);
+  else if (fault.kind == APPEND_GATEWAY)
+    http_request_respond_json (request, fault.status, json_pack ("{s:s}", "error", "gateway"));
+}
+
+/* Carries out the late appends that are due. */
+static void
+store_carry_out_late_appends (struct cluster *cluster)
+{
+  struct late_append *late = LIST_FIRST (&cluster->late_appends);
+  int64_t now_ms = cluster_now_ms (cluster);
+
+  while (late)
+    {
+      struct late_append *next = LIST_NEXT (late, link);
+      json_t *answer = NULL;
+
+      if (now_ms >= late->due_ms)
+        {
+          topic_append_call (late->topic, &late->call, &answer);
+          json_decref (answer);
+          late_append_destroy (late);
+        }
+      late = next;
+    }
+}
+
+/* Carries out late appends, and answers the waiting reads that have a record to return and those
+ * whose wait time is over. Reads stay pending while the store is busy or unresponsive. */
+void
+cluster_store_tick (struct cluster *cluster)
+{
+  struct pending_read *read = LIST_FIRST (&cluster->pending_reads);
+  int64_t now_ms = cluster_now_ms (cluster);
+
+  store_carry_out_late_appends (cluster);
+  if (store_is_busy (cluster) || cluster->store_faults.mode == STORE_UNRESPONSIVE)
     return;
-  http_request_respond_json (request, 200,
-                             json_pack ("{s:I,s:I}", "offset", (json_int_t) offset, "end",
-                                        (json_int_t) topic->records->len));
+  while (read)
+    {
+      struct pending_read *next = LIST_NEXT (read, link);
+
+      if ((int64_t) read->topic->records->len > read->from || now_ms >= read->end_ms)
+        {
+          LIST_REMOVE (read, link);
+          read_answer (read->request, read->topic, read->from);
+          g_free (read);
+        }
+      read = next;
+    }
 }
 
 /* Handles a read. If there are no records from the offset on, it waits for one. */
@@ -361,9 +473,9 @@
   struct topic *topic;
 
   http_request_set_data (request, NULL);
-  if (cluster->store_mode == STORE_UNRESPONSIVE)
+  if (cluster->store_faults.mode == STORE_UNRESPONSIVE)
     return;
-  if (cluster->store_mode == STORE_BUSY || !name)
+  if (store_is_busy (cluster) || !name)
     {
       http_request_respond_json (request, name ? 503 : 400,
                                  json_pack ("{s:s}", "error", "refused"));
--- a/tests/process.c
+++ b/tests/process.c
@@ -64,13 +64,33 @@
   abort ();
 }
 
+/* Returns the path of the log of the processes with a name; free with g_free. */
+static char *
+process_log_path (const char *name)
+{
+  return g_strdup_printf ("%s/test-logs/%d-%s.log", process_build (), (int) getpid (), name);
+}
+
+void
+process_move_log (const char *name, const char *target)
+{
+  g_autofree char *log = process_log_path (name);
+  g_autofree char *text = NULL;
+  gsize len;
+
+  if (target && (!g_file_get_contents (log, &text, &len, NULL) ||
+                 !g_file_set_contents (target, text, (gssize) len, NULL)))
+    fprintf (stderr, "can't copy %s to %s\n", log, target);
+  unlink (log);
+}
+
 /* Starts a program whose output is appended to its own log file. */
 struct process *
 process_create (const char *name, const char *program, const char *const *args)
 {
   g_autofree char *path = g_build_filename (process_build (), program, NULL);
   g_autofree char *folder = g_build_filename (process_build (), "test-logs", NULL);
-  g_autofree char *log = g_strdup_printf ("%s/%d-%s.log", folder, (int) getpid (), name);
+  g_autofree char *log = process_log_path (name);
   g_autoptr (GPtrArray) argv = g_ptr_array_new ();
   struct process *process = g_new0 (struct process, 1);
   posix_spawn_file_actions_t actions;
--- a/tests/process.h
+++ b/tests/process.h
@@ -31,6 +31,8 @@
 bool process_is_running (struct process *process);
 /* Kills all processes that the test has started. */
 void process_kill_all (void);
+/* Moves the log of the processes with a name to a file, or removes it if target is NULL. */
+void process_move_log (const char *name, const char *target);
 
 /* Result of an HTTP call. */
 struct fetched
