Keep libcurl from sending a request twice in one call

Callers saw jobs run that all hosts had refused with 503, and accepted jobs that no other host knew and that never ran.

Cause: libcurl sends a request again by itself when the reused connection closes before the response. The first send may have been carried out; the caller of the HTTP client saw only the second response. A 503 for it was taken for "nothing was done".

A call is now sent once: before libcurl would send it again after bytes had been sent, the call is ended as lost, which all users already treat as "may have been carried out". The result names how often a repeatable request was sent.

--- a/common/http_client.c
+++ b/common/http_client.c
@@ -68,7 +68,10 @@
   bool head_request;
   /* The connection is used for this call only. */
   bool single_use;
+  bool repeatable;
   unsigned n_sends;
+  /* libcurl was kept from sending the request again. */
+  bool repeat_denied;
   void (*done) (void *ctx, const struct http_call_done *done);
   void *ctx;
   LIST_ENTRY (http_call) link;
@@ -179,9 +182,20 @@
   return CURL_SOCKOPT_OK;
 }
 
-/* libcurl's callback before it sends the request, each time that it does. */
+/* Returns the number of bytes of the request that have been sent, in all sends. */
+static long
+call_sent_bytes (const struct http_call *call)
+{
+  long bytes = 0;
+
+  curl_easy_getinfo (call->easy, CURLINFO_REQUEST_SIZE, &bytes);
+  return bytes;
+}
+
+/* libcurl's callback before it sends the request. libcurl sends a request again by itself if a
+ * reused connection closes before the response, although the request may have been carried out. */
 static int
-call_count_send (void *ctx, char *remote_ip, char *local_ip, int remote_port, int local_port)
+call_before_send (void *ctx, char *remote_ip, char *local_ip, int remote_port, int local_port)
 {
   struct http_call *call = ctx;
 
@@ -189,6 +203,11 @@
   (void) local_ip;
   (void) remote_port;
   (void) local_port;
+  if (!call->repeatable && call_sent_bytes (call) > 0)
+    {
+      call->repeat_denied = true;
+      return CURL_PREREQFUNC_ABORT;
+    }
   call->n_sends++;
   return CURL_PREREQFUNC_OK;
 }
@@ -288,14 +307,13 @@
 call_determine_result (const struct http_call *call, CURLcode code, const GArray *headers,
                        long status)
 {
-  long sent_bytes = 0;
-
-  curl_easy_getinfo (call->easy, CURLINFO_REQUEST_SIZE, &sent_bytes);
   if (call->too_large)
     return HTTP_CALL_TOO_LARGE;
+  if (call->repeat_denied)
+    return HTTP_CALL_LOST;
   if (code == CURLE_OK)
     return call_length_is_known (call, headers, status) ? HTTP_CALL_ANSWERED : HTTP_CALL_LOST;
-  if (sent_bytes == 0)
+  if (call_sent_bytes (call) == 0)
     return HTTP_CALL_NOT_SENT;
   return code == CURLE_OPERATION_TIMEDOUT ? HTTP_CALL_TIMEOUT : HTTP_CALL_LOST;
 }
@@ -535,7 +553,7 @@
   curl_easy_setopt (easy, CURLOPT_TCP_KEEPINTVL, (long) KEEPALIVE_INTERVAL_S);
   curl_easy_setopt (easy, CURLOPT_SOCKOPTFUNCTION, call_set_socket);
   curl_easy_setopt (easy, CURLOPT_SOCKOPTDATA, call);
-  curl_easy_setopt (easy, CURLOPT_PREREQFUNCTION, call_count_send);
+  curl_easy_setopt (easy, CURLOPT_PREREQFUNCTION, call_before_send);
   curl_easy_setopt (easy, CURLOPT_PREREQDATA, call);
   curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, call_append_body);
   curl_easy_setopt (easy, CURLOPT_WRITEDATA, call);
@@ -564,6 +582,7 @@
   call->done = config->done;
   call->ctx = config->ctx;
   call->body_limit = config->body_limit;
+  call->repeatable = config->repeatable;
   call->single_use = config->fresh_connection || client->idle_reuse_ms < IDLE_REUSE_MIN_MS;
   call->head = g_byte_array_new ();
   call->body = g_byte_array_new ();
--- a/include/common/http_client.h
+++ b/include/common/http_client.h
@@ -20,7 +20,7 @@
    * timed out. */
   HTTP_CALL_NOT_SENT,
   /* Part of the request was sent, but no complete response arrived, or the response does not state
-   * where its body ends. */
+   * where its body ends. The request may have been carried out. */
   HTTP_CALL_LOST,
   /* The timeout of the call passed after part of the request had been sent. */
   HTTP_CALL_TIMEOUT,
@@ -39,8 +39,9 @@
   const void *body;
   size_t body_len;
   bool reused_connection;
-  /* How often the request was sent: libcurl sends it again by itself if a reused connection closes
-   * before the response. 0 if no connection was established. */
+  /* How often the request was sent; above 1 only for a repeatable call. The response is to the last
+   * send, so that a rejection says nothing of the earlier ones. 0 if no connection was
+   * established. */
   unsigned n_sends;
 };
 
@@ -58,9 +59,12 @@
   long timeout_ms;
   /* Largest response body in bytes. */
   size_t body_limit;
-  /* Uses a new connection for this call only, so that libcurl cannot resend the request by itself.
-   */
+  /* Uses a new connection for this call only. */
   bool fresh_connection;
+  /* Sends the request again if a reused connection closes before the response. Only for requests
+   * of which it does not matter how often they are carried out. Without it such a call is lost,
+   * since the request may have been carried out. */
+  bool repeatable;
   /* Called once, unless the call is cancelled first. The data that done points to is valid only
    * until it returns. */
   void (*done) (void *ctx, const struct http_call_done *done);
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -1,5 +1,6 @@
 #include <arpa/inet.h>
 #include <ev.h>
+#include <fcntl.h>
 #include <glib.h>
 #include <stdio.h>
 #include <string.h>
@@ -35,6 +36,9 @@
   char body[RESPONSE_LIMIT_BYTES + 1];
   char header[64];
   bool reused;
+  unsigned n_sends;
+  /* Of the next calls. */
+  bool repeatable;
 };
 
 /* Ends a wait at its time limit. */
@@ -115,6 +119,7 @@
   fixture->result = done->result;
   fixture->status = done->status;
   fixture->reused = done->reused_connection;
+  fixture->n_sends = done->n_sends;
   fixture->header[0] = '\0';
   for (size_t i = 0; i < done->n_headers; i++)
     {
@@ -172,6 +177,7 @@
     .timeout_ms = CALL_TIMEOUT_MS,
     .body_limit = RESPONSE_LIMIT_BYTES,
     .fresh_connection = fresh,
+    .repeatable = fixture->repeatable,
     .done = http_fixture_call_done,
     .ctx = fixture,
   };
@@ -320,23 +326,33 @@
   CU_ASSERT_EQUAL (fixture->result, result);
 }
 
-/* A response that may have been truncated is never reported as a complete one. */
-static void
-test_cut_answers (void)
+/* Opens a listening socket next to the server's port. */
+static int
+listen_next_to (const struct http_fixture *fixture)
 {
   struct sockaddr_in address = { .sin_family = AF_INET };
-  struct http_fixture fixture;
   int listening = socket (AF_INET, SOCK_STREAM, 0);
   int on = 1;
   int bound;
 
-  http_fixture_start (&fixture);
-  address.sin_port = htons ((uint16_t) (fixture.port + 2));
+  address.sin_port = htons ((uint16_t) (fixture->port + 2));
   address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
   setsockopt (listening, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
   bound = bind (listening, (struct sockaddr *) &address, sizeof address);
   SUITE_REQUIRE (bound == 0);
   listen (listening, 8);
+  return listening;
+}
+
+/* A response that may have been truncated is never reported as a complete one. */
+static void
+test_cut_answers (void)
+{
+  struct http_fixture fixture;
+  int listening;
+
+  http_fixture_start (&fixture);
+  listening = listen_next_to (&fixture);
   expect_raw (&fixture, listening, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
               HTTP_CALL_ANSWERED);
   expect_raw (&fixture, listening, "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 None\r\n\r\n",
@@ -352,6 +368,75 @@
   http_fixture_stop (&fixture);
 }
 
+/* Reads a request from a connection and, unless answer is NULL, responds. Returns false if the
+ * connection closes without a request. */
+static bool
+serve_request (struct http_fixture *fixture, int fd, const char *answer)
+{
+  unsigned before = fixture->done;
+  char request[1024];
+
+  http_fixture_run_until (fixture, &fixture->done, before + 1, 0.05);
+  if (recv (fd, request, sizeof request, 0) <= 0)
+    return false;
+  if (answer)
+    CU_ASSERT (send (fd, answer, strlen (answer), MSG_NOSIGNAL) >= 0);
+  return true;
+}
+
+/* Makes two calls over one connection, which closes when the second request has been read. The next
+ * connection, if there is one, answers 503. Returns the number of requests that arrived. */
+static unsigned
+run_lost_connection (struct http_fixture *fixture, bool repeatable)
+{
+  static const char ok[] = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+  static const char unavailable[] =
+      "HTTP/1.1 503 Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+  int listening = listen_next_to (fixture);
+  unsigned before = fixture->done;
+  unsigned n_requests = 0;
+  int fd;
+
+  fixture->repeatable = repeatable;
+  http_fixture_call (fixture, "POST", (uint16_t) (fixture->port + 2), "/", "a", false);
+  ev_run (fixture->loop, EVRUN_ONCE);
+  fd = accept (listening, NULL, NULL);
+  n_requests += serve_request (fixture, fd, ok);
+  CU_ASSERT (http_fixture_run_until (fixture, &fixture->done, before + 1, 2.0));
+  http_fixture_call (fixture, "POST", (uint16_t) (fixture->port + 2), "/", "b", false);
+  n_requests += serve_request (fixture, fd, NULL);
+  close (fd);
+  http_fixture_run_until (fixture, &fixture->done, before + 2, 0.1);
+  fcntl (listening, F_SETFL, O_NONBLOCK);
+  fd = accept (listening, NULL, NULL);
+  if (fd >= 0)
+    n_requests += serve_request (fixture, fd, unavailable);
+  CU_ASSERT (http_fixture_run_until (fixture, &fixture->done, before + 2, 2.0));
+  if (fd >= 0)
+    close (fd);
+  close (listening);
+  return n_requests;
+}
+
+/* Guards against requests that libcurl sends twice by itself, of which a rejection of the second
+ * send was taken for the fate of both (issue 24). */
+static void
+test_lost_connection (void)
+{
+  struct http_fixture fixture;
+
+  http_fixture_start (&fixture);
+  CU_ASSERT_EQUAL (run_lost_connection (&fixture, false), 2);
+  CU_ASSERT_EQUAL (fixture.result, HTTP_CALL_LOST);
+  CU_ASSERT_EQUAL (fixture.n_sends, 1);
+  http_fixture_stop (&fixture);
+  http_fixture_start (&fixture);
+  CU_ASSERT_EQUAL (run_lost_connection (&fixture, true), 3);
+  CU_ASSERT_EQUAL (fixture.result, HTTP_CALL_ANSWERED);
+  CU_ASSERT_EQUAL (fixture.n_sends, 2);
+  http_fixture_stop (&fixture);
+}
+
 static const struct suite_test tests[] = {
   { "calls", test_calls },
   { "port taken", test_port_taken },
@@ -359,6 +444,7 @@
   { "quiesce", test_quiesce },
   { "request at end", test_request_at_end },
   { "cut answers", test_cut_answers },
+  { "lost connection", test_lost_connection },
 };
 
 int
