--- a/include/platform/store.h
+++ b/include/platform/store.h
@@ -30,7 +30,8 @@
   STORE_DONE,
   /* Nothing was done: the store is unavailable, busy or over a limit. */
   STORE_REFUSED,
-  /* No response: the call may have been carried out, or may be later. */
+  /* No response, or one that does not say what was done: the call may have been carried out, or may
+   * be later. */
   STORE_UNKNOWN,
   /* The producer's name was used with a higher epoch. */
   STORE_FENCED,
--- a/jobd/writer.c
+++ b/jobd/writer.c
@@ -196,8 +196,11 @@
       break;
     case STORE_UNKNOWN:
       writer->maybe_written = true;
-      /* Before the callbacks, since these may destroy the writer. */
-      writer_schedule (writer, 0);
+      /* Before the callbacks, since these may destroy the writer. A call that failed quickly is
+       * repeated at once only the first time. */
+      writer_schedule (writer, writer->n_tries == 1
+                                   ? 0
+                                   : writer->sent_ms + RETRY_DELAY_MS - writer_now_ms (writer));
       if (!writer->config.keep_while_unavailable)
         writer_finish_waiting (writer, WRITER_REFUSED, response);
       break;
