End the epoch of an append that did not become durable

Callers saw accepted jobs that were known to the accepting host alone.

Cause: after a refused append the writer used its sequence number for the next records. Whenever the refused append had been carried out, or was carried out later, the store took the next one for its repetition and returned its offset: records were reported durable that are stored nowhere.

A host's writer now raises its epoch and goes on with the next sequence number after each append that was sent and did not become durable. A late call of that append is then fenced and can't be taken for another. A producer that several processes share (the leader's) keeps its epoch and its batch, as before. An append that is rejected after a call without a response is reported as not known instead of refused, so that its caller gets 504.

--- a/jobd/leader.c
+++ b/jobd/leader.c
@@ -232,6 +232,7 @@
     .producer = "sesamepick-leader",
     .epoch = jobd->jobs.leader_epoch + 1,
     .first_sequence = leader_random_sequence (leader),
+    .producer_is_shared = true,
     .min_interval_ms = LEADER_APPEND_INTERVAL_MS,
     .keep_while_unavailable = true,
     .now_ms = jobd_now_ms,
--- a/jobd/scheduling.c
+++ b/jobd/scheduling.c
@@ -129,6 +129,7 @@
     .topic = STORE_TOPIC_STATUS,
     .producer = "sesamepick-leader",
     .epoch = leader->epoch,
+    .producer_is_shared = true,
     .keep_while_unavailable = true,
     .now_ms = jobd_now_ms,
     .ctx = leader->jobd,
--- a/jobd/writer.c
+++ b/jobd/writer.c
@@ -34,6 +34,7 @@
   /* The call in progress: its records, and their encoding. */
   GPtrArray *batch;
   GByteArray *body;
+  uint64_t epoch;
   uint64_t sequence;
   /* When the batch was first sent, when the last try was, and how long the last batch took. */
   int64_t batch_begun_ms;
@@ -119,7 +120,7 @@
     .offset = response->offset,
     .status = response->status,
     .n_sends = writer->n_sends,
-    .epoch = writer->config.epoch,
+    .epoch = writer->epoch,
     .sequence = writer->sequence,
   };
 
@@ -133,8 +134,11 @@
         writer_now_ms (writer) - writer->batch_begun_ms);
 
   g_clear_pointer (&writer->body, g_byte_array_unref);
-  if (result == WRITER_DURABLE)
+  if (writer->n_sends > 0)
     writer->sequence++;
+  /* A late call of this append must neither be carried out nor be taken for a later one. */
+  if (result != WRITER_DURABLE && writer->n_sends > 0 && !writer->config.producer_is_shared)
+    writer->epoch++;
   writer->latency_ms = writer_now_ms (writer) - writer->batch_begun_ms;
   writer->maybe_written = false;
   writer->n_tries = 0;
@@ -151,27 +155,36 @@
                      writer->sent_ms + writer->config.min_interval_ms - writer_now_ms (writer));
 }
 
-/* Handles a call that the store has certainly not carried out. It is retried if an earlier try may
- * have been, or if the writer keeps records while the store is unavailable. */
+/* Handles a call that the store has certainly not carried out. It is retried if the writer keeps
+ * records while the store is unavailable, or if an earlier try may have been carried out; a
+ * malformed call would be rejected again. */
 static void
 writer_on_refused (struct writer *writer, const struct store_response *response)
 {
-  if (writer->maybe_written || writer->config.keep_while_unavailable)
+  bool maybe_written = writer->maybe_written;
+
+  if (writer->config.keep_while_unavailable || (maybe_written && response->result == STORE_REFUSED))
     {
       writer_schedule (writer, RETRY_DELAY_MS);
       return;
     }
-  if (writer_finish_batch (writer, WRITER_REFUSED, response) &&
+  if (writer_finish_batch (writer, maybe_written ? WRITER_UNKNOWN : WRITER_REFUSED, response) &&
       writer_finish_waiting (writer, WRITER_REFUSED, response))
     writer_schedule_next (writer);
 }
 
-/* Handles a rejection: another producer with the same name has written with a higher epoch, or with
- * the same one. */
+/* Handles a rejection of the epoch or the sequence. An earlier call without a response may have
+ * been carried out all the same. Where the producer is shared, another process has taken it over,
+ * and nothing more can be written. */
 static void
 writer_on_fenced (struct writer *writer, const struct store_response *response)
 {
-  if (writer_finish_batch (writer, WRITER_FENCED, response))
+  if (!writer_finish_batch (writer, writer->maybe_written ? WRITER_UNKNOWN : WRITER_FENCED,
+                            response))
+    return;
+  if (!writer->config.producer_is_shared)
+    writer_schedule_next (writer);
+  else
     writer_finish_waiting (writer, WRITER_FENCED, response);
 }
 
@@ -182,12 +195,6 @@
   struct writer *writer = ctx;
 
   writer->n_sends += response->n_sends;
-  if (response->n_sends > 1)
-    log_info ("writer",
-              "append resent by the HTTP client: producer=%s epoch=%" G_GUINT64_FORMAT
-              " sequence=%" G_GUINT64_FORMAT " sends=%u result=%d status=%d",
-              writer->producer, writer->config.epoch, writer->sequence, response->n_sends,
-              response->result, response->status);
   switch (response->result)
     {
     case STORE_DONE:
@@ -209,7 +216,7 @@
       log_info ("writer",
                 "append rejected, the store has seen a newer epoch or another sequence: "
                 "producer=%s epoch=%" G_GUINT64_FORMAT " result=%d",
-                writer->producer, writer->config.epoch, response->result);
+                writer->producer, writer->epoch, response->result);
       writer_on_fenced (writer, response);
       break;
     default:
@@ -245,7 +252,7 @@
     .topic = writer->config.topic,
     .partition = writer->config.partition,
     .producer = writer->producer,
-    .epoch = writer->config.epoch,
+    .epoch = writer->epoch,
     .sequence = writer->sequence,
   };
 
@@ -277,6 +284,7 @@
 
   writer->config = *config;
   writer->producer = g_strdup (config->producer);
+  writer->epoch = config->epoch;
   writer->sequence = config->first_sequence;
   writer->loop = loop;
   writer->store = store;
--- a/jobd/writer.h
+++ b/jobd/writer.h
@@ -9,7 +9,8 @@
 
 /* Appends records to one partition in the order in which they were added, several in a call. A call
  * without a response is retried with the same sequence number, so that the store writes it at most
- * once. */
+ * once. A sequence number that was sent never carries other records: an append that ends otherwise
+ * than durable ends its epoch, too. */
 struct writer;
 
 enum writer_result
@@ -20,7 +21,8 @@
   /* Rejected by the store: another writer has used the producer's name with a higher epoch or the
    * same one. */
   WRITER_FENCED,
-  /* May be written or not; only of records that were handed to the leader. */
+  /* May be written or not: the append was rejected after a call without a response, or the record
+   * was handed to the leader. */
   WRITER_UNKNOWN,
 };
 
@@ -46,10 +48,12 @@
 {
   const char *topic;
   unsigned partition;
-  /* Producer name and epoch, within which sequence numbers count up from first_sequence. */
+  /* Producer name and first epoch; sequence numbers count up from first_sequence. */
   const char *producer;
   uint64_t epoch;
   uint64_t first_sequence;
+  /* Other processes append under this producer, and the higher epoch wins: the epoch is kept. */
+  bool producer_is_shared;
   /* Minimum time between two calls. */
   int64_t min_interval_ms;
   /* Whether records are kept while the store is unavailable. Otherwise those that have not been
--- a/tests/jobd/scripted_store.c
+++ b/tests/jobd/scripted_store.c
@@ -191,9 +191,12 @@
   struct scripted_topic *topic = append->topic;
   enum store_behaviour behaviour =
       topic->n_appends < topic->script_len ? topic->script[topic->n_appends] : BEHAVIOUR_RESPOND;
-  bool late = behaviour == BEHAVIOUR_CLOSE_LATE || behaviour == BEHAVIOUR_SILENT_LATE;
+  bool late = behaviour == BEHAVIOUR_CLOSE_LATE || behaviour == BEHAVIOUR_SILENT_LATE ||
+              behaviour == BEHAVIOUR_UNAVAILABLE_LATE;
   bool never = behaviour == BEHAVIOUR_CLOSE_NOT_DONE || behaviour == BEHAVIOUR_UNAVAILABLE;
   bool silent = behaviour == BEHAVIOUR_SILENT_DONE || behaviour == BEHAVIOUR_SILENT_LATE;
+  bool closes = behaviour == BEHAVIOUR_CLOSE_DONE || behaviour == BEHAVIOUR_RESET_DONE ||
+                behaviour == BEHAVIOUR_CLOSE_NOT_DONE || behaviour == BEHAVIOUR_CLOSE_LATE;
   char body[128] = "{}";
   int status = 503;
 
@@ -210,10 +213,13 @@
     return true;
   if (behaviour == BEHAVIOUR_RESET_DONE)
     connection_set_reset (connection);
-  if (behaviour != BEHAVIOUR_RESPOND && behaviour != BEHAVIOUR_UNAVAILABLE &&
-      behaviour != BEHAVIOUR_BAD_GATEWAY)
+  if (closes)
     return false;
-  connection_respond (connection, behaviour == BEHAVIOUR_BAD_GATEWAY ? 502 : status, body);
+  if (behaviour == BEHAVIOUR_BAD_GATEWAY)
+    status = 502;
+  if (behaviour == BEHAVIOUR_UNAVAILABLE_DONE)
+    status = 503;
+  connection_respond (connection, status, body);
   return true;
 }
 
--- a/tests/jobd/scripted_store.h
+++ b/tests/jobd/scripted_store.h
@@ -27,7 +27,13 @@
   /* Never responds; the append is carried out at once, or 300 ms later. */
   BEHAVIOUR_SILENT_DONE,
   BEHAVIOUR_SILENT_LATE,
+  /* Number of behaviours that keep to the protocol. */
   BEHAVIOUR_COUNT,
+  /* Responds 503, as a proxy would that has passed the append on; it is carried out at once, or 300
+   * ms later. */
+  BEHAVIOUR_UNAVAILABLE_DONE = BEHAVIOUR_COUNT,
+  BEHAVIOUR_UNAVAILABLE_LATE,
+  BEHAVIOUR_NAMES,
 };
 
 /* The log of one topic. */
--- a/tests/jobd/test_writer.c
+++ b/tests/jobd/test_writer.c
@@ -60,14 +60,21 @@
   struct clock clock;
   struct scripted_store *store;
   struct trial trials[PARALLEL];
+  unsigned n_trials;
+  /* Behaviours of which the scripts consist. */
+  const enum store_behaviour *behaviours;
+  unsigned n_behaviours;
   /* Whether the writers keep records while the store is unavailable, as a leader's do. */
   bool keep;
+  /* Whether the store may carry out what it rejects, against the protocol. */
+  bool carries_out_rejected;
   unsigned n_failed;
 };
 
-static const char *const behaviour_names[BEHAVIOUR_COUNT] = {
-  "respond",     "close done",  "reset done",  "close not done", "close late",
-  "unavailable", "bad gateway", "silent done", "silent late",
+static const char *const behaviour_names[BEHAVIOUR_NAMES] = {
+  "respond",     "close done",       "reset done",       "close not done",
+  "close late",  "unavailable",      "bad gateway",      "silent done",
+  "silent late", "unavailable done", "unavailable late",
 };
 
 static int64_t
@@ -128,8 +135,8 @@
   trial->script[0] = BEHAVIOUR_RESPOND;
   for (unsigned i = 1; i < SCRIPT_LEN; i++)
     {
-      trial->script[i] = number % BEHAVIOUR_COUNT;
-      number /= BEHAVIOUR_COUNT;
+      trial->script[i] = fixture->behaviours[number % fixture->n_behaviours];
+      number /= fixture->n_behaviours;
     }
   snprintf (trial->topic_name, sizeof trial->topic_name, "keyed.%u",
             (unsigned) (trial - fixture->trials));
@@ -160,7 +167,8 @@
 
 /* Returns what is wrong with a record, or NULL. */
 static const char *
-trial_record_fault (const struct trial *trial, const struct trial_record *record)
+trial_record_fault (const struct writer_fixture *fixture, const struct trial *trial,
+                    const struct trial_record *record)
 {
   const GPtrArray *log = trial->topic->records;
   int64_t offset = record->outcome.offset;
@@ -182,7 +190,7 @@
     case WRITER_UNKNOWN:
       return NULL;
     default:
-      return n_stored > 0 ? "refused but stored" : NULL;
+      return n_stored > 0 && !fixture->carries_out_rejected ? "refused but stored" : NULL;
     }
 }
 
@@ -194,7 +202,7 @@
 
   for (unsigned i = 0; i < RECORDS; i++)
     {
-      const char *fault = trial_record_fault (trial, &trial->records[i]);
+      const char *fault = trial_record_fault (fixture, trial, &trial->records[i]);
 
       if (!fault && trial->records[i].outcome.result != WRITER_DURABLE &&
           (fixture->keep || i == RECORDS - 1))
@@ -217,7 +225,7 @@
   bool over = true;
 
   (void) events;
-  for (unsigned i = 0; i < PARALLEL; i++)
+  for (unsigned i = 0; i < fixture->n_trials; i++)
     {
       trial_step (&fixture->trials[i]);
       over = over && trial_is_over (&fixture->trials[i]);
@@ -234,16 +242,17 @@
   ev_break (loop, EVBREAK_ALL);
 }
 
-/* Runs PARALLEL scripts from a number on. */
+/* Runs n scripts from a number on. */
 static void
-fixture_run (struct writer_fixture *fixture, unsigned first)
+fixture_run (struct writer_fixture *fixture, unsigned first, unsigned n)
 {
   ev_timer tick;
   ev_timer limit;
 
+  fixture->n_trials = n;
   fixture->store = scripted_store_create (fixture->loop, process_port_block (PORT_BLOCK));
   SUITE_REQUIRE (fixture->store != NULL);
-  for (unsigned i = 0; i < PARALLEL; i++)
+  for (unsigned i = 0; i < fixture->n_trials; i++)
     trial_start (fixture, &fixture->trials[i], first + i);
   ev_now_update (fixture->loop);
   ev_timer_init (&tick, fixture_on_tick, 0.0, (double) TICK_MS / MS_PER_S);
@@ -254,7 +263,7 @@
   ev_run (fixture->loop, 0);
   ev_timer_stop (fixture->loop, &tick);
   ev_timer_stop (fixture->loop, &limit);
-  for (unsigned i = 0; i < PARALLEL; i++)
+  for (unsigned i = 0; i < fixture->n_trials; i++)
     {
       trial_check (fixture, &fixture->trials[i]);
       trial_stop (&fixture->trials[i]);
@@ -262,23 +271,35 @@
   scripted_store_destroy (fixture->store);
 }
 
-/* Runs all scripts with up to FAULTS faults in a row. */
+/* Runs all scripts of FAULTS behaviours in a row. */
 static void
-run_scripts (bool keep)
+run_scripts (struct writer_fixture *fixture)
 {
-  struct writer_fixture *fixture = g_new0 (struct writer_fixture, 1);
   unsigned n_scripts = 1;
 
   for (unsigned i = 0; i < FAULTS; i++)
-    n_scripts *= BEHAVIOUR_COUNT;
+    n_scripts *= fixture->n_behaviours;
   fixture->loop = ev_loop_new (EVFLAG_AUTO);
-  fixture->keep = keep;
   for (unsigned first = 0; first < n_scripts; first += PARALLEL)
-    fixture_run (fixture, first);
+    fixture_run (fixture, first, MIN (PARALLEL, n_scripts - first));
   printf ("%u of %u scripts failed ", fixture->n_failed, n_scripts);
   CU_ASSERT_EQUAL (fixture->n_failed, 0);
   ev_loop_destroy (fixture->loop);
-  g_free (fixture);
+}
+
+/* Runs all scripts of behaviours that keep to the protocol. */
+static void
+run_protocol_scripts (bool keep)
+{
+  g_autofree struct writer_fixture *fixture = g_new0 (struct writer_fixture, 1);
+  enum store_behaviour behaviours[BEHAVIOUR_COUNT];
+
+  for (unsigned i = 0; i < BEHAVIOUR_COUNT; i++)
+    behaviours[i] = i;
+  fixture->behaviours = behaviours;
+  fixture->n_behaviours = BEHAVIOUR_COUNT;
+  fixture->keep = keep;
+  run_scripts (fixture);
 }
 
 /* Guards against jobs that run though they were refused, and accepted ones that are nowhere (issue
@@ -286,19 +307,37 @@
 static void
 test_refused_or_durable (void)
 {
-  run_scripts (false);
+  run_protocol_scripts (false);
 }
 
 /* The same for the records of a leader, which are sent until they are durable. */
 static void
 test_leader_records (void)
 {
-  run_scripts (true);
+  run_protocol_scripts (true);
+}
+
+/* Guards against accepted jobs that are nowhere because their append was taken for a repetition of
+ * a rejected one that was carried out all the same (issue 24). */
+static void
+test_rejected_but_carried_out (void)
+{
+  static const enum store_behaviour behaviours[] = {
+    BEHAVIOUR_RESPOND,          BEHAVIOUR_UNAVAILABLE, BEHAVIOUR_UNAVAILABLE_DONE,
+    BEHAVIOUR_UNAVAILABLE_LATE, BEHAVIOUR_CLOSE_LATE,
+  };
+  g_autofree struct writer_fixture *fixture = g_new0 (struct writer_fixture, 1);
+
+  fixture->behaviours = behaviours;
+  fixture->n_behaviours = G_N_ELEMENTS (behaviours);
+  fixture->carries_out_rejected = true;
+  run_scripts (fixture);
 }
 
 static const struct suite_test tests[] = {
   { "refused or durable", test_refused_or_durable },
   { "leader's records", test_leader_records },
+  { "rejected but carried out", test_rejected_but_carried_out },
 };
 
 int
