Refuse records that wait behind an append of unknown fate

Callers waited for their deadline and got 504 although their record had never been sent: it waited behind an append without a response whose retries the store answered with 503. New requests were refused meanwhile, with when to come back.

The writer now refuses the records that wait once it refuses new ones, after 900 ms without a result. The append of unknown fate is retried as before.

Evidence: test_writer "waiting refused" failed before (the record became durable after 1.6 s) and passes; the other scripts still have 0 failures.

--- a/jobd/writer.c
+++ b/jobd/writer.c
@@ -165,7 +165,10 @@
 
   if (writer->config.keep_while_unavailable || (maybe_written && response->result == STORE_REFUSED))
     {
+      /* Before the callbacks, since these may destroy the writer. */
       writer_schedule (writer, RETRY_DELAY_MS);
+      if (!writer->config.keep_while_unavailable && writer_is_stuck (writer))
+        writer_finish_waiting (writer, WRITER_REFUSED, response);
       return;
     }
   if (writer_finish_batch (writer, maybe_written ? WRITER_UNKNOWN : WRITER_REFUSED, response) &&
--- a/tests/jobd/test_writer.c
+++ b/tests/jobd/test_writer.c
@@ -24,6 +24,9 @@
   IDLE_REUSE_MS = 10000,
   CONNECTIONS_MAX = 8,
   NAME_BYTES = 32,
+  /* From 900 ms without a result on, a host refuses new records; those that wait already are
+   * refused with the next response. */
+  REFUSAL_MS = 1100,
   TICK_MS = 5,
   MS_PER_S = 1000,
   LIMIT_MS = 20000,
@@ -37,12 +40,14 @@
   struct trial *trial;
   char value[NAME_BYTES];
   unsigned n_reports;
+  int64_t reported_ms;
   struct writer_outcome outcome;
 };
 
 /* One writer with its own client and topic. */
 struct trial
 {
+  struct writer_fixture *fixture;
   enum store_behaviour script[SCRIPT_LEN];
   char topic_name[NAME_BYTES];
   struct scripted_topic *topic;
@@ -93,23 +98,30 @@
 
   record->n_reports++;
   record->outcome = *outcome;
+  record->reported_ms = fixture_now_ms (record->trial->fixture);
   record->trial->n_reported++;
 }
 
-/* Appends the next record once the writer has reported the one before. */
+/* Appends the next record. */
 static void
-trial_step (struct trial *trial)
+trial_append (struct trial *trial)
 {
   struct trial_record *record = &trial->records[trial->n_appended];
 
-  if (trial->n_appended == RECORDS || trial->n_reported < trial->n_appended)
-    return;
   record->trial = trial;
   snprintf (record->value, sizeof record->value, "record %u", trial->n_appended++);
   writer_append (trial->writer, "key", record->value, strlen (record->value), trial_record_on_done,
                  record);
 }
 
+/* Appends the next record once the writer has reported the one before. */
+static void
+trial_step (struct trial *trial)
+{
+  if (trial->n_appended < RECORDS && trial->n_reported == trial->n_appended)
+    trial_append (trial);
+}
+
 static bool
 trial_is_over (const struct trial *trial)
 {
@@ -132,6 +144,7 @@
   };
 
   memset (trial, 0, sizeof *trial);
+  trial->fixture = fixture;
   trial->script[0] = BEHAVIOUR_RESPOND;
   for (unsigned i = 1; i < SCRIPT_LEN; i++)
     {
@@ -334,10 +347,61 @@
   run_scripts (fixture);
 }
 
+/* Runs the loop for a time. */
+static void
+run_for (struct writer_fixture *fixture, int64_t ms)
+{
+  ev_timer limit;
+
+  ev_now_update (fixture->loop);
+  ev_timer_init (&limit, fixture_on_limit, (double) ms / MS_PER_S, 0.0);
+  ev_timer_start (fixture->loop, &limit);
+  ev_run (fixture->loop, 0);
+}
+
+/* Guards against callers who wait for their deadline although the store is known to be unavailable:
+ * a record that waits behind an append of unknown fate is refused when new ones are, and the fate
+ * of that append is still found out. */
+static void
+test_waiting_refused (void)
+{
+  static const enum store_behaviour behaviours[] = { BEHAVIOUR_CLOSE_DONE };
+  enum store_behaviour script[15] = { BEHAVIOUR_RESPOND, BEHAVIOUR_CLOSE_DONE };
+  g_autofree struct writer_fixture *fixture = g_new0 (struct writer_fixture, 1);
+  struct trial *trial = &fixture->trials[0];
+  int64_t appended_ms;
+
+  fixture->behaviours = behaviours;
+  fixture->n_behaviours = 1;
+  fixture->loop = ev_loop_new (EVFLAG_AUTO);
+  fixture->store = scripted_store_create (fixture->loop, process_port_block (PORT_BLOCK));
+  SUITE_REQUIRE (fixture->store != NULL);
+  trial_start (fixture, trial, 0);
+  for (unsigned i = 2; i < G_N_ELEMENTS (script); i++)
+    script[i] = BEHAVIOUR_UNAVAILABLE;
+  trial->topic->script = script;
+  trial->topic->script_len = G_N_ELEMENTS (script);
+  trial_append (trial);
+  run_for (fixture, 50);
+  trial_append (trial);
+  run_for (fixture, 50);
+  trial_append (trial);
+  appended_ms = fixture_now_ms (fixture);
+  run_for (fixture, 2500);
+  CU_ASSERT_EQUAL (trial->records[1].outcome.result, WRITER_DURABLE);
+  CU_ASSERT_EQUAL (trial->records[2].outcome.result, WRITER_REFUSED);
+  CU_ASSERT_EQUAL (trial->records[2].outcome.n_sends, 0);
+  CU_ASSERT (trial->records[2].reported_ms - appended_ms <= REFUSAL_MS);
+  trial_stop (trial);
+  scripted_store_destroy (fixture->store);
+  ev_loop_destroy (fixture->loop);
+}
+
 static const struct suite_test tests[] = {
   { "refused or durable", test_refused_or_durable },
   { "leader's records", test_leader_records },
   { "rejected but carried out", test_rejected_but_carried_out },
+  { "waiting refused", test_waiting_refused },
 };
 
 int
