Don't tell a caller "not stored" while its earlier request may still be

A caller whose submission got 504 and who repeated it at the same host was told 503, "nothing was stored", while the host still held the first append, of which the store had not said anything; the job then ran. The same for cancellations.

Such a request now gets 504, as the first one did.

--- a/jobd/ingress.c
+++ b/jobd/ingress.c
@@ -208,6 +208,39 @@
                         pending_request_on_append, pending);
 }
 
+/* Returns whether this host has appended a record of a job whose fate is not known yet. */
+static bool
+ingress_has_appended (const struct ingress *ingress, const char *id)
+{
+  const struct pending_request *pending;
+
+  LIST_FOREACH (pending, &ingress->pending_requests, link)
+    {
+      if (pending->appended && strcmp (pending->id, id) == 0)
+        return true;
+    }
+  return false;
+}
+
+/* Rejects a submission or a cancellation because the store does not respond: nothing is stored for
+ * this request, but a record of an earlier request for the job may still be. */
+static void
+answer_unresponsive (struct ingress *ingress, struct http_request *request, const char *id)
+{
+  bool appended = ingress_has_appended (ingress, id);
+
+  log_info ("ingress", "job refused: job=%s method=%s reason=store-unresponsive appended=%d", id,
+            http_request_method (request), appended);
+  if (appended)
+    {
+      ingress->unknown.value++;
+      answer_error (request, 504, "the store does not answer; an earlier request may be stored");
+      return;
+    }
+  ingress->refused.value++;
+  answer_unavailable (request, "the store does not answer; nothing was stored");
+}
+
 /* Returns whether a string is a well-formed job id. */
 static bool
 id_is_valid (const char *id)
@@ -272,9 +305,7 @@
     }
   if (writer_is_stuck (jobd->writer))
     {
-      ingress->refused.value++;
-      log_info ("ingress", "job refused: job=%s reason=store-unresponsive", id);
-      answer_unavailable (request, "the store does not answer; nothing was stored");
+      answer_unresponsive (ingress, request, id);
       return;
     }
   body = http_request_body (request, &len);
@@ -379,7 +410,7 @@
   else if (job->cancelled || job_state_is_final (job->state))
     answer_json (request, 200, EMPTY_RESPONSE_BODY);
   else if (writer_is_stuck (ingress->jobd->writer))
-    answer_unavailable (request, "the store does not answer; nothing was cancelled");
+    answer_unresponsive (ingress, request, id);
   else
     pending_request_cancel (pending_request_create (ingress, request, id));
 }
--- a/tests/jobd/test_jobd.c
+++ b/tests/jobd/test_jobd.c
@@ -255,6 +255,22 @@
   check_no_task_ran_twice ();
 }
 
+/* Guards against a refusal that says a job was not stored while an earlier request for it may still
+ * be (issue 24): the store doesn't respond, and the caller repeats its request. */
+static void
+test_repeated_while_unknown (void)
+{
+  g_autofree char *id = next_job_id ();
+  g_autofree char *path = g_strdup_printf ("/one/%s", id);
+
+  hosts_post (&hosts, "/faults", "{\"store\":\"silent\"}");
+  CU_ASSERT_EQUAL (hosts_call (&hosts, 0, "POST", path, TWO_STEP_JOB, NULL), 504);
+  CU_ASSERT_EQUAL (hosts_call (&hosts, 0, "POST", path, TWO_STEP_JOB, NULL), 504);
+  hosts_post (&hosts, "/faults", "{\"store\":\"up\"}");
+  CU_ASSERT_TRUE (hosts_wait_job_state (&hosts, 1, id, "completed", COMPLETION_LIMIT_MS));
+  check_no_task_ran_twice ();
+}
+
 /* The store rejects calls, then doesn't respond. Accepted jobs complete, a job that was not stored
  * isn't confirmed, and a host that can't accept jobs isn't ready. */
 static void
@@ -347,6 +363,7 @@
   { "host restarted", test_host_restarted },
   { "leader frozen", test_leader_frozen },
   { "leader stopped", test_leader_stopped },
+  { "repeated while unknown", test_repeated_while_unknown },
   { "store away", test_store_unavailable },
   { "answers lost", test_responses_lost },
   { "endpoint dark", test_endpoints_unreachable },
