--- a/standin/cluster.h
+++ b/standin/cluster.h
@@ -80,6 +80,17 @@
 
 struct cluster;
 
+/* Faults of the endpoints' calls: responses of carried-out calls are lost, and calls are carried
+ * out after their connection closed. */
+struct endpoint_faults
+{
+  GRand *rand;
+  /* Share of the calls with a fault. */
+  unsigned permille;
+  /* After a call with a fault, its endpoint answers 503 for 0 to busy_max_ms. */
+  unsigned busy_max_ms;
+};
+
 /* One attempt of a task on an endpoint. Times are on the process's monotonic clock. */
 struct cluster_task_instance
 {
@@ -111,6 +122,11 @@
   unsigned sequence;
   uint64_t last_completion;
   bool unresponsive;
+  /* The endpoint answers 503 until then. */
+  int64_t busy_until_ms;
+  /* The responses of the call in progress are lost. */
+  bool loses_response;
+  LIST_HEAD (, late_call) late_calls;
   /* Removed from the registry; to be destroyed by the next tick. */
   bool ended;
   LIST_HEAD (, cluster_task_instance) instances;
@@ -161,6 +177,7 @@
   GPtrArray *hosts;
   char *standby_pool;
   struct cluster_endpoint_list endpoints;
+  struct endpoint_faults endpoint_faults;
   /* From task to the id of the endpoint on which it last completed as done. */
   GHashTable *done_tasks;
   /* From job id to the time of the last start of one of its tasks (int64_t). */
@@ -202,6 +219,9 @@
 void cluster_hosts_handle (void *ctx, struct http_request *request);
 void cluster_hosts_tick (struct cluster *cluster);
 
+/* Sets the faults of the endpoints' calls from a request {"endpoints":PERMILLE,"seed":N,
+ * "busy_ms":N}. */
+void cluster_endpoints_set_faults (struct cluster *cluster, const json_t *body);
 /* Starts an endpoint on the host at an index of hosts. Returns NULL if its port is in use. */
 struct cluster_endpoint *cluster_endpoint_create (struct cluster *cluster, unsigned host_index);
 /* Removes the endpoint from the registry; the next tick destroys it and the tasks that run on
--- a/standin/cluster_endpoints.c
+++ b/standin/cluster_endpoints.c
@@ -15,6 +15,18 @@
   /* How long a task takes to stop after a command. */
   TASK_STOP_MS = 50,
   HOSTS_PER_RACK = 4,
+  PERMILLE = 1000,
+  LATE_MIN_MS = 20,
+  LATE_MAX_MS = 2500,
+};
+
+/* A call that the endpoint carries out after it closed the connection. */
+struct late_call
+{
+  LIST_ENTRY (late_call) link;
+  char *path;
+  json_t *body;
+  int64_t due_ms;
 };
 
 /* A heartbeat that waits for a completion to report. */
@@ -96,22 +108,36 @@
                     endpoint->completions);
 }
 
+/* Responds to a call, unless its response is lost or it is carried out late, without a request. */
+static void
+endpoint_respond (const struct cluster_endpoint *endpoint, struct http_request *request, int status,
+                  json_t *body)
+{
+  if (request && !endpoint->loses_response)
+    {
+      http_request_respond_json (request, status, body);
+      return;
+    }
+  json_decref (body);
+  if (request)
+    http_request_drop (request);
+}
+
 /* Rejects a command with 409 and a reason. */
 static void
 answer_conflict (const struct cluster_endpoint *endpoint, struct http_request *request,
                  const char *reason)
 {
-  http_request_respond_json (request, 409,
-                             json_pack ("{s:I,s:s}", "clock_ms",
-                                        (json_int_t) endpoint_clock_ms (endpoint), "reason",
-                                        reason));
+  endpoint_respond (endpoint, request, 409,
+                    json_pack ("{s:I,s:s}", "clock_ms", (json_int_t) endpoint_clock_ms (endpoint),
+                               "reason", reason));
 }
 
 static void
 answer_accepted (const struct cluster_endpoint *endpoint, struct http_request *request)
 {
-  http_request_respond_json (
-      request, 200, json_pack ("{s:I}", "clock_ms", (json_int_t) endpoint_clock_ms (endpoint)));
+  endpoint_respond (endpoint, request, 200,
+                    json_pack ("{s:I}", "clock_ms", (json_int_t) endpoint_clock_ms (endpoint)));
 }
 
 static struct cluster_task_instance *
@@ -234,9 +260,10 @@
          json_integer_value (json_array_get (json_array_get (endpoint->completions, 0), 0)) <=
              acked)
     json_array_remove (endpoint->completions, 0);
-  if (wait_ms == 0 || json_array_size (endpoint->completions) > 0)
+  if (!request || endpoint->loses_response || wait_ms == 0 ||
+      json_array_size (endpoint->completions) > 0)
     {
-      http_request_respond_json (request, 200, endpoint_status_to_json (endpoint));
+      endpoint_respond (endpoint, request, 200, endpoint_status_to_json (endpoint));
       return;
     }
   heartbeat = g_new0 (struct cluster_heartbeat, 1);
@@ -246,42 +273,112 @@
   LIST_INSERT_HEAD (&endpoint->heartbeats, heartbeat, link);
 }
 
-/* Handles a command. One with a lower fence than the highest seen is rejected. */
+/* Carries out a command; request is NULL if nobody waits for the response. A command with a lower
+ * fence than the highest seen is rejected. */
+static void
+endpoint_carry_out (struct cluster_endpoint *endpoint, struct http_request *request,
+                    const char *path, const json_t *body)
+{
+  uint64_t fence = (uint64_t) json_integer_value (json_object_get (body, "fence"));
+
+  endpoint_advance_instances (endpoint);
+  if (fence < endpoint->fence)
+    {
+      answer_conflict (endpoint, request, "fence");
+      return;
+    }
+  endpoint->fence = fence;
+  if (strcmp (path, "/v1/run-start") == 0)
+    endpoint_start (endpoint, request, body);
+  else if (strcmp (path, "/v1/run-stop") == 0)
+    endpoint_stop (endpoint, request, body);
+  else if (strcmp (path, "/v1/hold") == 0)
+    endpoint_heartbeat (endpoint, request, body);
+  else if (strcmp (path, "/v1/pace") == 0)
+    answer_accepted (endpoint, request);
+  else
+    endpoint_respond (endpoint, request, 404, json_pack ("{s:s}", "error", "no such call"));
+}
+
+static void
+late_call_destroy (struct late_call *late)
+{
+  LIST_REMOVE (late, link);
+  g_free (late->path);
+  json_decref (late->body);
+  g_free (late);
+}
+
+/* Carries out the late calls that are due. */
+static void
+endpoint_carry_out_late_calls (struct cluster_endpoint *endpoint)
+{
+  struct late_call *late = LIST_FIRST (&endpoint->late_calls);
+
+  while (late)
+    {
+      struct late_call *next = LIST_NEXT (late, link);
+
+      if (endpoint->cluster->clock.now_ms >= late->due_ms)
+        {
+          endpoint_carry_out (endpoint, NULL, late->path, late->body);
+          late_call_destroy (late);
+        }
+      late = next;
+    }
+}
+
+/* Carries out a command whose response is lost, now or later, and closes its connection. Then the
+ * endpoint answers 503 for a while. */
+static void
+endpoint_carry_out_without_response (struct cluster_endpoint *endpoint,
+                                     struct http_request *request, json_t *body)
+{
+  const struct endpoint_faults *faults = &endpoint->cluster->endpoint_faults;
+  struct late_call *late;
+
+  endpoint->busy_until_ms = endpoint->cluster->clock.now_ms +
+                            g_rand_int_range (faults->rand, 0, (gint32) faults->busy_max_ms + 1);
+  if (g_rand_boolean (faults->rand))
+    {
+      endpoint->loses_response = true;
+      endpoint_carry_out (endpoint, request, http_request_path (request), body);
+      endpoint->loses_response = false;
+      return;
+    }
+  late = g_new0 (struct late_call, 1);
+  late->path = g_strdup (http_request_path (request));
+  late->body = json_incref (body);
+  late->due_ms =
+      endpoint->cluster->clock.now_ms + g_rand_int_range (faults->rand, LATE_MIN_MS, LATE_MAX_MS);
+  LIST_INSERT_HEAD (&endpoint->late_calls, late, link);
+  http_request_drop (request);
+}
+
+/* Handles a command, with the fault that is drawn for it. */
 static void
 endpoint_on_request (void *ctx, struct http_request *request)
 {
   struct cluster_endpoint *endpoint = ctx;
-  const char *path = http_request_path (request);
+  const struct endpoint_faults *faults = &endpoint->cluster->endpoint_faults;
   size_t len;
   const void *data = http_request_body (request, &len);
   json_t *body;
-  uint64_t fence;
 
   http_request_set_data (request, NULL);
   cluster_now_ms (endpoint->cluster);
   if (endpoint->unresponsive)
     return;
-  endpoint_advance_instances (endpoint);
   body = json_loadb (data, len, 0, NULL);
-  fence = (uint64_t) json_integer_value (json_object_get (body, "fence"));
   if (!body)
     http_request_respond_json (request, 400, json_pack ("{s:s}", "error", "no JSON"));
-  else if (fence < endpoint->fence)
-    answer_conflict (endpoint, request, "fence");
+  else if (endpoint->cluster->clock.now_ms < endpoint->busy_until_ms)
+    http_request_respond_json (request, 503, json_pack ("{s:s}", "error", "busy"));
+  else if (faults->permille > 0 &&
+           (unsigned) g_rand_int_range (faults->rand, 0, PERMILLE) < faults->permille)
+    endpoint_carry_out_without_response (endpoint, request, body);
   else
-    {
-      endpoint->fence = fence;
-      if (strcmp (path, "/v1/run-start") == 0)
-        endpoint_start (endpoint, request, body);
-      else if (strcmp (path, "/v1/run-stop") == 0)
-        endpoint_stop (endpoint, request, body);
-      else if (strcmp (path, "/v1/hold") == 0)
-        endpoint_heartbeat (endpoint, request, body);
-      else if (strcmp (path, "/v1/pace") == 0)
-        answer_accepted (endpoint, request);
-      else
-        http_request_respond_json (request, 404, json_pack ("{s:s}", "error", "no such call"));
-    }
+    endpoint_carry_out (endpoint, request, http_request_path (request), body);
   json_decref (body);
 }
 
@@ -343,6 +440,7 @@
   endpoint->highest_attempts = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   LIST_INIT (&endpoint->instances);
   LIST_INIT (&endpoint->heartbeats);
+  LIST_INIT (&endpoint->late_calls);
   config.port = endpoint->port;
   endpoint->server = http_server_create (cluster->loop, &config);
   LIST_INSERT_HEAD (&cluster->endpoints, endpoint, link);
@@ -380,6 +478,8 @@
       g_free (instance->task);
       g_free (instance);
     }
+  while (!LIST_EMPTY (&endpoint->late_calls))
+    late_call_destroy (LIST_FIRST (&endpoint->late_calls));
   json_decref (endpoint->completions);
   g_hash_table_destroy (endpoint->highest_attempts);
   g_free (endpoint->id);
@@ -408,6 +508,21 @@
     }
 }
 
+void
+cluster_endpoints_set_faults (struct cluster *cluster, const json_t *body)
+{
+  struct endpoint_faults *faults = &cluster->endpoint_faults;
+  const json_t *permille = json_object_get (body, "endpoints");
+
+  if (!permille)
+    return;
+  if (!faults->rand)
+    faults->rand = g_rand_new ();
+  g_rand_set_seed (faults->rand, (guint32) json_integer_value (json_object_get (body, "seed")));
+  faults->permille = (unsigned) json_integer_value (permille);
+  faults->busy_max_ms = (unsigned) json_integer_value (json_object_get (body, "busy_ms"));
+}
+
 void
 cluster_endpoints_tick (struct cluster *cluster)
 {
@@ -421,6 +536,7 @@
         cluster_endpoint_destroy (endpoint);
       else
         {
+          endpoint_carry_out_late_calls (endpoint);
           endpoint_advance_instances (endpoint);
           if (!endpoint->unresponsive)
             endpoint_answer_heartbeats (endpoint);
--- a/standin/cluster_hosts.c
+++ b/standin/cluster_hosts.c
@@ -60,6 +60,8 @@
 {
   while (!LIST_EMPTY (&cluster->endpoints))
     cluster_endpoint_destroy (LIST_FIRST (&cluster->endpoints));
+  if (cluster->endpoint_faults.rand)
+    g_rand_free (cluster->endpoint_faults.rand);
   g_ptr_array_free (cluster->hosts, TRUE);
   g_free (cluster->standby_pool);
 }
--- a/standin/cluster_main.c
+++ b/standin/cluster_main.c
@@ -62,7 +62,8 @@
                                         running));
 }
 
-/* Sets faults: {"store":MODE,...} sets the store's mode, {"dark":"HOST"} makes a host's endpoint
+/* Sets faults: {"store":MODE,...} sets the store's mode, {"endpoints":PERMILLE,...} the share of
+ * the endpoints' calls whose response is lost, {"dark":"HOST"} makes a host's endpoint
  * unresponsive, {"light":"HOST"} makes it respond again. */
 static void
 cluster_set_faults (struct cluster *cluster, struct http_request *request, const json_t *body)
@@ -71,6 +72,7 @@
   const char *responsive = json_string_value (json_object_get (body, "light"));
 
   store_faults_set (cluster, body);
+  cluster_endpoints_set_faults (cluster, body);
   for (guint i = 0; i < cluster->hosts->len; i++)
     {
       struct cluster_host *host = g_ptr_array_index (cluster->hosts, i);
--- a/standin/cluster_store.c
+++ b/standin/cluster_store.c
@@ -318,6 +318,20 @@
          producer->sequence >= call->sequence;
 }
 
+/* Closes the connections of all waiting reads, as a store process that ends does. */
+static void
+store_cut_reads (struct cluster *cluster)
+{
+  while (!LIST_EMPTY (&cluster->pending_reads))
+    {
+      struct pending_read *read = LIST_FIRST (&cluster->pending_reads);
+
+      LIST_REMOVE (read, link);
+      http_request_drop (read->request);
+      g_free (read);
+    }
+}
+
 /* Handles an append, with the fault that is drawn for it. */
 static void
 store_append_request (struct cluster *cluster, struct topic *topic, struct http_request *request)
@@ -352,7 +366,10 @@
     }
   json_decref (answer);
   if (fault.kind == APPEND_CUT)
-    http_request_drop (request);
+    {
+      http_request_drop (request);
+      store_cut_reads (cluster);
+    }
   else if (fault.kind == APPEND_GATEWAY)
     http_request_respond_json (request, fault.status, json_pack ("{s:s}", "error", "gateway"));
 }
--- a/tests/soak/soak_clients.c
+++ b/tests/soak/soak_clients.c
@@ -6,7 +6,7 @@
 
 enum
 {
-  CLIENTS = 14,
+  CLIENTS = 24,
   RETRY_AFTER_MS = 1000,
   NO_ANSWER_RETRY_MS = 50,
   PAUSE_MIN_MS = 10,
--- a/tests/soak/soak_faults.c
+++ b/tests/soak/soak_faults.c
@@ -126,14 +126,16 @@
     }
 }
 
-/* Endpoints that don't respond for a while, and changes of the configuration. */
+/* Endpoints that don't respond for a while, and calls to endpoints whose response is lost. */
 static void
-draw_platform_faults (const struct series *series, bool endpoints)
+draw_endpoint_faults (const struct series *series)
 {
-  int version = 2;
+  g_autofree char *calls =
+      g_strdup_printf ("{\"endpoints\":%d,\"seed\":%d,\"busy_ms\":%d}", draw (series, 0, 150),
+                       draw (series, 1, G_MAXINT32), draw (series, 0, 1000));
 
-  for (int at_ms = draw (series, 200, 2500); endpoints && at_ms < FAULTS_MS;
-       at_ms += draw (series, 200, 2500))
+  series_add_request (series, 0, EVENT_STORE, calls);
+  for (int at_ms = draw (series, 200, 2500); at_ms < FAULTS_MS; at_ms += draw (series, 200, 2500))
     {
       int machine = draw (series, 0, ENDPOINTS);
       g_autofree char *dark = g_strdup_printf ("{\"dark\":\"m-%d\"}", machine);
@@ -143,6 +145,14 @@
       at_ms += draw (series, 100, 2500);
       series_add_request (series, at_ms, EVENT_STORE, light);
     }
+}
+
+/* Changes of the configuration. */
+static void
+draw_configurations (const struct series *series)
+{
+  int version = 2;
+
   for (int at_ms = draw (series, 500, 4000); at_ms < FAULTS_MS; at_ms += draw (series, 500, 4000))
     series_add (series, (struct event){ at_ms, EVENT_CONFIGURATION, 0, version++, "" });
 }
@@ -169,7 +179,9 @@
   bool endpoints = draw (&series, 0, 2) > 0;
 
   draw_store_faults (&series);
-  draw_platform_faults (&series, endpoints);
+  draw_configurations (&series);
+  if (endpoints)
+    draw_endpoint_faults (&series);
   for (unsigned host = 0; host < soak->n_hosts; host++)
     {
       if (links)
@@ -219,7 +231,7 @@
 static void
 soak_faults_end (struct soak *soak)
 {
-  soak_hosts_post (soak, "/faults", "{\"store\":\"up\"}");
+  soak_hosts_post (soak, "/faults", "{\"store\":\"up\",\"endpoints\":0}");
   soak_hosts_post_proxy (soak, "{\"mode\":\"none\",\"delay_ms\":0}");
   for (unsigned endpoint = 0; endpoint < ENDPOINTS; endpoint++)
     {
