--- a/tests/soak/soak_jobs.c
+++ b/tests/soak/soak_jobs.c
@@ -12,6 +12,8 @@
   LONG_RUNNING_PERCENT = 10,
   PERCENT = 100,
   MS_PER_S = 1000,
+  /* Violations of a round that are printed; the others are counted. */
+  PRINTED_MAX = 12,
 };
 
 struct soak_job *
@@ -68,7 +70,10 @@
 
   if (job && job->reported)
     return;
-  soak->n_violations++;
+  if (job)
+    job->reported = true;
+  if (++soak->n_violations > PRINTED_MAX)
+    return;
   printf ("seed %u: %s: job %s: ", soak->seed, rule, job ? job->id : "-");
   va_start (args, what);
   vprintf (what, args);
@@ -85,8 +90,6 @@
       printf (" host %u %s status %d after %d ms\n", try->host, try->method, try->status,
               (int) try->took_ms);
     }
-  if (job)
-    job->reported = true;
   fflush (stdout);
 }
 
