fleetd: a record with a lost append stays unknown when a later append is rejected

An operator would get 503 "platform unavailable, try later" for a change that takes effect afterwards: an append had no response, its record was not found in the log and was sent again, and the second append was rejected with 429 or 503. The writer then took the record for one that was never in the log, and reported it at its deadline as not sent. The first append may still be carried out: a call that receives no response may be executed seconds later.

A rejection is only proof for the append that it answers. The writer now remembers for each record whether an append of it was lost, and such a record is reported as unknown (504, with the record's id).

--- a/fleetd/fleetd.h
+++ b/fleetd/fleetd.h
@@ -63,6 +63,8 @@
   size_t size;
   enum write_stage stage;
   bool may_be_in_log;
+  /* An append of this record had no response. It may be carried out late. */
+  bool append_lost;
   int64_t deadline_ms;
   /* May be NULL. */
   void (*done) (void *ctx, const struct write_result *result);
--- a/fleetd/log_writer.c
+++ b/fleetd/log_writer.c
@@ -132,9 +132,10 @@
   uint64_t number;
 };
 
-/* Handles the response to an append. Success: its records wait to be read back. -EAGAIN: they were
- * not appended and are queued again. Otherwise they may be in the log, and are searched for there
- * before they are sent again. */
+/* Handles the response to an append. Success: its records wait to be read back. -EAGAIN: this
+ * append did nothing, and its records are queued again. An earlier append of theirs that had no
+ * response may still be carried out, so a record of which one was lost may be in the log from then
+ * on. Otherwise they may be in the log, and are searched for there before they are sent again. */
 static void
 append_done (void *ctx, int result, uint64_t offset)
 {
@@ -159,7 +160,7 @@
     {
       fleetd->metrics.append_errors.value++;
       TAILQ_FOREACH (write, &writer->in_flight, link)
-        write->may_be_in_log = false;
+        write->may_be_in_log = write->append_lost;
       log_writer_move_all (writer, WRITE_IN_FLIGHT, WRITE_QUEUED);
       log_writer_back_off (writer);
     }
@@ -167,6 +168,8 @@
     {
       fleetd->metrics.appends_lost.value++;
       log_warning ("log", "The response to an append was lost; searching the log for its records.");
+      TAILQ_FOREACH (write, &writer->in_flight, link)
+        write->append_lost = true;
       log_writer_move_all (writer, WRITE_IN_FLIGHT, WRITE_UNCONFIRMED);
       writer->response_lost_ms = fleetd->clock.now_ms;
       writer->search_end = 0;
