jobd: a confirmation of the leader names the incarnation that handed the record over

The leader's link object outlives a restart of the host at the same address. If the host restarted while its record 1 was still being appended, which takes seconds while the store is slow, the confirmation went to the new process and passed for one of the new record 1. That record was then only in the leader's memory: refused by the store or with the leader killed, it was gone.

HandedRecord and AppendedRecord now carry the incarnation of the process, drawn at random at each start. A process ignores confirmations of another one and logs them.

--- a/include/lib/jobs/command_message.h
+++ b/include/lib/jobs/command_message.h
@@ -9,17 +9,20 @@
 
 /* Appends a command to an encoded CommandBatch. */
 void command_batch_add (GByteArray *batch, Sp__EndpointCommand *command);
-/* Appends the number and the journal offset of a handed record that is durable. */
-void command_batch_add_appended (GByteArray *batch, uint64_t number, int64_t offset);
+/* Appends the journal offset of a durable record, which a host's incarnation handed over under a
+ * number. */
+void command_batch_add_appended (GByteArray *batch, uint64_t incarnation, uint64_t number,
+                                 int64_t offset);
 /* Appends the sequence and the epoch, which completes the batch. */
 void command_batch_finish (GByteArray *batch, uint64_t sequence, uint64_t epoch);
 
 /* Appends the result of a command to an encoded ResultBatch. report may be NULL. */
 void result_batch_add (GByteArray *batch, uint64_t number, enum command_result result,
                        int64_t clock_ms, const struct endpoint_report *report);
-/* Appends a record that the leader is to append to the journal. */
-void result_batch_add_record (GByteArray *batch, uint64_t number, const char *key,
-                              const void *value, size_t len);
+/* Appends a record that the leader is to append to the journal. number is unique within the
+ * incarnation of this host. */
+void result_batch_add_record (GByteArray *batch, uint64_t incarnation, uint64_t number,
+                              const char *key, const void *value, size_t len);
 void result_batch_finish (GByteArray *batch, uint64_t acked_sequence, uint64_t epoch,
                           bool stopping);
 
--- a/jobd/command_sender.c
+++ b/jobd/command_sender.c
@@ -60,6 +60,8 @@
   struct command_sender *sender;
   /* NULL once the link is closed. */
   struct relay_link *link;
+  /* The process that handed it over, and its number there. */
+  uint64_t incarnation;
   uint64_t number;
 };
 
@@ -166,7 +168,8 @@
   struct appending_record *record = ctx;
 
   if (outcome->result == WRITER_DURABLE && record->link)
-    command_batch_add_appended (record->link->batch, record->number, outcome->offset);
+    command_batch_add_appended (record->link->batch, record->incarnation, record->number,
+                                outcome->offset);
   TAILQ_REMOVE (&record->sender->handed, record, entry);
   g_free (record);
 }
@@ -180,6 +183,7 @@
 
   record->sender = sender;
   record->link = link;
+  record->incarnation = message->incarnation;
   record->number = message->number;
   TAILQ_INSERT_TAIL (&sender->handed, record, entry);
   writer_append (sender->writer, message->key, message->value.data, message->value.len,
--- a/jobd/record_sender.c
+++ b/jobd/record_sender.c
@@ -101,14 +101,24 @@
 }
 
 void
-record_sender_on_appended (struct record_sender *sender, uint64_t number, int64_t offset)
+record_sender_on_appended (struct record_sender *sender, const Sp__AppendedRecord *appended)
 {
-  struct writer_outcome outcome = { .result = WRITER_DURABLE, .offset = offset };
+  struct writer_outcome outcome = { .result = WRITER_DURABLE, .offset = appended->offset };
   struct handed_record *record;
 
+  /* The leader's link to this host outlives a restart of this process. */
+  if (appended->incarnation != sender->jobd->incarnation)
+    {
+      log_info ("writer",
+                "confirmation ignored, the record was handed over by another process: "
+                "number=%" G_GUINT64_FORMAT " offset=%" G_GINT64_FORMAT
+                " incarnation=%016" G_GINT64_MODIFIER "x",
+                appended->number, appended->offset, appended->incarnation);
+      return;
+    }
   TAILQ_FOREACH (record, &sender->records, link)
     {
-      if (record->number != number)
+      if (record->number != appended->number)
         continue;
       handed_record_finish (record, &outcome);
       return;
--- a/jobd/record_sender.h
+++ b/jobd/record_sender.h
@@ -1,6 +1,7 @@
 #ifndef SESAMEPICK_JOBD_RECORD_SENDER_H
 #define SESAMEPICK_JOBD_RECORD_SENDER_H
 
+#include "command.pb-c.h"
 #include "jobd.h"
 
 /* Makes the records of callers durable. The store appends to a partition one call after the other,
@@ -14,8 +15,9 @@
 /* Reports the result like writer_append, and WRITER_UNKNOWN if the record may become durable. */
 void record_sender_append (struct record_sender *sender, const char *key, const void *value,
                            size_t len, writer_done *done, void *ctx);
-/* The leader has appended a record that was handed to it. */
-void record_sender_on_appended (struct record_sender *sender, uint64_t number, int64_t offset);
+/* The leader has appended a record that was handed to it. A confirmation for another incarnation of
+ * this host is ignored. */
+void record_sender_on_appended (struct record_sender *sender, const Sp__AppendedRecord *appended);
 /* Appends the records to which the leader hasn't responded in time. */
 void record_sender_tick (struct record_sender *sender);
 
--- a/jobd/relay_server.c
+++ b/jobd/relay_server.c
@@ -201,7 +201,7 @@
   if (!session || session->epoch != jobs->leader_epoch || jobs->leader_resigned ||
       jobd_now_ms (server->jobd) - session->heard_ms > LEADER_SILENT_MS)
     return false;
-  result_batch_add_record (session->results, number, key, value, len);
+  result_batch_add_record (session->results, server->jobd->incarnation, number, key, value, len);
   relay_session_schedule (session);
   return true;
 }
@@ -231,8 +231,7 @@
   for (size_t i = 0; i < batch->n_commands; i++)
     relay_session_send (session, batch->commands[i]);
   for (size_t i = 0; i < batch->n_appended; i++)
-    record_sender_on_appended (server->jobd->records, batch->appended[i]->number,
-                               batch->appended[i]->offset);
+    record_sender_on_appended (server->jobd->records, batch->appended[i]);
   relay_session_schedule (session);
   sp__command_batch__free_unpacked (batch, NULL);
 }
--- a/lib/jobs/command_message.c
+++ b/lib/jobs/command_message.c
@@ -22,12 +22,14 @@
 }
 
 void
-command_batch_add_appended (GByteArray *batch, uint64_t number, int64_t offset)
+command_batch_add_appended (GByteArray *batch, uint64_t incarnation, uint64_t number,
+                            int64_t offset)
 {
   Sp__CommandBatch part = SP__COMMAND_BATCH__INIT;
   Sp__AppendedRecord record = SP__APPENDED_RECORD__INIT;
   Sp__AppendedRecord *records = &record;
 
+  record.incarnation = incarnation;
   record.number = number;
   record.offset = offset;
   part.n_appended = 1;
@@ -117,13 +119,14 @@
 }
 
 void
-result_batch_add_record (GByteArray *batch, uint64_t number, const char *key, const void *value,
-                         size_t len)
+result_batch_add_record (GByteArray *batch, uint64_t incarnation, uint64_t number, const char *key,
+                         const void *value, size_t len)
 {
   Sp__ResultBatch part = SP__RESULT_BATCH__INIT;
   Sp__HandedRecord record = SP__HANDED_RECORD__INIT;
   Sp__HandedRecord *records = &record;
 
+  record.incarnation = incarnation;
   record.number = number;
   record.key = (char *) key;
   record.value.data = (uint8_t *) value;
--- a/protocols/command.pb-c.c
+++ b/protocols/command.pb-c.c
@@ -940,7 +940,7 @@
   (ProtobufCMessageInit) sp__endpoint_command_result__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sp__handed_record__field_descriptors[3] =
+static const ProtobufCFieldDescriptor sp__handed_record__field_descriptors[4] =
 {
   {
     "number",
@@ -978,8 +978,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "incarnation",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sp__HandedRecord, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sp__handed_record__field_indices_by_name[] = {
+  3,   /* field[3] = incarnation */
   1,   /* field[1] = key */
   0,   /* field[0] = number */
   2,   /* field[2] = value */
@@ -987,7 +1000,7 @@
 static const ProtobufCIntRange sp__handed_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor sp__handed_record__descriptor =
 {
@@ -997,14 +1010,14 @@
   "Sp__HandedRecord",
   "sp",
   sizeof(Sp__HandedRecord),
-  3,
+  4,
   sp__handed_record__field_descriptors,
   sp__handed_record__field_indices_by_name,
   1,  sp__handed_record__number_ranges,
   (ProtobufCMessageInit) sp__handed_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sp__appended_record__field_descriptors[2] =
+static const ProtobufCFieldDescriptor sp__appended_record__field_descriptors[3] =
 {
   {
     "number",
@@ -1030,15 +1043,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "incarnation",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sp__AppendedRecord, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sp__appended_record__field_indices_by_name[] = {
+  2,   /* field[2] = incarnation */
   0,   /* field[0] = number */
   1,   /* field[1] = offset */
 };
 static const ProtobufCIntRange sp__appended_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor sp__appended_record__descriptor =
 {
@@ -1048,7 +1074,7 @@
   "Sp__AppendedRecord",
   "sp",
   sizeof(Sp__AppendedRecord),
-  2,
+  3,
   sp__appended_record__field_descriptors,
   sp__appended_record__field_indices_by_name,
   1,  sp__appended_record__number_ranges,
--- a/protocols/command.pb-c.h
+++ b/protocols/command.pb-c.h
@@ -170,10 +170,14 @@
   uint64_t number;
   char *key;
   ProtobufCBinaryData value;
+  /*
+   * The process that hands it over; its numbers begin at 1 again at each start of the host.
+   */
+  uint64_t incarnation;
 };
 #define SP__HANDED_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sp__handed_record__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, {0,NULL} }
+    , 0, (char *)protobuf_c_empty_string, {0,NULL}, 0 }
 
 
 /*
@@ -184,10 +188,14 @@
   ProtobufCMessage base;
   uint64_t number;
   int64_t offset;
+  /*
+   * As in the HandedRecord. Any other process ignores the message.
+   */
+  uint64_t incarnation;
 };
 #define SP__APPENDED_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sp__appended_record__descriptor) \
-    , 0, 0 }
+    , 0, 0, 0 }
 
 
 /*
