entryd: a refusal of a resent request is not believed for its first send

A caller could get the outcome `not-run`, provably not executed, for a request that ran. Idempotent requests reuse connections; when one closed before its response, libcurl sent the request again by itself, and an endpoint's 503 with Sesamepick-Not-Run to the second send was taken as proof for both.

Resends stay allowed for idempotent requests on reused connections, as an idle connection that the endpoint closes should not cost a retry. A refusal counts as proof only if the request was sent once; otherwise the attempt counts as one whose response was lost, so that the outcome is `unknown` unless a retry is answered.

tests/path/test_outcomes.c, "refused after resend": the endpoint runs the request, closes the connection and refuses the resend. With resends off by default it passes; with resends allowed but without the check on n_sends it fails again the same way.

--- a/entryd/endpoint.c
+++ b/entryd/endpoint.c
@@ -77,18 +77,19 @@
   return false;
 }
 
-/* Maps the result of an HTTP call to the result of the attempt. */
+/* Maps the result of an HTTP call to the result of the attempt. A refusal is for the last send
+ * only: an earlier one, whose connection closed without a response, may have run. */
 static enum attempt_result
 attempt_classify (const struct attempt *attempt, const struct http_call_done *done)
 {
-  bool not_run = done->status == STATUS_UNAVAILABLE &&
+  bool refused = done->status == STATUS_UNAVAILABLE &&
                  headers_is_true (done->headers, done->n_headers, "Sesamepick-Not-Run");
 
   switch (done->result)
     {
     case HTTP_CALL_ANSWERED:
-      if (not_run)
-        return ATTEMPT_REFUSED;
+      if (refused)
+        return done->n_sends > 1 ? ATTEMPT_LOST : ATTEMPT_REFUSED;
       return attempt_response_mismatches (attempt, done) ? ATTEMPT_LOST : ATTEMPT_ANSWERED;
     case HTTP_CALL_NOT_SENT:
       return ATTEMPT_NOT_SENT;
@@ -148,6 +149,8 @@
     .timeout_ms = (long) MAX (target->timeout_ms, 1),
     .body_limit = entry->settings->body_limit_bytes,
     .fresh_connection = target->fresh_connection || attempt->number > 1,
+    /* Only idempotent requests reuse connections. */
+    .repeatable = !target->fresh_connection && attempt->number == 1,
     .done = attempt_on_done,
     .ctx = attempt,
   };
--- a/tests/path/test_outcomes.c
+++ b/tests/path/test_outcomes.c
@@ -1,5 +1,7 @@
 #include <signal.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <sys/time.h>
 #include <unistd.h>
 
 #include "path_fixture.h"
@@ -83,6 +85,59 @@
   path_stop (&fixture);
 }
 
+/* Returns whether the request has been run. */
+static bool
+seat_runs (void *ctx)
+{
+  return path_count_runs (ctx, "seat") > 0;
+}
+
+/* Reads a response whose body is empty or short, as text. Returns NULL without one. */
+static char *
+read_response (int fd)
+{
+  struct timeval limit = { .tv_sec = 3 };
+  char text[4096];
+  ssize_t len;
+
+  setsockopt (fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+  len = recv (fd, text, sizeof text - 1, 0);
+  return len > 0 ? g_strndup (text, (gsize) len) : NULL;
+}
+
+/* An idempotent request is run, its reused connection closes without a response, and the endpoint
+ * refuses it when it is sent again. The refusal is for the last send only: the caller must not be
+ * told that the request was not run. */
+static void
+test_refused_after_resend (void)
+{
+  struct path_fixture fixture;
+  struct fetched fetched;
+  g_autofree char *response = NULL;
+  int fd;
+
+  start (&fixture, 1, 1, 300, NULL);
+  for (int i = 0; i < 2; i++)
+    {
+      path_fetch (&fixture, 0, "GET", "warm", NULL, &fetched);
+      CU_ASSERT_EQUAL (fetched.status, 200);
+      fetched_clear (&fetched);
+    }
+  path_set_worker_faults (&fixture, 0, "{\"close_after_run\":true}");
+  fd = path_send_raw (&fixture, 0, "GET", "seat", NULL);
+  CU_ASSERT (test_wait (seat_runs, &fixture, 2000));
+  /* The run in progress still closes its connection. */
+  path_set_worker_faults (&fixture, 0, "{\"refuse\":true}");
+  response = read_response (fd);
+  SUITE_REQUIRE (response != NULL);
+  CU_ASSERT (strstr (response, "Sesamepick-Outcome: unknown") != NULL);
+  CU_ASSERT (strstr (response, "Sesamepick-Outcome: not-run") == NULL);
+  CU_ASSERT_EQUAL (path_count_runs (&fixture, "seat"), 1);
+  CU_ASSERT (path_worker_counter (&fixture, 0, "not_run") > 0);
+  close (fd);
+  path_stop (&fixture);
+}
+
 /* An idempotent request is answered within its deadline although some workers hang, close the
  * connection or can't be reached. */
 static void
@@ -110,13 +165,6 @@
   path_stop (&fixture);
 }
 
-/* Returns whether the request has been run. */
-static bool
-seat_runs (void *ctx)
-{
-  return path_count_runs (ctx, "seat") > 0;
-}
-
 /* A request that repeats an Idempotency-Key at another entry host, after the first one was
  * answered, is not run again. */
 static void
@@ -191,6 +239,7 @@
 static const struct suite_test tests[] = {
   { "truth", test_truth },
   { "no resend", test_no_resend },
+  { "refused after resend", test_refused_after_resend },
   { "retried elsewhere", test_retried_elsewhere },
   { "key elsewhere", test_key_elsewhere },
   { "key after kill", test_key_after_kill },
