--- a/fleetd/platform_http.c
+++ b/fleetd/platform_http.c
@@ -51,7 +51,8 @@
 };
 
 /* Maps the outcome of an HTTP call to an error number. A 5xx other than 503 counts as no response,
- * since the request may have taken effect. */
+ * since the request may have taken effect. A rejection is proof for the whole call, since a call
+ * that changes something is sent only once. */
 static int
 call_result (const struct http_call_done *done)
 {
@@ -103,7 +104,8 @@
   return call;
 }
 
-/* Sends a call. wait_ms is added to the call's time limit, for long polls. */
+/* Sends a call; only a read may be sent again by libcurl. wait_ms is added to the call's time
+ * limit, for long polls. */
 static void
 call_start (struct platform_call *call, const char *method, const char *path, const void *body,
             size_t len, long wait_ms)
@@ -121,6 +123,7 @@
     .connect_timeout_ms = CONNECT_TIMEOUT_MS,
     .timeout_ms = http->timeout_ms + wait_ms,
     .body_limit = RESPONSE_LIMIT_BYTES,
+    .repeatable = strcmp (method, "GET") == 0,
     .done = call_done,
     .ctx = call,
   };
