--- a/fleetd/fleetd.h
+++ b/fleetd/fleetd.h
@@ -94,7 +94,7 @@
   int64_t next_append_ms;
   /* When the response to an append was lost, and the end of the log as reported by the first read
    * that was started after that (0 until then). A record that is not found before this end was not
-   * appended. */
+   * appended by then, and is sent again; the lost append may still be carried out late. */
   int64_t response_lost_ms;
   uint64_t search_end;
 };
