tests: two faults of appends whose fate stays open

Both fail on, with real processes, the first host's bytes to the store held back: - repeated while waiting: a request that is repeated within 0.9 s of the first one gets 503, "nothing was stored", instead of 504, and the job completes. Its record waits behind the first one and is refused with it, which answer_unresponsive doesn't see. - appended after deletion: a job that another host accepted, completed and deleted is started again when the first host appends the definition that it has kept.

--- a/tests/jobd/hosts.c
+++ b/tests/jobd/hosts.c
@@ -8,6 +8,7 @@
 {
   URL_BYTES = 256,
   CALL_TIMEOUT_MS = 3500,
+  DEADLINE_MS = 3000,
   READY_LIMIT_MS = 15000,
   POLL_INTERVAL_MS = 25,
   PORTS_PER_HOST = 2,
@@ -34,22 +35,29 @@
 void
 hosts_start_jobd (struct hosts *hosts, unsigned n)
 {
-  char args[8][64];
+  char args[9][64];
+  const char *list[G_N_ELEMENTS (args) + 1] = { NULL };
+  size_t n_list = 0;
   char name[16];
 
   snprintf (name, sizeof name, "jobd%u", n);
   snprintf (args[0], sizeof args[0], "--name=%s", name);
   snprintf (args[1], sizeof args[1], "--frontend=127.0.0.1:%u", hosts_port (hosts, n));
   snprintf (args[2], sizeof args[2], "--readiness=127.0.0.1:%u", hosts_port (hosts, n) + 1U);
-  snprintf (args[3], sizeof args[3], "--store=127.0.0.1:%u", hosts->port);
+  snprintf (args[3], sizeof args[3], "--store=127.0.0.1:%u",
+            n == 0 && hosts->first_store_port ? hosts->first_store_port : hosts->port);
   snprintf (args[4], sizeof args[4], "--machines=127.0.0.1:%u", hosts->port + 1U);
   snprintf (args[5], sizeof args[5], "--seed=%u", n + 1);
   snprintf (args[6], sizeof args[6], "--relay=127.0.0.1:%u", hosts_port (hosts, HOSTS + n));
   snprintf (args[7], sizeof args[7], "--relay-endpoints-min=1");
-  hosts->jobds[n] =
-      process_create (name, "jobd/sesamepick-jobd",
-                      (const char *[]){ args[0], args[1], args[2], args[3], args[4], args[5],
-                                        hosts->relays ? args[6] : NULL, args[7], NULL });
+  snprintf (args[8], sizeof args[8], "--status-ms=%u", hosts->status_ms);
+  for (size_t i = 0; i < G_N_ELEMENTS (args); i++)
+    {
+      if ((i == 6 && !hosts->relays) || (i == 8 && hosts->status_ms == 0))
+        continue;
+      list[n_list++] = args[i];
+    }
+  hosts->jobds[n] = process_create (name, "jobd/sesamepick-jobd", list);
 }
 
 int
@@ -137,13 +145,14 @@
 }
 
 int
-hosts_call (struct hosts *hosts, unsigned n, const char *method, const char *path, const char *body,
-            json_t **response)
+hosts_call_within (struct hosts *hosts, unsigned n, const char *method, const char *path,
+                   const char *body, unsigned deadline_ms, json_t **response)
 {
   struct fetched fetched;
   char url[URL_BYTES];
-  const char *headers[] = { "Host: jobs.example", "Content-Type: application/json",
-                            "X-Deadline-Ms: 3000", NULL };
+  g_autofree char *deadline = g_strdup_printf ("X-Deadline-Ms: %u", deadline_ms);
+  const char *headers[] = { "Host: jobs.example", "Content-Type: application/json", deadline,
+                            NULL };
   int status;
 
   snprintf (url, sizeof url, "http://127.0.0.1:%u%s", hosts_port (hosts, n), path);
@@ -155,6 +164,13 @@
   return status;
 }
 
+int
+hosts_call (struct hosts *hosts, unsigned n, const char *method, const char *path, const char *body,
+            json_t **response)
+{
+  return hosts_call_within (hosts, n, method, path, body, DEADLINE_MS, response);
+}
+
 char *
 hosts_job_state (struct hosts *hosts, unsigned n, const char *id)
 {
--- a/tests/jobd/hosts.h
+++ b/tests/jobd/hosts.h
@@ -19,6 +19,11 @@
   uint16_t port;
   /* The leader sends its commands through the other hosts. Set before hosts_start. */
   bool relays;
+  /* How long ended jobs are kept; 0 for the default. Set before hosts_start. */
+  unsigned status_ms;
+  /* Port at which the first host reaches the store; 0 for the store's own. Set before hosts_start.
+   */
+  uint16_t first_store_port;
   struct process *cluster;
   struct process *jobds[HOSTS];
 };
@@ -40,6 +45,9 @@
  * NULL. */
 int hosts_call (struct hosts *hosts, unsigned n, const char *method, const char *path,
                 const char *body, json_t **response);
+/* The same with the caller's deadline. */
+int hosts_call_within (struct hosts *hosts, unsigned n, const char *method, const char *path,
+                       const char *body, unsigned deadline_ms, json_t **response);
 /* Returns the state of a job of pool one as a host reports it, or NULL if the host reports none;
  * free with free(). */
 char *hosts_job_state (struct hosts *hosts, unsigned n, const char *id);
