--- a/standin/cluster.h
+++ b/standin/cluster.h
@@ -40,9 +40,11 @@
   GRand *rand;
   /* Share of the appends with a fault in the mode STORE_MIXED. */
   unsigned permille;
-  /* After an append whose response was lost, the store answers 503 for 0 to busy_max_ms. */
+  /* After an append whose response was lost, the store rejects all calls with busy_status for 0 to
+   * busy_max_ms. */
   unsigned busy_max_ms;
   int64_t busy_until_ms;
+  int busy_status;
 };
 
 /* What happens to an append. */
@@ -204,8 +206,8 @@
 void store_faults_set (struct cluster *cluster, const json_t *body);
 void store_faults_init (struct cluster *cluster);
 void store_faults_finish (struct cluster *cluster);
-/* Returns whether the store answers 503. */
-bool store_is_busy (struct cluster *cluster);
+/* Returns the status with which the store rejects all calls, or 0 if it doesn't. */
+int store_busy_status (struct cluster *cluster);
 /* Draws what happens to the next append. */
 struct append_fault store_faults_draw (struct cluster *cluster);
 /* Appends a record to a topic; a NULL value deletes the key. */
--- a/standin/cluster_store.c
+++ b/standin/cluster_store.c
@@ -405,7 +405,7 @@
   int64_t now_ms = cluster_now_ms (cluster);
 
   store_carry_out_late_appends (cluster);
-  if (store_is_busy (cluster) || cluster->store_faults.mode == STORE_UNRESPONSIVE)
+  if (store_busy_status (cluster) != 0 || cluster->store_faults.mode == STORE_UNRESPONSIVE)
     return;
   while (read)
     {
@@ -487,14 +487,15 @@
   struct cluster *cluster = ctx;
   const char *path = http_request_path (request);
   const char *name = http_request_query (request, "topic");
+  int busy_status = store_busy_status (cluster);
   struct topic *topic;
 
   http_request_set_data (request, NULL);
   if (cluster->store_faults.mode == STORE_UNRESPONSIVE)
     return;
-  if (store_is_busy (cluster) || !name)
+  if (busy_status != 0 || !name)
     {
-      http_request_respond_json (request, name ? 503 : 400,
+      http_request_respond_json (request, name ? busy_status : 400,
                                  json_pack ("{s:s}", "error", "refused"));
       return;
     }
--- a/standin/cluster_store_faults.c
+++ b/standin/cluster_store_faults.c
@@ -2,7 +2,7 @@
 
 #include "cluster.h"
 
-/* Faults of the simulated store: lost responses, and times at which it answers 503. */
+/* Faults of the simulated store: lost responses, and times at which it rejects all calls. */
 
 enum
 {
@@ -54,11 +54,14 @@
   faults->busy_until_ms = 0;
 }
 
-bool
-store_is_busy (struct cluster *cluster)
+int
+store_busy_status (struct cluster *cluster)
 {
-  return cluster->store_faults.mode == STORE_BUSY ||
-         cluster_now_ms (cluster) < cluster->store_faults.busy_until_ms;
+  const struct store_faults *faults = &cluster->store_faults;
+
+  if (faults->mode == STORE_BUSY)
+    return 503;
+  return cluster_now_ms (cluster) < faults->busy_until_ms ? faults->busy_status : 0;
 }
 
 /* Draws a kind of fault for the mode STORE_MIXED. */
@@ -89,8 +92,10 @@
   else if (faults->mode == STORE_MIXED &&
            (unsigned) g_rand_int_range (faults->rand, 0, PERMILLE) < faults->permille)
     fault = store_faults_draw_mixed (faults->rand);
-  if (fault.kind != APPEND_ANSWERED && faults->busy_max_ms > 0)
-    faults->busy_until_ms = cluster_now_ms (cluster) +
-                            g_rand_int_range (faults->rand, 0, (gint32) faults->busy_max_ms + 1);
+  if (fault.kind == APPEND_ANSWERED || faults->busy_max_ms == 0)
+    return fault;
+  faults->busy_until_ms = cluster_now_ms (cluster) +
+                          g_rand_int_range (faults->rand, 0, (gint32) faults->busy_max_ms + 1);
+  faults->busy_status = g_rand_int_range (faults->rand, 0, 4) == 0 ? 429 : 503;
   return fault;
 }
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -112,8 +112,9 @@
 void soak_hosts_check_running (struct soak *soak);
 /* Returns the port of a host's proxy for callers. */
 uint16_t soak_hosts_caller_port (const struct soak *soak, unsigned host);
-/* Returns the port of the proxy between a host and the store. */
+/* Return the ports of the proxy between a host and the store, and the machine list. */
 uint16_t soak_hosts_store_port (const struct soak *soak, unsigned host);
+uint16_t soak_hosts_machines_port (const struct soak *soak, unsigned host);
 /* Posts to the platform, or to the proxy, to set faults. */
 void soak_hosts_post (struct soak *soak, const char *path, const char *body);
 void soak_hosts_post_proxy (struct soak *soak, const char *body);
--- a/tests/soak/soak_faults.c
+++ b/tests/soak/soak_faults.c
@@ -185,7 +185,10 @@
   for (unsigned host = 0; host < soak->n_hosts; host++)
     {
       if (links)
-        draw_proxy_faults (&series, soak_hosts_store_port (soak, host), 4000);
+        {
+          draw_proxy_faults (&series, soak_hosts_store_port (soak, host), 4000);
+          draw_proxy_faults (&series, soak_hosts_machines_port (soak, host), 6000);
+        }
       if (callers)
         draw_proxy_faults (&series, soak_hosts_caller_port (soak, host), 6000);
       if (processes)
--- a/tests/soak/soak_hosts.c
+++ b/tests/soak/soak_hosts.c
@@ -14,6 +14,7 @@
   FRONTEND_OFFSET = 60,
   READINESS_OFFSET = 70,
   RELAY_OFFSET = 80,
+  MACHINES_PROXY_OFFSET = 90,
   CALL_MS = 3000,
   READY_LIMIT_MS = 15000,
   START_MS = 300,
@@ -31,6 +32,12 @@
   return (uint16_t) (soak->port + STORE_PROXY_OFFSET + host);
 }
 
+uint16_t
+soak_hosts_machines_port (const struct soak *soak, unsigned host)
+{
+  return (uint16_t) (soak->port + MACHINES_PROXY_OFFSET + host);
+}
+
 /* Starts a program. options are the arguments, separated by spaces. */
 static struct process *
 soak_process_create (const struct soak *soak, const char *name, const char *program, char *options)
@@ -52,7 +59,8 @@
       "--name=%s --frontend=127.0.0.1:%u --readiness=127.0.0.1:%u --store=127.0.0.1:%u"
       " --machines=127.0.0.1:%u --seed=%u --relay-endpoints-min=1%s",
       name, port + FRONTEND_OFFSET + host, port + READINESS_OFFSET + host,
-      soak_hosts_store_port (soak, host), port + 1, soak->seed + host, soak->relays ? relay : "");
+      soak_hosts_store_port (soak, host), soak_hosts_machines_port (soak, host), soak->seed + host,
+      soak->relays ? relay : "");
 
   soak->jobds[host] = soak_process_create (soak, name, "jobd/sesamepick-jobd", options);
   soak->should_run[host] = true;
@@ -135,17 +143,17 @@
   return json;
 }
 
-/* Starts the proxy, with a port before each host and one between each host and the store. */
+/* Starts the proxy, with a port before each host and two between each host and the platform. */
 static void
 soak_proxy_start (struct soak *soak)
 {
   g_autoptr (GString) forward = g_string_new (NULL);
 
   for (unsigned host = 0; host < soak->n_hosts; host++)
-    g_string_append_printf (forward, "%s%u=127.0.0.1:%u,%u=127.0.0.1:%u", host > 0 ? "," : "",
-                            soak_hosts_caller_port (soak, host),
+    g_string_append_printf (forward, "%s%u=127.0.0.1:%u,%u=127.0.0.1:%u,%u=127.0.0.1:%u",
+                            host > 0 ? "," : "", soak_hosts_caller_port (soak, host),
                             soak->port + FRONTEND_OFFSET + host, soak_hosts_store_port (soak, host),
-                            soak->port);
+                            soak->port, soak_hosts_machines_port (soak, host), soak->port + 1U);
   soak->proxy =
       soak_process_create (soak, "proxy", "standin/standin-faults",
                            g_strdup_printf ("--admin-port=%u --forward=%s",
