Don't refuse a repeated request whose first append is still open

A caller whose submission got 504 and who repeated it at the same host within 0.9 s got 503, "nothing was stored", while the first append was still being retried; the job then ran. The record of the second request had waited behind the first one's append and was refused with the others when that got no response.

The result of an append now counts as not known while another append of the same job has no result at this host, and the caller gets 504. The host looked for such an append before only when it refused a request at once.

--- a/jobd/ingress.c
+++ b/jobd/ingress.c
@@ -132,6 +132,22 @@
   return pending;
 }
 
+/* Returns whether this host has appended a record of a job whose fate is not known yet, beside that
+ * of one request, which may be NULL. */
+static bool
+ingress_has_appended (const struct ingress *ingress, const char *id,
+                      const struct pending_request *except)
+{
+  const struct pending_request *pending;
+
+  LIST_FOREACH (pending, &ingress->pending_requests, link)
+    {
+      if (pending != except && pending->appended && strcmp (pending->id, id) == 0)
+        return true;
+    }
+  return false;
+}
+
 /* Handles the result of an append: the record is durable, will certainly never be written, or may
  * be. */
 static void
@@ -141,6 +157,9 @@
   struct jobd *jobd = pending->ingress->jobd;
   struct http_request *request = pending_request_detach (pending);
   bool durable = outcome->result == WRITER_DURABLE;
+  /* A refusal tells the caller that the job is not stored, whichever of its requests is meant. */
+  bool unknown = outcome->result == WRITER_UNKNOWN ||
+                 (!durable && ingress_has_appended (pending->ingress, pending->id, pending));
   gsize len;
   const void *value = g_bytes_get_data (pending->value, &len);
 
@@ -159,7 +178,7 @@
     job_table_apply (&jobd->jobs, pending->key, value, len, outcome->offset, jobd_now_ms (jobd));
   if (request && durable)
     answer_json (request, 200, EMPTY_RESPONSE_BODY);
-  else if (request && outcome->result == WRITER_UNKNOWN)
+  else if (request && unknown)
     answer_error (request, 504, "the store is not available; the record may still be stored");
   else if (request)
     answer_unavailable (request, "the store is not available; nothing was stored");
@@ -169,7 +188,7 @@
       metric_histogram_observe (&pending->ingress->durable_time,
                                 jobd_now_ms (jobd) - pending->created_ms);
     }
-  else if (outcome->result == WRITER_UNKNOWN)
+  else if (unknown)
     pending->ingress->unknown.value++;
   else
     pending->ingress->refused.value++;
@@ -208,26 +227,12 @@
                         pending_request_on_append, pending);
 }
 
-/* Returns whether this host has appended a record of a job whose fate is not known yet. */
-static bool
-ingress_has_appended (const struct ingress *ingress, const char *id)
-{
-  const struct pending_request *pending;
-
-  LIST_FOREACH (pending, &ingress->pending_requests, link)
-    {
-      if (pending->appended && strcmp (pending->id, id) == 0)
-        return true;
-    }
-  return false;
-}
-
 /* Rejects a submission or a cancellation because the store does not respond: nothing is stored for
  * this request, but a record of an earlier request for the job may still be. */
 static void
 answer_unresponsive (struct ingress *ingress, struct http_request *request, const char *id)
 {
-  bool appended = ingress_has_appended (ingress, id);
+  bool appended = ingress_has_appended (ingress, id, NULL);
 
   log_info ("ingress", "job refused: job=%s method=%s reason=store-unresponsive appended=%d", id,
             http_request_method (request), appended);
--- a/tests/jobd/test_jobd.c
+++ b/tests/jobd/test_jobd.c
@@ -16,6 +16,7 @@
   JOB_COUNT = 12,
   /* The deadline that hosts_call sends. */
   DEADLINE_MS = 3000,
+  SHORT_DEADLINE_MS = 300,
   COMPLETION_LIMIT_MS = 20000,
   ELECTION_LIMIT_MS = 8000,
   /* Time for a resumed process to notice that it was frozen; the deployments grant it (thaw_ms). */
@@ -271,6 +272,23 @@
   check_no_task_ran_twice ();
 }
 
+/* The same for a request that is repeated before the first append counts as stuck: its record waits
+ * behind the first one and is refused with it. */
+static void
+test_repeated_while_waiting (void)
+{
+  g_autofree char *id = next_job_id ();
+  g_autofree char *path = g_strdup_printf ("/one/%s", id);
+
+  hosts_post (&hosts, "/faults", "{\"store\":\"silent\"}");
+  CU_ASSERT_EQUAL (
+      hosts_call_within (&hosts, 0, "POST", path, TWO_STEP_JOB, SHORT_DEADLINE_MS, NULL), 504);
+  CU_ASSERT_EQUAL (hosts_call (&hosts, 0, "POST", path, TWO_STEP_JOB, NULL), 504);
+  hosts_post (&hosts, "/faults", "{\"store\":\"up\"}");
+  CU_ASSERT_TRUE (hosts_wait_job_state (&hosts, 1, id, "completed", COMPLETION_LIMIT_MS));
+  check_no_task_ran_twice ();
+}
+
 /* The store rejects calls, then doesn't respond. Accepted jobs complete, a job that was not stored
  * isn't confirmed, and a host that can't accept jobs isn't ready. */
 static void
@@ -364,6 +382,7 @@
   { "leader frozen", test_leader_frozen },
   { "leader stopped", test_leader_stopped },
   { "repeated while unknown", test_repeated_while_unknown },
+  { "repeated while waiting", test_repeated_while_waiting },
   { "store away", test_store_unavailable },
   { "answers lost", test_responses_lost },
   { "endpoint dark", test_endpoints_unreachable },
--- a/tests/jobd/test_unsettled.c
+++ b/tests/jobd/test_unsettled.c
@@ -15,7 +15,6 @@
   /* Ports of the fault injector, after those of the hosts. */
   FIRST_FAULT_PORT_OFFSET = 90,
   STATUS_MS = 1000,
-  SHORT_DEADLINE_MS = 300,
   COMPLETION_LIMIT_MS = 20000,
   /* Ended jobs are deleted after twice the time for which they are kept, and looked for every 5
    * s. */
@@ -44,21 +43,6 @@
   fetched_clear (&fetched);
 }
 
-/* Guards against a refusal, "nothing was stored", of a request that was repeated while the first
- * append is not stuck yet: the second record waits behind the first one and is refused with it. */
-static void
-test_repeated_while_waiting (void)
-{
-  static const char path[] = "/one/00000000000000c1";
-
-  set_store_port ("freeze");
-  CU_ASSERT_EQUAL (hosts_call_within (&hosts, 0, "POST", path, JOB, SHORT_DEADLINE_MS, NULL), 504);
-  CU_ASSERT_EQUAL (hosts_call (&hosts, 0, "POST", path, JOB, NULL), 504);
-  set_store_port ("none");
-  CU_ASSERT_TRUE (
-      hosts_wait_job_state (&hosts, 1, "00000000000000c1", "completed", COMPLETION_LIMIT_MS));
-}
-
 /* Guards against a job that runs again after it was completed and deleted: a host that didn't reach
  * the store appends its definition, which another host accepted meanwhile. */
 static void
@@ -89,7 +73,6 @@
 }
 
 static const struct suite_test tests[] = {
-  { "repeated while waiting", test_repeated_while_waiting },
   { "appended after deletion", test_appended_after_deletion },
 };
 
