Take a command for not carried out only where the protocol says so

Endpoints and the machine list may answer with statuses and reasons that the protocol doesn't name (500, 502, 504, 202, 408, a 409 with another reason or none), from a proxy or a process that fails after it has carried the command out. The command client reported them as certainly rejected: the task was started elsewhere while it ran (TWICE), and a host in maintenance was not counted against its wave's limit (LIMIT). For the machine list that also held for 503, which the protocol names for the store and for endpoints alone, and for any status with a known reason.

Only 400, 409 with a known reason, 421, 429 and 503 of an endpoint, and 400, 409 with a known reason and 429 of the machine list count as rejections. All else is COMMAND_UNKNOWN or HOST_COMMAND_UNKNOWN: the scheduler repeats a start under its attempt's number and then invalidates it by a stop.

--- a/include/lib/jobs/host.h
+++ b/include/lib/jobs/host.h
@@ -30,13 +30,15 @@
 enum host_command_result
 {
   HOST_COMMAND_DONE,
+  /* No response, or one that doesn't say whether anything was done. */
   HOST_COMMAND_UNKNOWN,
   HOST_COMMAND_FENCED,
   HOST_COMMAND_BUSY,
   /* The host is not in that wave. */
   HOST_COMMAND_NOT_IN_WAVE,
+  /* There is no such host, or it can't be in that pool: nothing was done. */
   HOST_COMMAND_INVALID,
-  /* Too many calls, or the machine list is unavailable: nothing was done. */
+  /* The command was not sent, or there were too many calls: nothing was done. */
   HOST_COMMAND_REFUSED,
 };
 
--- a/include/lib/jobs/scheduler.h
+++ b/include/lib/jobs/scheduler.h
@@ -16,7 +16,8 @@
   COMMAND_DONE,
   /* The request was never sent: nothing was done. */
   COMMAND_NOT_SENT,
-  /* No response: the command may have been carried out, or may be later. */
+  /* No response, or one that doesn't say whether anything was done: the command may have been
+   * carried out, or may be later. */
   COMMAND_UNKNOWN,
   /* The endpoint holds a newer fence. */
   COMMAND_FENCED,
