tests: simulate connections that close before the response

Now a share of the commands in half of the random runs (seed modulo 4 is 1 or 2, so that the other seeds keep their course) ends at once as lost; the command is carried out, carried out seconds late, or not at all, and the endpoint rejects what follows as unhealthy for up to 0.6 s.

--- a/tests/jobs/simulation.h
+++ b/tests/jobs/simulation.h
@@ -47,6 +47,9 @@
   bool unreachable;
   /* Every attempt that it starts fails after a short time. */
   bool fails_all;
+  /* It rejects all commands as unhealthy within this time. */
+  int64_t unhealthy_from_ms;
+  int64_t unhealthy_until_ms;
   bool listed;
   bool draining;
   int64_t born_ms;
@@ -103,6 +106,10 @@
    * that are carried out seconds late and get no response either. */
   int lost_permille;
   int late_permille;
+  /* Share of commands, in thousandths, whose connection closes at once: they are carried out,
+   * carried out late or not at all, and the endpoint rejects what follows for a while as unhealthy.
+   */
+  int closed_permille;
   /* Duration of batch attempts, and share of attempts that fail. */
   int64_t work_ms;
   int fail_permille;
--- a/tests/jobs/simulation_commands.c
+++ b/tests/jobs/simulation_commands.c
@@ -43,28 +43,60 @@
   return event;
 }
 
+/* Adds the result of a command that gets no response. */
+static void
+simulation_post_unknown (struct simulation *simulation, const struct event *event, int64_t due_ms)
+{
+  struct event *unknown = g_memdup2 (event, sizeof *event);
+
+  unknown->due_ms = due_ms;
+  unknown->response = true;
+  unknown->result = COMMAND_UNKNOWN;
+  unknown->name = NULL;
+  unknown->pool = NULL;
+  g_ptr_array_add (simulation->events, unknown);
+}
+
+/* Sends a command whose connection closes at once. It is carried out all the same in half of the
+ * cases, late in a quarter and not at all in a quarter; what follows is rejected for a while. */
+static void
+simulation_send_closed (struct simulation *simulation, struct event *event)
+{
+  int fate = g_rand_int_range (simulation->random, 0, 4);
+
+  simulation_post_unknown (simulation, event, simulation->now_ms + RESPONSE_MS);
+  event->no_response = true;
+  event->target->unhealthy_from_ms = simulation->now_ms + RESPONSE_MS;
+  event->target->unhealthy_until_ms =
+      event->target->unhealthy_from_ms + g_rand_int_range (simulation->random, 0, UNHEALTHY_MAX_MS);
+  if (fate == 0)
+    event->due_ms =
+        simulation->now_ms + g_rand_int_range (simulation->random, LATE_MIN_MS, LATE_MAX_MS);
+  else if (fate == 1)
+    event->lost = true;
+}
+
 /* Sends a complete command. It gets no response if its endpoint is unreachable, and at random; at
  * random it is also carried out late. Without a response the sender's timeout is scheduled. */
 static void
 simulation_send_command (struct simulation *simulation, struct event *event)
 {
-  bool late = simulation_chance (simulation, simulation->late_permille);
-  struct event *timeout;
+  bool late;
 
+  if (!event->target->unreachable && simulation_chance (simulation, simulation->closed_permille))
+    {
+      simulation_send_closed (simulation, event);
+      return;
+    }
+  late = simulation_chance (simulation, simulation->late_permille);
   event->no_response = late || simulation_chance (simulation, simulation->lost_permille) ||
                        event->target->unreachable;
   if (late)
     event->due_ms =
         simulation->now_ms + g_rand_int_range (simulation->random, LATE_MIN_MS, LATE_MAX_MS);
-  if (!event->no_response)
-    return;
-  timeout = g_memdup2 (event, sizeof *event);
-  timeout->due_ms = MAX (event->wait_until_ms, simulation->now_ms) + TIMEOUT_MS;
-  timeout->response = true;
-  timeout->result = COMMAND_UNKNOWN;
-  timeout->name = NULL;
-  timeout->pool = NULL;
-  g_ptr_array_add (simulation->events, timeout);
+  if (event->no_response)
+    simulation_post_unknown (simulation, event,
+                             MAX (event->wait_until_ms, simulation->now_ms) + TIMEOUT_MS);
 }
 
 /* Returns whether all steps that a task's step depends on are done. */
@@ -278,6 +310,8 @@
       simulation_deliver_response (simulation, event);
       return;
     }
+  if (event->lost)
+    return;
   if (event->kind == EVENT_HEARTBEAT && event->wait_until_ms > simulation->now_ms &&
       event->target->up && !event->target->unreachable && event->target->completions->len == 0)
     {
--- a/tests/jobs/simulation_endpoints.c
+++ b/tests/jobs/simulation_endpoints.c
@@ -227,6 +227,9 @@
 
   if (!endpoint->up || endpoint->unreachable)
     return COMMAND_NOT_SENT;
+  if (simulation->now_ms >= endpoint->unhealthy_from_ms &&
+      simulation->now_ms < endpoint->unhealthy_until_ms)
+    return COMMAND_UNHEALTHY;
   endpoint_advance_attempts (simulation, endpoint);
   if (event->fence < endpoint->fence)
     return COMMAND_FENCED;
--- a/tests/jobs/simulation_state.h
+++ b/tests/jobs/simulation_state.h
@@ -17,6 +17,8 @@
   /* Delay of commands that arrive late. */
   LATE_MIN_MS = 2000,
   LATE_MAX_MS = 6000,
+  /* Longest time for which an endpoint is unhealthy after a connection closed. */
+  UNHEALTHY_MAX_MS = 600,
   /* Duration of a flush. */
   FLUSH_MS = 8,
   /* Interval at which the leader reads the registry and the machine list. */
@@ -56,6 +58,8 @@
   bool response;
   /* No response follows. */
   bool no_response;
+  /* The command never reaches its endpoint. */
+  bool lost;
   unsigned leader_generation;
   uint64_t fence;
   /* The endpoint in the simulation, and what the scheduler knows of it. */
--- a/tests/jobs/test_jobs_random.c
+++ b/tests/jobs/test_jobs_random.c
@@ -5,9 +5,9 @@
 #include "suite.h"
 #include "simulation.h"
 
-/* Runs random simulations: jobs of all kinds, lost and late responses, unreachable and restarted
- * endpoints, changes of leader and cancellations. The simulation counts violations. For long runs:
- * test-jobs_random --seed N --rounds M. */
+/* Runs random simulations: jobs of all kinds, lost and late responses, connections that close
+ * before the response, unreachable and restarted endpoints, changes of leader and cancellations.
+ * The simulation counts violations. For long runs: test-jobs_random --seed N --rounds M. */
 
 enum
 {
@@ -98,6 +98,7 @@
   simulation->store_down = false;
   simulation->lost_permille = 0;
   simulation->late_permille = 0;
+  simulation->closed_permille = 0;
   simulation->fail_permille = 0;
   for (guint i = 0; i < simulation->endpoints->len; i++)
     ((struct simulated_endpoint *) g_ptr_array_index (simulation->endpoints, i))->unreachable =
@@ -118,6 +119,7 @@
   simulation_add_hosts (simulation, "spare", 2);
   simulation->lost_permille = 30;
   simulation->late_permille = seed % 2 == 0 ? 10 : 0;
+  simulation->closed_permille = seed % 4 == 1 || seed % 4 == 2 ? 30 : 0;
   simulation->fail_permille = 30;
   simulation_start_new_leader (simulation);
   simulation_run (simulation, 200);
--- a/tests/jobs/test_scheduler.c
+++ b/tests/jobs/test_scheduler.c
@@ -190,6 +190,37 @@
   simulation_destroy (simulation);
 }
 
+/* Connections close before the response, and what follows is rejected as by an unhealthy endpoint.
+ * The rejection of a repeated start doesn't prove that the first one was not carried out: no task
+ * may be started elsewhere before it is stopped. */
+static void
+test_closed_connections (void)
+{
+  enum
+  {
+    SEEDS = 20,
+  };
+
+  for (guint32 seed = 1; seed <= SEEDS; seed++)
+    {
+      struct simulation *simulation = simulation_create (seed);
+      Sp__JobStep step = make_step (20);
+
+      simulation_add_hosts (simulation, "pool", 4);
+      simulation_start_new_leader (simulation);
+      simulation_run (simulation, 100);
+      simulation->closed_permille = 200;
+      simulation->work_ms = 2000;
+      simulation_submit (simulation, "job", "pool", &step, 1, 3);
+      simulation_run (simulation, 10000);
+      simulation->closed_permille = 0;
+      simulation_run (simulation, 20000);
+      CU_ASSERT_EQUAL (simulation_job_state (simulation, "job"), SP__JOB_STATE__JOB_COMPLETED);
+      CU_ASSERT_EQUAL (simulation_violations (simulation), 0);
+      simulation_destroy (simulation);
+    }
+}
+
 /* An unreachable endpoint gets no further lease. Its tasks start elsewhere once the last lease has
  * certainly expired, and not before. */
 static void
@@ -439,6 +470,7 @@
   { "same process leads again", test_same_process_leads_again },
   { "failing endpoint", test_failing_endpoint },
   { "lost responses", test_lost_responses },
+  { "closed connections", test_closed_connections },
   { "unreachable endpoint", test_unreachable_endpoint },
   { "takeover", test_takeover },
   { "takeover with an unreachable endpoint", test_takeover_with_unreachable_endpoint },
