Avoid endpoints whose starts get no usable response

An endpoint that answers every start with status 500, but sends reports, now counts as one whose starts may have been carried out: each is sent three times and then invalidated by a stop. Its tasks came back to it for good, since it is the emptiest, so that jobs were late. Worse for tasks of a step of which few may be unavailable: with two of them on such an endpoint neither may be stopped while the other is away; they were sent again every 100 ms and started nowhere (LOST: nothing running).

An endpoint that sends reports is avoided for 1 s after a start that had to be invalidated, from the second in a row for 3 s like one that fails tasks, and the task is tried elsewhere. A start without a response may also be invalidated if a report that was requested after its last send doesn't list the attempt: then it isn't at work, and a stop makes nothing unavailable. Until then it isn't sent again; the report shows more than a fourth send.

--- a/include/lib/jobs/endpoint.h
+++ b/include/lib/jobs/endpoint.h
@@ -117,6 +117,9 @@
   unsigned failed_jobs;
   /* Used for comparison only. */
   const struct job *last_failed_job;
+  /* Number of starts in a row that were invalidated because none of their sends got a response,
+   * though the endpoint sends reports. */
+  unsigned starts_invalidated;
 };
 
 struct endpoint *endpoint_create (const char *id, int64_t now_ms);
--- a/include/lib/jobs/job.h
+++ b/include/lib/jobs/job.h
@@ -61,8 +61,11 @@
   int pace_percent;
   int pace_acknowledged_percent;
   bool pace_in_flight;
-  /* How often the current start was sent without a response. */
+  /* How often the current start was sent without a response, when the last of these sends ended,
+   * and whether a report requested later doesn't list the attempt. */
   unsigned starts_unanswered;
+  int64_t start_unanswered_ms;
+  bool start_unlisted;
   bool command_in_flight;
   int64_t next_command_ms;
   /* Endpoint where it last failed, used for comparison only, and when. */
--- a/lib/jobs/endpoint_heartbeats.c
+++ b/lib/jobs/endpoint_heartbeats.c
@@ -72,6 +72,7 @@
   endpoint->lease_end_ms = 0;
   endpoint->clock_ms = 0;
   endpoint->failed_jobs = 0;
+  endpoint->starts_invalidated = 0;
   endpoint->n_unknown_attempts = 0;
   endpoint->next_heartbeat_ms = scheduler->now_ms;
 }
@@ -263,7 +264,8 @@
 }
 
 /* Releases tasks whose attempts are missing from a report, if the report was requested after the
- * attempt was confirmed to run or was invalidated by a stop. */
+ * attempt was confirmed to run or was invalidated by a stop. Marks starts without a response that
+ * are missing from a report requested later. */
 static void
 endpoint_release_unlisted (struct scheduler *scheduler, struct endpoint *endpoint,
                            const struct endpoint_report *report, int64_t sent_ms)
@@ -275,6 +277,9 @@
       struct task *next = TAILQ_NEXT (task, endpoint_link);
       bool settled = task->phase == TASK_RUNNING || task->phase == TASK_STOPPING;
 
+      if (task->phase == TASK_STARTING && !task->command_in_flight && task->starts_unanswered > 0 &&
+          task->start_unanswered_ms < sent_ms)
+        task->start_unlisted = !report_lists_attempt (report, task);
       if (settled && task->confirmed_ms > 0 && task->confirmed_ms < sent_ms &&
           !report_lists_attempt (report, task))
         {
--- a/lib/jobs/task_attempt.c
+++ b/lib/jobs/task_attempt.c
@@ -15,8 +15,15 @@
   TAKEOVER_STOP_MARGIN_MS = 700,
   /* Number of jobs in a row with failed tasks after which an endpoint is avoided. */
   FAILED_JOBS_MAX = 2,
-  /* How long such an endpoint gets no tasks. */
+  /* How long such an endpoint gets no tasks, and one of which several starts in a row got no
+   * response. */
   FAILING_ENDPOINT_AVOID_MS = 3000,
+  STARTS_INVALIDATED_MAX = 2,
+  /* How long an endpoint gets no tasks after a start without a response, and after it rejected a
+   * start because it is unhealthy, is another incarnation or could not parse it. */
+  UNHEALTHY_AVOID_MS = 1000,
+  /* The same after it rejected a start for another reason. */
+  REJECTED_AVOID_MS = 200,
 };
 
 /* Changes a task's phase and updates the counts of its job. */
@@ -97,6 +104,7 @@
 
   task->attempt = attempt;
   task->starts_unanswered = 0;
+  task->start_unlisted = false;
   task->command_in_flight = false;
   task->next_command_ms = 0;
   task->progress_percent = -1;
@@ -320,12 +328,53 @@
     job_advance (scheduler, job);
 }
 
-/* Returns whether a start that got no response is sent again rather than invalidated by a stop. A
- * task that may already be at work is not stopped while too many of its step are unavailable. */
+/* Returns whether a start that got no response may be invalidated by a stop. A task that may
+ * already be at work is not stopped while too many of its step are unavailable; a report shows
+ * whether it is. */
 static bool
-task_start_is_repeated (const struct scheduler *scheduler, const struct task *task)
+task_start_may_be_invalidated (const struct scheduler *scheduler, const struct task *task)
 {
-  return task->starts_unanswered < START_SENDS_MAX || !task_may_be_stopped (scheduler, task);
+  return task->start_unlisted || task_may_be_stopped (scheduler, task);
+}
+
+/* Records that a start is invalidated because none of its sends got a response. An endpoint that
+ * sends reports all the same fails its starts, and is avoided for a while; the task is tried on
+ * another endpoint. */
+static void
+endpoint_record_invalidated_start (struct scheduler *scheduler, struct endpoint *endpoint,
+                                   struct task *task)
+{
+  int64_t avoid_ms;
+
+  if (endpoint->unresponsive_since_ms > 0)
+    return;
+  task->failed_endpoint = endpoint;
+  task->failed_ms = scheduler->now_ms;
+  endpoint->starts_invalidated++;
+  avoid_ms = endpoint->starts_invalidated < STARTS_INVALIDATED_MAX ? UNHEALTHY_AVOID_MS
+                                                                   : FAILING_ENDPOINT_AVOID_MS;
+  endpoint->avoid_until_ms = MAX (endpoint->avoid_until_ms, scheduler->now_ms + avoid_ms);
+  scheduler_log (scheduler,
+                 "endpoint avoided after starts without a response: endpoint=%s starts=%u "
+                 "for_ms=%" G_GINT64_FORMAT,
+                 endpoint->id, endpoint->starts_invalidated, avoid_ms);
+}
+
+/* Continues a start without a response: sends it again, or invalidates it by a stop, after which it
+ * can't be carried out any more. */
+static void
+task_continue_start (struct scheduler *scheduler, struct task *task)
+{
+  if (task->starts_unanswered < START_SENDS_MAX)
+    {
+      task_send_start (scheduler, task);
+      return;
+    }
+  if (!task_start_may_be_invalidated (scheduler, task))
+    return;
+  endpoint_record_invalidated_start (scheduler, task->endpoint, task);
+  task_set_phase (scheduler, task, TASK_STOPPING);
+  task->confirmed_ms = 0;
 }
 
 /* Sends a task's command again if it is due: a start without a response, or a stop. */
@@ -335,20 +384,7 @@
   if (task->command_in_flight || scheduler->now_ms < task->next_command_ms)
     return;
   if (task->phase == TASK_STARTING)
-    {
-      if (task_start_is_repeated (scheduler, task))
-        {
-          /* A repetition would renew the lease of an endpoint that doesn't respond. Its next report
-           * shows whether the task runs. */
-          if (task->starts_unanswered < START_SENDS_MAX ||
-              task->endpoint->unresponsive_since_ms == 0)
-            task_send_start (scheduler, task);
-          return;
-        }
-      /* A stop invalidates the attempt on the endpoint, so that it can't start any more. */
-      task_set_phase (scheduler, task, TASK_STOPPING);
-      task->confirmed_ms = 0;
-    }
+    task_continue_start (scheduler, task);
   if (task->phase == TASK_STOPPING && task->confirmed_ms == 0)
     task_send_stop (scheduler, task);
 }
@@ -381,14 +417,6 @@
                       uint32_t attempt, uint64_t fence, enum command_result result,
                       int64_t clock_ms, int64_t now_ms)
 {
-  enum
-  {
-    /* How long an endpoint gets no tasks after it rejected a start, and after it rejected one
-     * because it is unhealthy, is another incarnation or could not parse it. */
-    REJECTED_AVOID_MS = 200,
-    UNHEALTHY_AVOID_MS = 1000,
-  };
-
   scheduler->now_ms = now_ms;
   endpoint->calls--;
   if (task->attempt == attempt)
@@ -413,9 +441,12 @@
       task->confirmed_ms = now_ms;
       task->progress_ms = now_ms;
       endpoint->unresponsive_since_ms = 0;
+      endpoint->starts_invalidated = 0;
       break;
     case COMMAND_UNKNOWN:
       task->starts_unanswered++;
+      task->start_unanswered_ms = now_ms;
+      task->start_unlisted = false;
       scheduler_log (scheduler,
                      "start got no response: task=%s.%u.%u.%u attempt=%u endpoint=%s try=%u",
                      task->job->id, task->occurrence, task->step, task->index, attempt,
--- a/tests/jobs/simulation.h
+++ b/tests/jobs/simulation.h
@@ -47,6 +47,11 @@
   bool unreachable;
   /* Every attempt that it starts fails after a short time. */
   bool fails_all;
+  /* Answers every start with an unknown status, such as 500, and carries out none, or all. */
+  bool start_errors;
+  bool start_errors_carried_out;
+  /* Number of start commands sent to it. */
+  unsigned start_commands;
   /* It rejects all commands as unhealthy within this time. */
   int64_t unhealthy_from_ms;
   int64_t unhealthy_until_ms;
--- a/tests/jobs/simulation_commands.c
+++ b/tests/jobs/simulation_commands.c
@@ -132,6 +132,7 @@
   event->request = task_resources (task);
   event->long_running = step->long_running;
   event->spread_limit = step->spread_limit;
+  event->target->start_commands++;
   simulation->starts_out_of_order += !task_dependencies_are_done (task);
   if (!task_dependencies_are_done (task))
     simulation_log (simulation, "OUT OF ORDER: task=%s", event->name);
--- a/tests/jobs/simulation_endpoints.c
+++ b/tests/jobs/simulation_endpoints.c
@@ -234,6 +234,12 @@
   if (event->fence < endpoint->fence)
     return COMMAND_FENCED;
   endpoint->fence = event->fence;
+  if (event->kind == EVENT_START && endpoint->start_errors)
+    {
+      if (endpoint->start_errors_carried_out)
+        endpoint_start (simulation, endpoint, event);
+      return COMMAND_UNKNOWN;
+    }
   if (event->kind == EVENT_START)
     return endpoint_start (simulation, endpoint, event);
   if (event->kind == EVENT_STOP)
--- a/tests/jobs/test_scheduler.c
+++ b/tests/jobs/test_scheduler.c
@@ -221,6 +221,82 @@
     }
 }
 
+/* An endpoint answers every start with status 500, and carries out none or all of them. It is
+ * avoided like one that fails its tasks. Otherwise the tasks return to it for good, since it is the
+ * emptiest one. */
+static void
+test_start_errors (void)
+{
+  enum
+  {
+    JOBS = 40,
+    SUBMIT_INTERVAL_MS = 250,
+    LAST_MS = 3000,
+    /* Sends of one start, see START_SENDS_MAX, and the time for them. */
+    SENDS = 3,
+    SENDS_MS = 400,
+    TASKS_AT_ONCE = 10,
+    AVOID_MS = 3000,
+    /* The endpoint takes tasks up to its ten cores once, and again whenever it is no longer
+     * avoided. The first time of avoidance is shorter. */
+    TURNS_MAX = 2 + (JOBS * SUBMIT_INTERVAL_MS + LAST_MS) / (AVOID_MS + SENDS_MS),
+  };
+
+  for (int carried_out = 0; carried_out <= 1; carried_out++)
+    {
+      struct simulation *simulation = simulation_with_pool (3);
+      struct simulated_endpoint *failing = g_ptr_array_index (simulation->endpoints, 0);
+      Sp__JobStep step = make_step (4);
+
+      failing->start_errors = true;
+      failing->start_errors_carried_out = carried_out;
+      for (int i = 0; i < JOBS; i++)
+        {
+          g_autofree char *id = g_strdup_printf ("job%d", i);
+
+          simulation_submit (simulation, id, "pool", &step, 1, 2);
+          simulation_run (simulation, SUBMIT_INTERVAL_MS);
+        }
+      simulation_run (simulation, LAST_MS);
+      for (int i = 0; i < JOBS; i++)
+        {
+          g_autofree char *id = g_strdup_printf ("job%d", i);
+
+          CU_ASSERT_EQUAL (simulation_job_state (simulation, id), SP__JOB_STATE__JOB_COMPLETED);
+        }
+      CU_ASSERT (failing->start_commands <= SENDS * TASKS_AT_ONCE * TURNS_MAX);
+      CU_ASSERT_EQUAL (simulation_violations (simulation), 0);
+      simulation_destroy (simulation);
+    }
+}
+
+/* As above, with the tasks of a step that lasts, of which few may be unavailable. None of those
+ * that the endpoint doesn't start may be stopped while the others are away, and none would start
+ * elsewhere. */
+static void
+test_start_errors_of_a_limited_step (void)
+{
+  struct simulation *simulation = simulation_with_pool (3);
+  struct simulated_endpoint *failing = g_ptr_array_index (simulation->endpoints, 0);
+  Sp__JobStep step = make_step (9);
+
+  step.long_running = true;
+  step.away_limit = 1;
+  failing->start_errors = true;
+  simulation_submit (simulation, "job", "pool", &step, 1, 2);
+  simulation_run (simulation, 6000);
+  for (unsigned i = 0; i < step.n_tasks; i++)
+    {
+      g_autofree char *name = g_strdup_printf ("job.0.0.%u", i);
+
+      CU_ASSERT_PTR_NOT_NULL (simulation_find_attempt (simulation, name, NULL));
+    }
+  /* Three sends of each start, once or twice. */
+  CU_ASSERT (failing->start_commands <= 2 * 3 * step.n_tasks);
+  CU_ASSERT_EQUAL (simulation_violations (simulation), 0);
+  simulation_destroy (simulation);
+}
+
 /* An unreachable endpoint gets no further lease. Its tasks start elsewhere once the last lease has
  * certainly expired, and not before. */
 static void
@@ -471,6 +547,8 @@
   { "failing endpoint", test_failing_endpoint },
   { "lost responses", test_lost_responses },
   { "closed connections", test_closed_connections },
+  { "start errors", test_start_errors },
+  { "start errors of a limited step", test_start_errors_of_a_limited_step },
   { "unreachable endpoint", test_unreachable_endpoint },
   { "takeover", test_takeover },
   { "takeover with an unreachable endpoint", test_takeover_with_unreachable_endpoint },
