Keep the uncertainty about a host command until it is resolved

Host commands end without a response more often since calls are sent only once and unnamed statuses count as unknown. Three faults of what followed:

- A rejection of a later command (429, busy) cleared the host's mark "may have been carried out": it is no proof for the earlier one.
A standby host whose maintenance then came late wasn't counted against the wave's limit (LIMIT).
- A host whose maintenance got no response counts as unavailable, and a wave sent no further command while that count was at its limit, the host's own repetition included: with a limit of one the wave stood still under this leader.
- After a move without a response a host was not moved again under this leader, though the machine list showed that nothing had happened.

The mark now stays through rejections. The wave repeats a maintenance of unknown outcome beside its limit, as its host is counted already, draining the host's new endpoint if there is one; on 200 that endpoint is kept in use, since the first command ended the former one. A move is settled by a machine list requested 2 s after it.

Evidence: the simulation's commands to hosts lose their connection (carried out, late, or not at all) or are rejected.

--- a/include/lib/jobs/host.h
+++ b/include/lib/jobs/host.h
@@ -66,8 +66,15 @@
   struct resources capacity;
   bool listed;
   bool command_in_flight;
-  /* A command got no response: it may have been carried out, or may be later. */
+  /* A command got no response: it may have been carried out, or may be later. Rejections of later
+   * commands don't change that. */
   bool command_outcome_unknown;
+  /* When the last such command ended. */
+  int64_t command_unknown_ms;
+  /* The command is one for maintenance, which the wave repeats until its result is known, and the
+   * endpoint that ran there when it was first sent; may be NULL. */
+  bool maintenance_unknown;
+  char *maintained_endpoint_id;
   /* When the last command completed; machine lists requested earlier are out of date. */
   int64_t command_done_ms;
   /* No command before this time, after one that failed. */
--- a/lib/jobs/hosts.c
+++ b/lib/jobs/hosts.c
@@ -8,6 +8,8 @@
 {
   /* Delay before a failed command is sent again. */
   COMMAND_RETRY_MS = 500,
+  /* Time for which a move without a response may still be carried out. */
+  COMMAND_LATE_MS = 2000,
 };
 
 struct host *
@@ -42,6 +44,7 @@
   g_free (host->pool);
   g_free (host->target_pool);
   g_free (host->rack);
+  g_free (host->maintained_endpoint_id);
   g_free (host);
 }
 
@@ -98,6 +101,16 @@
   host->rack = n > 0 ? g_strdup (entry->labels[n - 1]) : NULL;
 }
 
+/* Ends the uncertainty about a move once a machine list shows the host long after the command:
+ * either the list shows the move, or it was not carried out. A maintenance is repeated until its
+ * result is known, because the wave's limit holds for late ones too. */
+static void
+host_settle_unknown (struct host *host, int64_t sent_ms)
+{
+  if (!host->maintenance_unknown && sent_ms > host->command_unknown_ms + COMMAND_LATE_MS)
+    host->command_outcome_unknown = false;
+}
+
 /* Returns whether the machine list names an endpoint as running on a host. The registry keeps a
  * former incarnation for some seconds, the machine list doesn't. */
 bool
@@ -163,6 +176,7 @@
           if (entries[i].state == HOST_DOWN)
             host_handle_down (scheduler, host);
           host_update (scheduler, host, &entries[i]);
+          host_settle_unknown (host, sent_ms);
         }
     }
   for (host = TAILQ_FIRST (&scheduler->hosts); host; host = next)
@@ -191,7 +205,8 @@
 }
 
 /* Handles a failed command to a host, or one without a response. The host's endpoint may continue
- * to run and is uncordoned, unless a wave has cordoned it. */
+ * to run and is uncordoned, unless a wave has cordoned it. A rejection says nothing of an earlier
+ * command without a response. */
 static void
 host_command_failed (struct scheduler *scheduler, struct host *host,
                      enum host_command_result result)
@@ -199,7 +214,11 @@
   struct endpoint *endpoint = host_endpoint (scheduler, host);
 
   host->next_command_ms = scheduler->now_ms + COMMAND_RETRY_MS;
-  host->command_outcome_unknown = result == HOST_COMMAND_UNKNOWN;
+  if (result == HOST_COMMAND_UNKNOWN)
+    {
+      host->command_outcome_unknown = true;
+      host->command_unknown_ms = scheduler->now_ms;
+    }
   g_clear_pointer (&host->target_pool, g_free);
   if (result == HOST_COMMAND_FENCED)
     scheduler_step_down (scheduler, "host command rejected: the platform holds a newer fence");
@@ -228,6 +247,25 @@
   host_release_endpoint (scheduler, host);
 }
 
+/* Ends the uncertainty about a maintenance. Returns true if the host has got another endpoint since
+ * the command was first sent: that one was carried out then, and the endpoint is a new one that may
+ * be used. */
+static bool
+host_finish_unknown_maintenance (struct scheduler *scheduler, struct host *host)
+{
+  struct endpoint *endpoint = host_endpoint (scheduler, host);
+  bool replaced = host->maintenance_unknown && endpoint &&
+                  g_strcmp0 (host->endpoint_id, host->maintained_endpoint_id) != 0;
+
+  host->maintenance_unknown = false;
+  g_clear_pointer (&host->maintained_endpoint_id, g_free);
+  if (!replaced)
+    return false;
+  endpoint->cordoned = false;
+  endpoint->cordoned_for_wave = false;
+  return true;
+}
+
 /* Handles the response to a maintenance command; result is not HOST_COMMAND_DONE on failure. */
 void
 scheduler_maintain_done (struct scheduler *scheduler, struct host *host, uint32_t number,
@@ -242,6 +280,11 @@
       if (wave->number == number)
         break;
     }
+  if (wave && result == HOST_COMMAND_UNKNOWN && !host->maintenance_unknown)
+    {
+      host->maintenance_unknown = true;
+      host->maintained_endpoint_id = g_strdup (host->endpoint_id);
+    }
   if (wave && (result == HOST_COMMAND_DONE || result == HOST_COMMAND_NOT_IN_WAVE))
     {
       g_hash_table_remove (wave->remaining, host->id);
@@ -249,6 +292,11 @@
         g_hash_table_add (wave->begun, g_strdup (host->id));
       wave->dirty = true;
     }
+  if (result == HOST_COMMAND_NOT_IN_WAVE)
+    {
+      host->maintenance_unknown = false;
+      g_clear_pointer (&host->maintained_endpoint_id, g_free);
+    }
   if (result != HOST_COMMAND_DONE)
     {
       host_command_failed (scheduler, host, result);
@@ -258,5 +306,6 @@
   host->command_outcome_unknown = false;
   host->command_done_ms = now_ms;
   host->state = HOST_IN_MAINTENANCE;
-  host_release_endpoint (scheduler, host);
+  if (!host_finish_unknown_maintenance (scheduler, host))
+    host_release_endpoint (scheduler, host);
 }
--- a/lib/jobs/wave.c
+++ b/lib/jobs/wave.c
@@ -218,7 +218,7 @@
       unsigned n_tasks = endpoint ? endpoint->n_tasks : 0;
       enum drain_cost cost;
 
-      if (!g_hash_table_contains (wave->remaining, host->id))
+      if (!g_hash_table_contains (wave->remaining, host->id) || host->maintenance_unknown)
         continue;
       cost = host_drain_cost (scheduler, host);
       if (cost > limit || cost > best_cost || (best && cost == best_cost && n_tasks >= best_tasks))
@@ -272,6 +272,22 @@
   wave_advance_host (scheduler, wave, host);
 }
 
+/* Repeats a maintenance command whose result is not known. The host counts as unavailable already.
+ * Its endpoint may be a new one with tasks, and is drained first. */
+static void
+wave_repeat_host (struct scheduler *scheduler, struct wave *wave, struct host *host)
+{
+  const struct endpoint *endpoint = host_endpoint (scheduler, host);
+
+  if (host->state != HOST_UP || host->command_in_flight ||
+      scheduler->now_ms < host->next_command_ms)
+    return;
+  if (endpoint && !endpoint->cordoned_for_wave)
+    wave_begin_host (scheduler, wave, host);
+  else
+    wave_advance_host (scheduler, wave, host);
+}
+
 /* Continues with the hosts that are being drained and returns their number. Adds hosts whose
  * maintenance starts to unavailable. */
 static unsigned
@@ -287,6 +303,11 @@
 
       if (endpoint)
         endpoint->maintenance_due = remaining;
+      if (remaining && host->maintenance_unknown)
+        {
+          wave_repeat_host (scheduler, wave, host);
+          continue;
+        }
       if (!remaining || !endpoint || !endpoint->cordoned_for_wave || host->command_in_flight)
         continue;
       if (endpoint->n_tasks > 0 || *unavailable < wave->max_unavailable)
--- a/tests/jobs/simulation.h
+++ b/tests/jobs/simulation.h
@@ -77,6 +77,8 @@
   /* Index of its endpoint, or -1. */
   int endpoint;
   uint32_t maintained_in;
+  /* Highest token of a command that has reached it. */
+  uint64_t token;
   char *rack;
 };
 
@@ -115,6 +117,11 @@
    * carried out late or not at all, and the endpoint rejects what follows for a while as unhealthy.
    */
   int closed_permille;
+  /* The same for commands to hosts: the connection closes at once, and the command is carried out,
+   * carried out late or not at all. And the share of those that are rejected as too many. */
+  int host_closed_permille;
+  int host_rejected_permille;
+  uint64_t last_token;
   /* Duration of batch attempts, and share of attempts that fail. */
   int64_t work_ms;
   int fail_permille;
--- a/tests/jobs/simulation_commands.c
+++ b/tests/jobs/simulation_commands.c
@@ -52,6 +52,7 @@
   unknown->due_ms = due_ms;
   unknown->response = true;
   unknown->result = COMMAND_UNKNOWN;
+  unknown->host_command_result = HOST_COMMAND_UNKNOWN;
   unknown->name = NULL;
   unknown->pool = NULL;
   g_ptr_array_add (simulation->events, unknown);
@@ -176,22 +177,48 @@
   simulation_send_command (simulation, event);
 }
 
-void
-on_move (void *ctx, struct host *host, const char *pool)
+/* Creates a command to a host. Its connection may close at once; it is then carried out all the
+ * same in half of the cases, late in a quarter and not at all in a quarter. */
+static struct event *
+simulation_create_host_command (struct simulation *simulation, enum event_kind kind,
+                                struct host *host, uint32_t wave)
 {
-  struct event *event = simulation_post (ctx, EVENT_MOVE, RESPONSE_MS);
+  struct event *event = simulation_post (simulation, kind, RESPONSE_MS);
 
   event->host = host;
-  event->pool = g_strdup (pool);
+  event->name = g_strdup (host->id);
+  event->wave = wave;
+  event->token = ++simulation->last_token;
+  event->rejected = simulation_chance (simulation, simulation->host_rejected_permille);
+  if (event->rejected || !simulation_chance (simulation, simulation->host_closed_permille))
+    return event;
+  simulation_post_unknown (simulation, event, simulation->now_ms + RESPONSE_MS);
+  event->no_response = true;
+  switch (g_rand_int_range (simulation->random, 0, 4))
+    {
+    case 0:
+      event->due_ms = simulation->now_ms +
+                      g_rand_int_range (simulation->random, HOST_LATE_MIN_MS, HOST_LATE_MAX_MS);
+      break;
+    case 1:
+      event->lost = true;
+      break;
+    default:
+      break;
+    }
+  return event;
 }
 
 void
-on_maintain (void *ctx, struct host *host, uint32_t wave)
+on_move (void *ctx, struct host *host, const char *pool)
 {
-  struct event *event = simulation_post (ctx, EVENT_MAINTAIN, RESPONSE_MS);
+  simulation_create_host_command (ctx, EVENT_MOVE, host, 0)->pool = g_strdup (pool);
+}
 
-  event->host = host;
-  event->wave = wave;
+void
+on_maintain (void *ctx, struct host *host, uint32_t wave)
+{
+  simulation_create_host_command (ctx, EVENT_MAINTAIN, host, wave);
 }
 
 void
@@ -286,6 +313,28 @@
     }
 }
 
+/* Handles a command to a host, or its result. A former leader's command is not carried out. */
+static void
+simulation_handle_host_command (struct simulation *simulation, const struct event *event)
+{
+  enum host_command_result result = event->host_command_result;
+
+  if (event->leader_generation != simulation->leader_generation || event->lost)
+    return;
+  if (event->rejected)
+    result = HOST_COMMAND_REFUSED;
+  else if (!event->response)
+    result = event->kind == EVENT_MOVE ? simulation_move_host (simulation, event)
+                                       : simulation_maintain_host (simulation, event);
+  if (event->no_response && !event->response)
+    return;
+  if (event->kind == EVENT_MOVE)
+    scheduler_move_done (simulation->scheduler, event->host, result, simulation->now_ms);
+  else
+    scheduler_maintain_done (simulation->scheduler, event->host, event->wave, result,
+                             simulation->now_ms);
+}
+
 /* Handles one event. The response to a command is added as a new event. */
 static void
 simulation_handle_event (struct simulation *simulation, struct event *event)
@@ -295,10 +344,8 @@
   switch (event->kind)
     {
     case EVENT_MOVE:
-      simulation_move_host (simulation, event);
-      return;
     case EVENT_MAINTAIN:
-      simulation_maintain_host (simulation, event);
+      simulation_handle_host_command (simulation, event);
       return;
     case EVENT_FLUSH:
       simulation_flush (simulation, event);
--- a/tests/jobs/simulation_hosts.c
+++ b/tests/jobs/simulation_hosts.c
@@ -193,48 +193,66 @@
   return NULL;
 }
 
+/* Returns whether a command may be carried out on a host: no command with a higher token has
+ * reached it. */
+static bool
+simulated_host_accept_token (struct simulated_host *host, uint64_t token)
+{
+  if (token < host->token)
+    return false;
+  host->token = token;
+  return true;
+}
+
+static struct simulated_host *
+simulation_find_host (struct simulation *simulation, const char *id)
+{
+  for (unsigned i = 0; i < simulation->n_hosts; i++)
+    {
+      if (strcmp (simulation->hosts[i].id, id) == 0)
+        return &simulation->hosts[i];
+    }
+  return NULL;
+}
+
 /* Carries out a move. */
-void
+enum host_command_result
 simulation_move_host (struct simulation *simulation, const struct event *event)
 {
-  struct simulated_host *host;
+  struct simulated_host *host = simulation_find_host (simulation, event->name);
 
-  if (event->leader_generation != simulation->leader_generation)
-    return;
-  host = simulation_end_incarnation (simulation, event->host->id, HOST_MOVING, MOVE_MS);
+  if (!simulated_host_accept_token (host, event->token))
+    return HOST_COMMAND_FENCED;
+  if (strcmp (host->pool, event->pool) == 0)
+    return HOST_COMMAND_DONE;
+  if (host->state != HOST_UP)
+    return HOST_COMMAND_BUSY;
+  simulation_end_incarnation (simulation, host->id, HOST_MOVING, MOVE_MS);
   g_free (host->pool);
   host->pool = g_strdup (event->pool);
   simulation->moves++;
-  scheduler_move_done (simulation->scheduler, event->host, HOST_COMMAND_DONE, simulation->now_ms);
+  return HOST_COMMAND_DONE;
 }
 
 /* Carries out a maintenance. */
-void
+enum host_command_result
 simulation_maintain_host (struct simulation *simulation, const struct event *event)
 {
-  struct simulated_host *host;
+  struct simulated_host *host = simulation_find_host (simulation, event->name);
   unsigned unavailable = 0;
 
-  if (event->leader_generation != simulation->leader_generation)
-    return;
+  if (!simulated_host_accept_token (host, event->token))
+    return HOST_COMMAND_FENCED;
+  if (host->maintained_in == event->wave)
+    return HOST_COMMAND_DONE;
+  if (host->state != HOST_UP)
+    return HOST_COMMAND_BUSY;
   for (unsigned i = 0; i < simulation->n_hosts; i++)
-    {
-      unavailable += simulation->hosts[i].state == HOST_IN_MAINTENANCE;
-      if (strcmp (simulation->hosts[i].id, event->host->id) == 0 &&
-          simulation->hosts[i].maintained_in == event->wave)
-        {
-          /* The host was already maintained in this wave: nothing happens. */
-          scheduler_maintain_done (simulation->scheduler, event->host, event->wave,
-                                   HOST_COMMAND_DONE, simulation->now_ms);
-          return;
-        }
-    }
+    unavailable += simulation->hosts[i].state == HOST_IN_MAINTENANCE;
   simulation->over_wave_limit += unavailable >= simulation->wave.max_unavailable;
-  host =
-      simulation_end_incarnation (simulation, event->host->id, HOST_IN_MAINTENANCE, MAINTENANCE_MS);
+  simulation_end_incarnation (simulation, host->id, HOST_IN_MAINTENANCE, MAINTENANCE_MS);
   host->maintained_in = event->wave;
-  scheduler_maintain_done (simulation->scheduler, event->host, event->wave, HOST_COMMAND_DONE,
-                           simulation->now_ms);
+  return HOST_COMMAND_DONE;
 }
 
 /* Brings back the hosts whose move or maintenance is over. */
--- a/tests/jobs/simulation_state.h
+++ b/tests/jobs/simulation_state.h
@@ -17,6 +17,9 @@
   /* Delay of commands that arrive late. */
   LATE_MIN_MS = 2000,
   LATE_MAX_MS = 6000,
+  /* Delay of commands to hosts that are carried out late. */
+  HOST_LATE_MIN_MS = 100,
+  HOST_LATE_MAX_MS = 900,
   /* Longest time for which an endpoint is unhealthy after a connection closed. */
   UNHEALTHY_MAX_MS = 600,
   /* Duration of a flush. */
@@ -58,8 +61,10 @@
   bool response;
   /* No response follows. */
   bool no_response;
-  /* The command never reaches its endpoint. */
+  /* The command never reaches its endpoint or host. */
   bool lost;
+  /* The command to a host is rejected as one too many. */
+  bool rejected;
   unsigned leader_generation;
   uint64_t fence;
   /* The endpoint in the simulation, and what the scheduler knows of it. */
@@ -76,6 +81,8 @@
   int64_t wait_until_ms;
   int64_t sent_ms;
   uint64_t acked;
+  /* Fencing token of a command to a host. */
+  uint64_t token;
   int percent;
   enum command_result result;
   enum host_command_result host_command_result;
@@ -97,8 +104,10 @@
 void simulation_read_lists (struct simulation *simulation);
 struct simulated_endpoint *simulation_find_endpoint (const struct simulation *simulation,
                                                      const char *id);
-void simulation_move_host (struct simulation *simulation, const struct event *event);
-void simulation_maintain_host (struct simulation *simulation, const struct event *event);
+enum host_command_result simulation_move_host (struct simulation *simulation,
+                                               const struct event *event);
+enum host_command_result simulation_maintain_host (struct simulation *simulation,
+                                                   const struct event *event);
 void simulation_return_hosts (struct simulation *simulation);
 
 /* simulation_endpoints.c */
--- a/tests/jobs/test_pools.c
+++ b/tests/jobs/test_pools.c
@@ -171,12 +171,46 @@
   simulation_destroy (simulation);
 }
 
+/* Moves lose their connection for a while, and some are not carried out. Their hosts may be moved
+ * again later; otherwise the pool stays short of hosts under this leader. */
+static void
+test_lost_moves (void)
+{
+  enum
+  {
+    SEEDS = 20,
+  };
+
+  for (guint32 seed = 1; seed <= SEEDS; seed++)
+    {
+      struct simulation *simulation = simulation_create (seed);
+      Sp__JobStep step = make_step (60);
+
+      simulation_add_pool (simulation, "spare", true);
+      simulation_add_hosts (simulation, "one", 4);
+      simulation_add_hosts (simulation, "spare", 4);
+      simulation->work_ms = 20000;
+      simulation_start_new_leader (simulation);
+      simulation_run (simulation, 4000);
+      simulation->host_closed_permille = 1000;
+      simulation_submit (simulation, "job", "one", &step, 1, 3);
+      simulation_run (simulation, 1000);
+      simulation->host_closed_permille = 0;
+      simulation_run (simulation, 4000);
+      /* 60 cores at 85% of 10 per host need 8 hosts. */
+      CU_ASSERT_EQUAL (count_hosts (simulation, "one"), 8);
+      CU_ASSERT_EQUAL (simulation_violations (simulation), 0);
+      simulation_destroy (simulation);
+    }
+}
+
 static const struct suite_test tests[] = {
   { "demand shift", test_demand_shift },
   { "fragmented capacity", test_fragmented_capacity },
   { "hosts moved ahead", test_hosts_moved_ahead },
   { "timely first", test_timely_first },
   { "late pool releases hosts", test_late_pool_releases_hosts },
+  { "lost moves", test_lost_moves },
 };
 
 int
--- a/tests/jobs/test_waves.c
+++ b/tests/jobs/test_waves.c
@@ -1,3 +1,5 @@
+#include <stdio.h>
+
 #include "suite.h"
 #include "simulation.h"
 
@@ -167,12 +169,107 @@
     }
 }
 
+/* Maintenance commands lose their connection, and their repetitions are rejected as too many. A
+ * rejection doesn't prove that the first one was not carried out, so that the host still counts
+ * against the limit of one or two; and the wave goes on, since the host's own command may be
+ * repeated. The hosts are used again afterwards. */
+static void
+test_lost_commands (void)
+{
+  enum
+  {
+    SEEDS = 200,
+    WAVE_HOSTS = 4,
+    WAVE_MS = 27000,
+    FAULTS_MS = 18000,
+  };
+
+  for (guint32 seed = 1; seed <= SEEDS; seed++)
+    {
+      struct simulation *simulation = simulation_create (seed);
+      Sp__JobStep lasting = long_running_step (2, 1, 1);
+      Sp__JobStep filling = long_running_step (HOSTS * 4, 4, 0);
+
+      simulation_add_hosts (simulation, "pool", HOSTS);
+      simulation_start_new_leader (simulation);
+      simulation_run (simulation, 100);
+      simulation_submit (simulation, "job", "pool", &lasting, 1, 3);
+      simulation_run (simulation, 2000);
+      simulation->host_closed_permille = 500;
+      simulation->host_rejected_permille = 500;
+      request_wave (simulation, WAVE_HOSTS, 1 + seed % 2, WAVE_MS);
+      simulation_run (simulation, FAULTS_MS);
+      simulation->host_closed_permille = 0;
+      simulation->host_rejected_permille = 0;
+      simulation_run (simulation, WAVE_MS - FAULTS_MS);
+      if (count_maintained (simulation) != WAVE_HOSTS || !simulation->wave_completed ||
+          simulation_violations (simulation) > 0)
+        printf ("seed %u: %u of %d hosts maintained, completed %d, over the limit %u\n", seed,
+                count_maintained (simulation), WAVE_HOSTS, simulation->wave_completed,
+                simulation->over_wave_limit);
+      CU_ASSERT_EQUAL (count_maintained (simulation), WAVE_HOSTS);
+      CU_ASSERT_TRUE (simulation->wave_completed);
+      CU_ASSERT_EQUAL (simulation_violations (simulation), 0);
+      simulation_submit (simulation, "filling", "pool", &filling, 1, 3);
+      simulation_run (simulation, 4000);
+      for (unsigned i = 0; i < filling.n_tasks; i++)
+        {
+          g_autofree char *name = g_strdup_printf ("filling.0.0.%u", i);
+
+          CU_ASSERT_PTR_NOT_NULL (simulation_find_attempt (simulation, name, NULL));
+        }
+      simulation_destroy (simulation);
+    }
+}
+
+/* The same with hosts of a standby pool, which have no endpoint that shows whether they are
+ * drained. */
+static void
+test_lost_commands_to_standby_hosts (void)
+{
+  enum
+  {
+    SEEDS = 200,
+    WAVE_HOSTS = 4,
+    WAVE_MS = 27000,
+    FAULTS_MS = 18000,
+  };
+
+  for (guint32 seed = 1; seed <= SEEDS; seed++)
+    {
+      struct simulation *simulation = simulation_create (seed);
+
+      simulation_add_pool (simulation, "spare", true);
+      simulation_add_hosts (simulation, "spare", HOSTS);
+      simulation_start_new_leader (simulation);
+      simulation_run (simulation, 100);
+      simulation->host_closed_permille = 500;
+      simulation->host_rejected_permille = 500;
+      request_wave (simulation, WAVE_HOSTS, 1 + seed % 2, WAVE_MS);
+      simulation_run (simulation, FAULTS_MS);
+      simulation->host_closed_permille = 0;
+      simulation->host_rejected_permille = 0;
+      simulation_run (simulation, WAVE_MS - FAULTS_MS);
+      if (count_maintained (simulation) != WAVE_HOSTS || !simulation->wave_completed ||
+          simulation_violations (simulation) > 0)
+        printf ("seed %u: %u of %d standby hosts maintained, completed %d, over the limit %u\n",
+                seed, count_maintained (simulation), WAVE_HOSTS, simulation->wave_completed,
+                simulation->over_wave_limit);
+      CU_ASSERT_EQUAL (count_maintained (simulation), WAVE_HOSTS);
+      CU_ASSERT_TRUE (simulation->wave_completed);
+      CU_ASSERT_EQUAL (simulation_violations (simulation), 0);
+      simulation_destroy (simulation);
+    }
+}
+
 static const struct suite_test tests[] = {
   { "long-running tasks", test_long_running_tasks },
   { "moved once", test_moved_once },
   { "standby hosts", test_standby_hosts },
   { "takeover", test_takeover },
   { "stops by a former leader", test_stops_by_former_leader },
+  { "lost commands", test_lost_commands },
+  { "lost commands to standby hosts", test_lost_commands_to_standby_hosts },
 };
 
 int
