Take an unknown result of a relay for an unknown outcome

A result number that the leader doesn't know, from a relay of a later version, was read as the last known one, "could not be parsed", and so as certainly not carried out: the task would be started elsewhere while it runs (TWICE). Nothing sends such a number today.

--- a/include/lib/jobs/command_message.h
+++ b/include/lib/jobs/command_message.h
@@ -23,6 +23,8 @@
 void result_batch_finish (GByteArray *batch, uint64_t acked_sequence, uint64_t epoch,
                           bool stopping);
 
+/* Returns the result that a relay has sent as a number. */
+enum command_result command_result_decode (uint32_t value);
 /* Returns a report whose strings belong to message. Free with report_destroy. */
 struct endpoint_report *report_create (const Sp__ReportMessage *message);
 void report_destroy (struct endpoint_report *report);
--- a/jobd/command_sender.c
+++ b/jobd/command_sender.c
@@ -151,7 +151,7 @@
   if (!command)
     return;
   report = message->report ? report_create (message->report) : NULL;
-  result.result = MIN (message->result, COMMAND_INVALID);
+  result.result = command_result_decode (message->result);
   result.report = report;
   sent_command_finish (command, &result);
   if (report)
--- a/lib/jobs/command_message.c
+++ b/lib/jobs/command_message.c
@@ -144,6 +144,13 @@
   append_message (batch, &part.base);
 }
 
+/* A value that this version doesn't know says nothing about what was done. */
+enum command_result
+command_result_decode (uint32_t value)
+{
+  return value <= COMMAND_INVALID ? (enum command_result) value : COMMAND_UNKNOWN;
+}
+
 struct endpoint_report *
 report_create (const Sp__ReportMessage *message)
 {
