--- a/tests/jobs/test_jobs_random.c
+++ b/tests/jobs/test_jobs_random.c
@@ -99,6 +99,8 @@
   simulation->lost_permille = 0;
   simulation->late_permille = 0;
   simulation->closed_permille = 0;
+  simulation->host_closed_permille = 0;
+  simulation->host_rejected_permille = 0;
   simulation->fail_permille = 0;
   for (guint i = 0; i < simulation->endpoints->len; i++)
     ((struct simulated_endpoint *) g_ptr_array_index (simulation->endpoints, i))->unreachable =
@@ -119,7 +121,12 @@
   simulation_add_hosts (simulation, "spare", 2);
   simulation->lost_permille = 30;
   simulation->late_permille = seed % 2 == 0 ? 10 : 0;
-  simulation->closed_permille = seed % 4 == 1 || seed % 4 == 2 ? 30 : 0;
+  if (seed % 4 == 1 || seed % 4 == 2)
+    {
+      simulation->closed_permille = 30;
+      simulation->host_closed_permille = 100;
+      simulation->host_rejected_permille = 50;
+    }
   simulation->fail_permille = 30;
   simulation_start_new_leader (simulation);
   simulation_run (simulation, 200);
