Invalidate a start by a higher fence if its stops fail

An endpoint that answers starts and stops with status 500, but sends reports, kept the tasks of such starts for good: a start of unknown outcome is only given up after a stop has been accepted, and the reports renew the lease.

After three failures of a stop the endpoint's fence is raised. An endpoint that has accepted the higher fence carries out no earlier start, so that a report requested with it, which doesn't list the attempt, ends the wait as an accepted stop does. An attempt that is listed goes on being stopped.

--- a/include/lib/jobs/job.h
+++ b/include/lib/jobs/job.h
@@ -66,6 +66,10 @@
   unsigned starts_unanswered;
   int64_t start_unanswered_ms;
   bool start_unlisted;
+  /* How often the current stop failed, and when the endpoint's fence was raised because of that; 0
+   * if it was not. */
+  unsigned stops_failed;
+  int64_t fence_raised_ms;
   bool command_in_flight;
   int64_t next_command_ms;
   /* Endpoint where it last failed, used for comparison only, and when. */
--- a/lib/jobs/endpoint_heartbeats.c
+++ b/lib/jobs/endpoint_heartbeats.c
@@ -263,9 +263,22 @@
   return false;
 }
 
-/* Releases tasks whose attempts are missing from a report, if the report was requested after the
- * attempt was confirmed to run or was invalidated by a stop. Marks starts without a response that
- * are missing from a report requested later. */
+/* Returns whether an attempt that is missing from a report requested at sent_ms neither runs nor
+ * will: it was confirmed to run before, or invalidated by a stop or by a higher fence. Reports
+ * under a lower fence aren't handled. */
+static bool
+task_is_settled (const struct task *task, int64_t sent_ms)
+{
+  if (task->phase != TASK_RUNNING && task->phase != TASK_STOPPING)
+    return false;
+  if (task->confirmed_ms > 0)
+    return task->confirmed_ms < sent_ms;
+  return task->phase == TASK_STOPPING && task->fence_raised_ms > 0 &&
+         task->fence_raised_ms < sent_ms;
+}
+
+/* Releases tasks whose attempts are missing from a report and can't run any more. Marks starts
+ * without a response that are missing from a report requested later. */
 static void
 endpoint_release_unlisted (struct scheduler *scheduler, struct endpoint *endpoint,
                            const struct endpoint_report *report, int64_t sent_ms)
@@ -275,13 +288,11 @@
   while (task)
     {
       struct task *next = TAILQ_NEXT (task, endpoint_link);
-      bool settled = task->phase == TASK_RUNNING || task->phase == TASK_STOPPING;
 
       if (task->phase == TASK_STARTING && !task->command_in_flight && task->starts_unanswered > 0 &&
           task->start_unanswered_ms < sent_ms)
         task->start_unlisted = !report_lists_attempt (report, task);
-      if (settled && task->confirmed_ms > 0 && task->confirmed_ms < sent_ms &&
-          !report_lists_attempt (report, task))
+      if (task_is_settled (task, sent_ms) && !report_lists_attempt (report, task))
         {
           scheduler->counts.lapses++;
           scheduler_log (
--- a/lib/jobs/task_attempt.c
+++ b/lib/jobs/task_attempt.c
@@ -10,6 +10,8 @@
   START_SENDS_MAX = 3,
   START_RETRY_MS = 100,
   STOP_RETRY_MS = 250,
+  /* Number of failures of a stop after which the endpoint's fence is raised. */
+  STOPS_FAILED_MAX = 3,
   PERCENT_AVAILABLE = 100,
   /* Time for the last commands of a former leader to arrive. */
   TAKEOVER_STOP_MARGIN_MS = 700,
@@ -32,6 +34,11 @@
 {
   struct job *job = task->job;
 
+  if (phase == TASK_STOPPING)
+    {
+      task->stops_failed = 0;
+      task->fence_raised_ms = 0;
+    }
   job->n_ready -= task->phase == TASK_READY;
   job->n_active -=
       task->phase == TASK_STARTING || task->phase == TASK_RUNNING || task->phase == TASK_STOPPING;
@@ -483,6 +490,23 @@
     }
 }
 
+/* Handles a stop that failed. An endpoint that fails all stops would keep its task for good. With a
+ * higher fence, no start that was sent before can be carried out once the endpoint has accepted it,
+ * so that the next report shows whether the attempt will ever run. */
+static void
+task_stop_failed (struct scheduler *scheduler, struct endpoint *endpoint, struct task *task)
+{
+  task->next_command_ms = scheduler->now_ms + STOP_RETRY_MS;
+  task->stops_failed++;
+  if (task->stops_failed != STOPS_FAILED_MAX)
+    return;
+  endpoint->fence++;
+  task->fence_raised_ms = scheduler->now_ms;
+  scheduler_log (
+      scheduler, "fence raised after failed stops: task=%s.%u.%u.%u attempt=%u endpoint=%s",
+      task->job->id, task->occurrence, task->step, task->index, task->attempt, endpoint->id);
+}
+
 /* Handles the response to a stop. After a successful one the endpoint reports the attempt's
  * completion, or the attempt never starts there. */
 void
@@ -503,5 +527,5 @@
   if (result == COMMAND_DONE || result == COMMAND_STALE_ATTEMPT)
     known->confirmed_ms = now_ms;
   else
-    known->next_command_ms = now_ms + STOP_RETRY_MS;
+    task_stop_failed (scheduler, endpoint, known);
 }
--- a/tests/jobs/simulation.h
+++ b/tests/jobs/simulation.h
@@ -50,6 +50,8 @@
   /* Answers every start with an unknown status, such as 500, and carries out none, or all. */
   bool start_errors;
   bool start_errors_carried_out;
+  /* Answers every stop so, and carries out none. */
+  bool stop_errors;
   /* Number of start commands sent to it. */
   unsigned start_commands;
   /* It rejects all commands as unhealthy within this time. */
--- a/tests/jobs/simulation_endpoints.c
+++ b/tests/jobs/simulation_endpoints.c
@@ -242,6 +242,8 @@
     }
   if (event->kind == EVENT_START)
     return endpoint_start (simulation, endpoint, event);
+  if (event->kind == EVENT_STOP && endpoint->stop_errors)
+    return COMMAND_UNKNOWN;
   if (event->kind == EVENT_STOP)
     return endpoint_stop (simulation, endpoint, event);
   if (event->kind != EVENT_HEARTBEAT)
--- a/tests/jobs/test_scheduler.c
+++ b/tests/jobs/test_scheduler.c
@@ -221,9 +221,10 @@
     }
 }
 
-/* An endpoint answers every start with status 500, and carries out none or all of them. It is
- * avoided like one that fails its tasks. Otherwise the tasks return to it for good, since it is the
- * emptiest one. */
+/* An endpoint answers every start with status 500, and carries out none or all of them; and in half
+ * of the variants every stop, of which it carries out none. It is avoided like one that fails its
+ * tasks. Otherwise the tasks return to it for good, since it is the emptiest one, or wait for their
+ * stops. */
 static void
 test_start_errors (void)
 {
@@ -242,14 +243,15 @@
     TURNS_MAX = 2 + (JOBS * SUBMIT_INTERVAL_MS + LAST_MS) / (AVOID_MS + SENDS_MS),
   };
 
-  for (int carried_out = 0; carried_out <= 1; carried_out++)
+  for (int variant = 0; variant < 4; variant++)
     {
       struct simulation *simulation = simulation_with_pool (3);
       struct simulated_endpoint *failing = g_ptr_array_index (simulation->endpoints, 0);
       Sp__JobStep step = make_step (4);
 
       failing->start_errors = true;
-      failing->start_errors_carried_out = carried_out;
+      failing->start_errors_carried_out = variant % 2 == 1;
+      failing->stop_errors = variant >= 2;
       for (int i = 0; i < JOBS; i++)
         {
           g_autofree char *id = g_strdup_printf ("job%d", i);
