Place no task on a host whose move may still be carried out

After a move without a response the host's endpoint was uncordoned at once and got tasks. If the move had been carried out, or was carried out late, it ended them (work done twice, and AVAIL for steps of which few tasks may be unavailable).

The endpoint stays cordoned until a machine list requested 2 s after the command settles its fate. Such a host was idle and spare, so that little is lost.

--- a/lib/jobs/hosts.c
+++ b/lib/jobs/hosts.c
@@ -105,10 +105,16 @@
  * either the list shows the move, or it was not carried out. A maintenance is repeated until its
  * result is known, because the wave's limit holds for late ones too. */
 static void
-host_settle_unknown (struct host *host, int64_t sent_ms)
+host_settle_unknown (const struct scheduler *scheduler, struct host *host, int64_t sent_ms)
 {
-  if (!host->maintenance_unknown && sent_ms > host->command_unknown_ms + COMMAND_LATE_MS)
-    host->command_outcome_unknown = false;
+  struct endpoint *endpoint = host_endpoint (scheduler, host);
+
+  if (!host->command_outcome_unknown || host->maintenance_unknown ||
+      sent_ms <= host->command_unknown_ms + COMMAND_LATE_MS)
+    return;
+  host->command_outcome_unknown = false;
+  if (endpoint)
+    endpoint->cordoned = endpoint->cordoned_for_wave;
 }
 
 /* Returns whether the machine list names an endpoint as running on a host. The registry keeps a
@@ -176,7 +182,7 @@
           if (entries[i].state == HOST_DOWN)
             host_handle_down (scheduler, host);
           host_update (scheduler, host, &entries[i]);
-          host_settle_unknown (host, sent_ms);
+          host_settle_unknown (scheduler, host, sent_ms);
         }
     }
   for (host = TAILQ_FIRST (&scheduler->hosts); host; host = next)
@@ -204,9 +210,9 @@
   host_set_endpoint (scheduler, host, NULL);
 }
 
-/* Handles a failed command to a host, or one without a response. The host's endpoint may continue
- * to run and is uncordoned, unless a wave has cordoned it. A rejection says nothing of an earlier
- * command without a response. */
+/* Handles a failed command to a host, or one without a response. A rejection says nothing of an
+ * earlier command without a response. The host's endpoint is uncordoned, unless a wave has cordoned
+ * it or a command may still end it. */
 static void
 host_command_failed (struct scheduler *scheduler, struct host *host,
                      enum host_command_result result)
@@ -223,7 +229,7 @@
   if (result == HOST_COMMAND_FENCED)
     scheduler_step_down (scheduler, "host command rejected: the platform holds a newer fence");
   if (endpoint)
-    endpoint->cordoned = endpoint->cordoned_for_wave;
+    endpoint->cordoned = endpoint->cordoned_for_wave || host->command_outcome_unknown;
 }
 
 /* Handles the response to a move command; result is not HOST_COMMAND_DONE on failure. */
--- a/tests/jobs/simulation.h
+++ b/tests/jobs/simulation.h
@@ -140,6 +140,7 @@
   /* Counters. */
   unsigned starts;
   unsigned moves;
+  unsigned attempts_ended_by_moves;
   unsigned lease_extensions;
 };
 
--- a/tests/jobs/simulation_hosts.c
+++ b/tests/jobs/simulation_hosts.c
@@ -227,6 +227,10 @@
     return HOST_COMMAND_DONE;
   if (host->state != HOST_UP)
     return HOST_COMMAND_BUSY;
+  if (host->endpoint >= 0)
+    simulation->attempts_ended_by_moves +=
+        ((struct simulated_endpoint *) g_ptr_array_index (simulation->endpoints, host->endpoint))
+            ->attempts->len;
   simulation_end_incarnation (simulation, host->id, HOST_MOVING, MOVE_MS);
   g_free (host->pool);
   host->pool = g_strdup (event->pool);
--- a/tests/jobs/test_pools.c
+++ b/tests/jobs/test_pools.c
@@ -204,6 +204,43 @@
     }
 }
 
+/* Moves lose their connection, and some are carried out late. Their hosts get no tasks until it is
+ * known whether they stay, though their own pool needs them again. */
+static void
+test_late_moves_end_no_tasks (void)
+{
+  enum
+  {
+    SEEDS = 40,
+  };
+
+  for (guint32 seed = 1; seed <= SEEDS; seed++)
+    {
+      struct simulation *simulation = simulation_create (seed);
+      Sp__JobStep step = make_step (60);
+
+      simulation_add_hosts (simulation, "one", 4);
+      simulation_add_hosts (simulation, "two", 6);
+      simulation->work_ms = 2000;
+      simulation_start_new_leader (simulation);
+      simulation_run (simulation, 4000);
+      simulation->host_closed_permille = 1000;
+      simulation_submit (simulation, "job1", "one", &step, 1, 3);
+      for (unsigned i = 0; i < 100 && simulation->last_token == 0; i++)
+        simulation_run (simulation, 20);
+      CU_ASSERT (simulation->last_token > 0);
+      simulation_submit (simulation, "job2", "two", &step, 1, 3);
+      simulation_run (simulation, 6000);
+      simulation->host_closed_permille = 0;
+      simulation_run (simulation, 10000);
+      CU_ASSERT_EQUAL (simulation->attempts_ended_by_moves, 0);
+      CU_ASSERT_EQUAL (simulation_job_state (simulation, "job1"), SP__JOB_STATE__JOB_COMPLETED);
+      CU_ASSERT_EQUAL (simulation_job_state (simulation, "job2"), SP__JOB_STATE__JOB_COMPLETED);
+      CU_ASSERT_EQUAL (simulation_violations (simulation), 0);
+      simulation_destroy (simulation);
+    }
+}
+
 static const struct suite_test tests[] = {
   { "demand shift", test_demand_shift },
   { "fragmented capacity", test_fragmented_capacity },
@@ -211,6 +248,7 @@
   { "timely first", test_timely_first },
   { "late pool releases hosts", test_late_pool_releases_hosts },
   { "lost moves", test_lost_moves },
+  { "late moves end no tasks", test_late_moves_end_no_tasks },
 };
 
 int
