Repeat a start that an unhealthy endpoint rejects after one without a response

A start without a response whose repetition is rejected with 503 was stopped at once. An endpoint that closes its connections and is unhealthy for a moment had often carried it out: the work was ended and begun anew elsewhere.

After a rejection as unhealthy the start is sent again 500 ms later, within the three sends of a start; then, or by the endpoint's next report, it is confirmed. All other rejections are followed by a stop as before.

--- a/lib/jobs/task_attempt.c
+++ b/lib/jobs/task_attempt.c
@@ -9,6 +9,7 @@
   /* How often a start is sent, counting the first time, before the attempt is invalidated. */
   START_SENDS_MAX = 3,
   START_RETRY_MS = 100,
+  UNHEALTHY_RETRY_MS = 500,
   STOP_RETRY_MS = 250,
   /* Number of failures of a stop after which the endpoint's fence is raised. */
   STOPS_FAILED_MAX = 3,
@@ -408,7 +409,15 @@
   task->endpoint->avoid_until_ms =
       MAX (task->endpoint->avoid_until_ms, scheduler->now_ms + avoid_ms);
   task->endpoint->next_heartbeat_ms = scheduler->now_ms;
-  /* An earlier send of this start got no response and may still be carried out. */
+  /* An earlier send of this start got no response and may have been carried out or may be later. An
+   * endpoint that is unhealthy for a moment would reject a stop as well; when it is well again, it
+   * confirms or reports what runs. */
+  if (task->starts_unanswered > 0 && result == COMMAND_UNHEALTHY)
+    {
+      task->starts_unanswered++;
+      task->next_command_ms = scheduler->now_ms + UNHEALTHY_RETRY_MS;
+      return;
+    }
   if (task->starts_unanswered > 0)
     {
       task->starts_unanswered = START_SENDS_MAX;
--- a/tests/jobs/simulation_endpoints.c
+++ b/tests/jobs/simulation_endpoints.c
@@ -191,6 +191,22 @@
   return unavailable;
 }
 
+/* Counts the violation that a stop of a task at work causes. */
+static void
+simulation_check_stop (struct simulation *simulation, const struct simulated_endpoint *endpoint,
+                       const struct event *event, uint32_t limit)
+{
+  unsigned unavailable = simulation_count_unavailable (simulation, event->name) + 1;
+
+  if (unavailable <= limit)
+    return;
+  simulation->over_unavailable_limit++;
+  simulation_log (simulation,
+                  "OVER LIMIT OF UNAVAILABLE TASKS: task=%s attempt=%u endpoint=%s "
+                  "unavailable=%u limit=%u sent=%" G_GINT64_FORMAT,
+                  event->name, event->attempt, endpoint->id, unavailable, limit, event->sent_ms);
+}
+
 /* Carries out a stop. */
 static enum command_result
 endpoint_stop (struct simulation *simulation, struct simulated_endpoint *endpoint,
@@ -208,9 +224,7 @@
         continue;
       if (attempt->long_running && task && task_step (task)->away_limit > 0 &&
           !task->job->cancelled && simulation->now_ms - attempt->start_ms >= AVAILABLE_AFTER_MS)
-        simulation->over_unavailable_limit +=
-            simulation_count_unavailable (simulation, event->name) + 1 >
-            task_step (task)->away_limit;
+        simulation_check_stop (simulation, endpoint, event, task_step (task)->away_limit);
       attempt->stopping = true;
       attempt->end_ms = MIN (attempt->end_ms, simulation->now_ms + STOP_MS);
     }
--- a/tests/jobs/test_scheduler.c
+++ b/tests/jobs/test_scheduler.c
@@ -221,6 +221,36 @@
     }
 }
 
+/* The connection of one start closes, and the endpoint is unhealthy for up to 0.6 s. If the start
+ * was carried out, the attempt goes on: it is not stopped because the repetition was rejected. */
+static void
+test_unhealthy_after_lost_start (void)
+{
+  enum
+  {
+    SEEDS = 40,
+  };
+
+  for (guint32 seed = 1; seed <= SEEDS; seed++)
+    {
+      struct simulation *simulation = simulation_create (seed);
+      Sp__JobStep step = make_step (1);
+
+      simulation_add_hosts (simulation, "pool", 2);
+      simulation_start_new_leader (simulation);
+      simulation_run (simulation, 100);
+      simulation->closed_permille = 1000;
+      simulation_submit (simulation, "job", "pool", &step, 1, 3);
+      simulation_run (simulation, 20);
+      simulation->closed_permille = 0;
+      simulation_run (simulation, 8000);
+      CU_ASSERT_EQUAL (simulation->starts, 1);
+      CU_ASSERT_EQUAL (simulation_job_state (simulation, "job"), SP__JOB_STATE__JOB_COMPLETED);
+      CU_ASSERT_EQUAL (simulation_violations (simulation), 0);
+      simulation_destroy (simulation);
+    }
+}
+
 /* An endpoint answers every start with status 500, and carries out none or all of them; and in half
  * of the variants every stop, of which it carries out none. It is avoided like one that fails its
  * tasks. Otherwise the tasks return to it for good, since it is the emptiest one, or wait for their
@@ -549,6 +579,7 @@
   { "failing endpoint", test_failing_endpoint },
   { "lost responses", test_lost_responses },
   { "closed connections", test_closed_connections },
+  { "unhealthy after a lost start", test_unhealthy_after_lost_start },
   { "start errors", test_start_errors },
   { "start errors of a limited step", test_start_errors_of_a_limited_step },
   { "unreachable endpoint", test_unreachable_endpoint },
