--- a/fleetd/fleetd.h
+++ b/fleetd/fleetd.h
@@ -63,6 +63,8 @@
   size_t size;
   enum write_stage stage;
   bool may_be_in_log;
+  /* An append of this record had no response. It may be carried out late. */
+  bool append_lost;
   int64_t deadline_ms;
   /* May be NULL. */
   void (*done) (void *ctx, const struct write_result *result);
@@ -92,7 +94,7 @@
   int64_t next_append_ms;
   /* When the response to an append was lost, and the end of the log as reported by the first read
    * that was started after that (0 until then). A record that is not found before this end was not
-   * appended. */
+   * appended by then, and is sent again; the lost append may still be carried out late. */
   int64_t response_lost_ms;
   uint64_t search_end;
 };
