--- a/tests/jobs/simulation_commands.c
+++ b/tests/jobs/simulation_commands.c
@@ -43,28 +43,61 @@
   return event;
 }
 
+/* Adds the result of a command that gets no response. */
+static void
+simulation_post_unknown (struct simulation *simulation, const struct event *event, int64_t due_ms)
+{
+  struct event *unknown = g_memdup2 (event, sizeof *event);
+
+  unknown->due_ms = due_ms;
+  unknown->response = true;
+  unknown->result = COMMAND_UNKNOWN;
+  unknown->host_command_result = HOST_COMMAND_UNKNOWN;
+  unknown->name = NULL;
+  unknown->pool = NULL;
+  g_ptr_array_add (simulation->events, unknown);
+}
+
+/* Sends a command whose connection closes at once. It is carried out all the same in half of the
+ * cases, late in a quarter and not at all in a quarter; what follows is rejected for a while. */
+static void
+simulation_send_closed (struct simulation *simulation, struct event *event)
+{
+  int fate = g_rand_int_range (simulation->random, 0, 4);
+
+  simulation_post_unknown (simulation, event, simulation->now_ms + RESPONSE_MS);
+  event->no_response = true;
+  event->target->unhealthy_from_ms = simulation->now_ms + RESPONSE_MS;
+  event->target->unhealthy_until_ms =
+      event->target->unhealthy_from_ms + g_rand_int_range (simulation->random, 0, UNHEALTHY_MAX_MS);
+  if (fate == 0)
+    event->due_ms =
+        simulation->now_ms + g_rand_int_range (simulation->random, LATE_MIN_MS, LATE_MAX_MS);
+  else if (fate == 1)
+    event->lost = true;
+}
+
 /* Sends a complete command. It gets no response if its endpoint is unreachable, and at random; at
  * random it is also carried out late. Without a response the sender's timeout is scheduled. */
 static void
 simulation_send_command (struct simulation *simulation, struct event *event)
 {
-  bool late = simulation_chance (simulation, simulation->late_permille);
-  struct event *timeout;
+  bool late;
 
+  if (!event->target->unreachable && simulation_chance (simulation, simulation->closed_permille))
+    {
+      simulation_send_closed (simulation, event);
+      return;
+    }
+  late = simulation_chance (simulation, simulation->late_permille);
   event->no_response = late || simulation_chance (simulation, simulation->lost_permille) ||
                        event->target->unreachable;
   if (late)
     event->due_ms =
         simulation->now_ms + g_rand_int_range (simulation->random, LATE_MIN_MS, LATE_MAX_MS);
-  if (!event->no_response)
-    return;
-  timeout = g_memdup2 (event, sizeof *event);
-  timeout->due_ms = MAX (event->wait_until_ms, simulation->now_ms) + TIMEOUT_MS;
-  timeout->response = true;
-  timeout->result = COMMAND_UNKNOWN;
-  timeout->name = NULL;
-  timeout->pool = NULL;
-  g_ptr_array_add (simulation->events, timeout);
+  if (event->no_response)
+    simulation_post_unknown (simulation, event,
+                             MAX (event->wait_until_ms, simulation->now_ms) + TIMEOUT_MS);
 }
 
 /* Returns whether all steps that a task's step depends on are done. */
@@ -100,6 +133,7 @@
   event->request = task_resources (task);
   event->long_running = step->long_running;
   event->spread_limit = step->spread_limit;
+  event->target->start_commands++;
   simulation->starts_out_of_order += !task_dependencies_are_done (task);
   if (!task_dependencies_are_done (task))
     simulation_log (simulation, "OUT OF ORDER: task=%s", event->name);
@@ -143,22 +177,48 @@
   simulation_send_command (simulation, event);
 }
 
-void
-on_move (void *ctx, struct host *host, const char *pool)
+/* Creates a command to a host. Its connection may close at once; it is then carried out all the
+ * same in half of the cases, late in a quarter and not at all in a quarter. */
+static struct event *
+simulation_create_host_command (struct simulation *simulation, enum event_kind kind,
+                                struct host *host, uint32_t wave)
 {
-  struct event *event = simulation_post (ctx, EVENT_MOVE, RESPONSE_MS);
+  struct event *event = simulation_post (simulation, kind, RESPONSE_MS);
 
   event->host = host;
-  event->pool = g_strdup (pool);
+  event->name = g_strdup (host->id);
+  event->wave = wave;
+  event->token = ++simulation->last_token;
+  event->rejected = simulation_chance (simulation, simulation->host_rejected_permille);
+  if (event->rejected || !simulation_chance (simulation, simulation->host_closed_permille))
+    return event;
+  simulation_post_unknown (simulation, event, simulation->now_ms + RESPONSE_MS);
+  event->no_response = true;
+  switch (g_rand_int_range (simulation->random, 0, 4))
+    {
+    case 0:
+      event->due_ms = simulation->now_ms +
+                      g_rand_int_range (simulation->random, HOST_LATE_MIN_MS, HOST_LATE_MAX_MS);
+      break;
+    case 1:
+      event->lost = true;
+      break;
+    default:
+      break;
+    }
+  return event;
 }
 
 void
-on_maintain (void *ctx, struct host *host, uint32_t wave)
+on_move (void *ctx, struct host *host, const char *pool)
 {
-  struct event *event = simulation_post (ctx, EVENT_MAINTAIN, RESPONSE_MS);
+  simulation_create_host_command (ctx, EVENT_MOVE, host, 0)->pool = g_strdup (pool);
+}
 
-  event->host = host;
-  event->wave = wave;
+void
+on_maintain (void *ctx, struct host *host, uint32_t wave)
+{
+  simulation_create_host_command (ctx, EVENT_MAINTAIN, host, wave);
 }
 
 void
@@ -253,6 +313,28 @@
     }
 }
 
+/* Handles a command to a host, or its result. A former leader's command is not carried out. */
+static void
+simulation_handle_host_command (struct simulation *simulation, const struct event *event)
+{
+  enum host_command_result result = event->host_command_result;
+
+  if (event->leader_generation != simulation->leader_generation || event->lost)
+    return;
+  if (event->rejected)
+    result = HOST_COMMAND_REFUSED;
+  else if (!event->response)
+    result = event->kind == EVENT_MOVE ? simulation_move_host (simulation, event)
+                                       : simulation_maintain_host (simulation, event);
+  if (event->no_response && !event->response)
+    return;
+  if (event->kind == EVENT_MOVE)
+    scheduler_move_done (simulation->scheduler, event->host, result, simulation->now_ms);
+  else
+    scheduler_maintain_done (simulation->scheduler, event->host, event->wave, result,
+                             simulation->now_ms);
+}
+
 /* Handles one event. The response to a command is added as a new event. */
 static void
 simulation_handle_event (struct simulation *simulation, struct event *event)
@@ -262,10 +344,8 @@
   switch (event->kind)
     {
     case EVENT_MOVE:
-      simulation_move_host (simulation, event);
-      return;
     case EVENT_MAINTAIN:
-      simulation_maintain_host (simulation, event);
+      simulation_handle_host_command (simulation, event);
       return;
     case EVENT_FLUSH:
       simulation_flush (simulation, event);
@@ -278,6 +358,8 @@
       simulation_deliver_response (simulation, event);
       return;
     }
+  if (event->lost)
+    return;
   if (event->kind == EVENT_HEARTBEAT && event->wait_until_ms > simulation->now_ms &&
       event->target->up && !event->target->unreachable && event->target->completions->len == 0)
     {
