Don't take a page without records for the last one

It then said that it had loaded the topic and answered 410 for each job of the keys after it, until a restart: the regular read goes on from the end of the log and never comes back to them.

Such a page now counts as a failed read and is asked for again.

New test program tests/jobd/test_topic_reader.c: the real reader, store client and HTTP client against a scripted store on the same loop. Its test "page without records" failed before with key k00002 unread; "load with failed pages" passed before and shows that a load that fails half way, with keys deleted and added again in between, ends with the newest value of each key.

--- a/jobd/topic_reader.c
+++ b/jobd/topic_reader.c
@@ -107,13 +107,20 @@
       topic_reader_read_failed (reader, response);
       return;
     }
+  if (response->has_more && response->n_records == 0)
+    {
+      log_warning ("tail", "page without records, but not the last: topic=%s after=%s",
+                   reader->config.topic, reader->page_key ? reader->page_key : "");
+      topic_reader_read_failed (reader, response);
+      return;
+    }
   topic_reader_read_succeeded (reader);
   /* The pages are not a consistent snapshot. Reading continues from the end as of the first page,
    * which repeats what changed since. */
   if (!reader->page_key)
     reader->first_page_end = response->end;
   topic_reader_deliver (reader, response);
-  if (response->has_more && response->n_records > 0)
+  if (response->has_more)
     {
       g_free (reader->page_key);
       reader->page_key = g_strdup (response->records[response->n_records - 1].key);
--- /dev/null
+++ b/tests/jobd/test_topic_reader.c
@@ -0,0 +1,254 @@
+#include <ev.h>
+#include <glib.h>
+#include <string.h>
+
+#include "process.h"
+#include "scripted_topic.h"
+#include "suite.h"
+#include "topic_reader.h"
+
+/* The reader of a keyed topic, against a store whose responses are cut, withheld, late or wrong. A
+ * host that says "no such job" relies on its additional reads. */
+
+enum
+{
+  PORT_BLOCK = 98,
+  WAIT_MS = 1000,
+  MIN_INTERVAL_MS = 20,
+  /* Time limit of a wait of a test. */
+  LIMIT_MS = 8000,
+};
+
+/* A reader, its store, and what the reader has passed on. */
+struct fixture
+{
+  struct ev_loop *loop;
+  struct scripted_topic scripted;
+  struct http_client *client;
+  struct store *store;
+  struct topic_reader *reader;
+  /* Last value passed on of each key. */
+  GHashTable *values;
+  int64_t last_offset;
+  /* Records passed on although one of the same or a higher offset had been. */
+  unsigned n_out_of_order;
+  unsigned n_loaded;
+  /* Ends of additional reads, and those among them that succeeded. */
+  unsigned n_done;
+  unsigned n_success;
+};
+
+static int64_t
+fixture_now_ms (void *ctx)
+{
+  (void) ctx;
+  return test_now_ms ();
+}
+
+static void
+fixture_on_record (void *ctx, const struct store_record *record)
+{
+  struct fixture *fixture = ctx;
+
+  fixture->n_out_of_order += record->offset <= fixture->last_offset;
+  fixture->last_offset = MAX (fixture->last_offset, record->offset);
+  g_hash_table_replace (fixture->values, g_strdup (record->key),
+                        g_strndup (record->value ? record->value : "", record->len));
+}
+
+static void
+fixture_on_loaded (void *ctx)
+{
+  struct fixture *fixture = ctx;
+
+  fixture->n_loaded++;
+}
+
+static void
+fixture_on_done (void *ctx, bool success)
+{
+  struct fixture *fixture = ctx;
+
+  fixture->n_done++;
+  fixture->n_success += success;
+}
+
+/* Starts a store with n records. */
+static void
+fixture_start (struct fixture *fixture, unsigned n)
+{
+  *fixture = (struct fixture){ .loop = ev_loop_new (EVFLAG_AUTO), .last_offset = -1 };
+  fixture->values = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  scripted_topic_start (&fixture->scripted, fixture->loop, process_port_block (PORT_BLOCK));
+  scripted_topic_append_many (&fixture->scripted, n);
+}
+
+/* Starts the reader. */
+static void
+fixture_open (struct fixture *fixture)
+{
+  g_autofree char *address = g_strdup_printf ("127.0.0.1:%u", process_port_block (PORT_BLOCK));
+  struct topic_reader_config config = {
+    .topic = "keyed.test",
+    .wait_ms = WAIT_MS,
+    .min_interval_ms = MIN_INTERVAL_MS,
+    .now_ms = fixture_now_ms,
+    .on_record = fixture_on_record,
+    .on_loaded = fixture_on_loaded,
+    .ctx = fixture,
+  };
+
+  fixture->client = http_client_create (fixture->loop, 10000, 32);
+  fixture->store = store_create (fixture->client, address);
+  fixture->reader = topic_reader_create (fixture->loop, fixture->store, &config);
+}
+
+static void
+fixture_stop (struct fixture *fixture)
+{
+  store_destroy (fixture->store);
+  topic_reader_destroy (fixture->reader);
+  http_client_destroy (fixture->client);
+  scripted_topic_stop (&fixture->scripted);
+  g_hash_table_destroy (fixture->values);
+  ev_loop_destroy (fixture->loop);
+}
+
+static void
+on_limit (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  (void) events;
+  *(bool *) timer->data = true;
+  ev_break (loop, EVBREAK_ALL);
+}
+
+/* Runs the loop until a counter reaches a value. Returns false if limit_ms pass first. */
+static bool
+fixture_run_until (struct fixture *fixture, const unsigned *counter, unsigned value,
+                   int64_t limit_ms)
+{
+  bool over = false;
+  ev_timer limit;
+
+  ev_timer_init (&limit, on_limit, (double) limit_ms / 1000, 0.0);
+  limit.data = &over;
+  ev_now_update (fixture->loop);
+  ev_timer_start (fixture->loop, &limit);
+  while (!over && *counter < value)
+    ev_run (fixture->loop, EVRUN_ONCE);
+  ev_timer_stop (fixture->loop, &limit);
+  return *counter >= value;
+}
+
+/* Runs the loop until the reader has loaded the topic and its next read waits for records. */
+static void
+fixture_run_until_loaded (struct fixture *fixture)
+{
+  SUITE_REQUIRE (fixture_run_until (fixture, &fixture->n_loaded, 1, LIMIT_MS));
+  SUITE_REQUIRE (fixture_run_until (fixture, &fixture->scripted.n_reads, 1, LIMIT_MS));
+}
+
+/* Returns the last value passed on of a key; empty if there is none. */
+static const char *
+fixture_value (const struct fixture *fixture, const char *key)
+{
+  const char *value = g_hash_table_lookup (fixture->values, key);
+
+  return value ? value : "";
+}
+
+/* Makes an additional read. Returns whether it succeeded. */
+static bool
+fixture_read_to_end (struct fixture *fixture)
+{
+  unsigned n_success = fixture->n_success;
+
+  topic_reader_read_to_end (fixture->reader, fixture_on_done, fixture);
+  CU_ASSERT (fixture_run_until (fixture, &fixture->n_done, fixture->n_done + 1, LIMIT_MS));
+  return fixture->n_success > n_success;
+}
+
+/* A store that refuses the additional read, at once or half way: the read fails. */
+static void
+test_failed_read (void)
+{
+  struct fixture fixture;
+
+  fixture_start (&fixture, 3);
+  fixture.scripted.hold_reads = true;
+  fixture_open (&fixture);
+  fixture_run_until_loaded (&fixture);
+  fixture.scripted.records_max = 4;
+  scripted_topic_append_many (&fixture.scripted, 10);
+  fixture.scripted.fail_extra_reads = 1;
+  CU_ASSERT_FALSE (fixture_read_to_end (&fixture));
+  CU_ASSERT_TRUE (fixture_read_to_end (&fixture));
+  fixture_stop (&fixture);
+}
+
+/* A page that says that there is more but holds nothing: the topic is not loaded yet. Taken for the
+ * last page, it would leave the keys after it unread for good. */
+static void
+test_page_without_records (void)
+{
+  struct fixture fixture;
+
+  fixture_start (&fixture, 3);
+  fixture.scripted.page_max = 2;
+  fixture.scripted.empty_pages = 1;
+  fixture_open (&fixture);
+  SUITE_REQUIRE (fixture_run_until (&fixture, &fixture.n_loaded, 1, LIMIT_MS));
+  CU_ASSERT_STRING_EQUAL (fixture_value (&fixture, "k00002"), "k00002");
+  fixture_stop (&fixture);
+}
+
+/* Changes keys before and after the first page that was sent, and makes the second one fail. */
+static void
+change_between_pages (struct scripted_topic *store, unsigned number)
+{
+  if (number > 3)
+    return;
+  store->fail_pages = number == 2;
+  scripted_topic_append (store, "k00000", "");
+  scripted_topic_append (store, "k00000", "added again");
+  scripted_topic_append (store, "k00001", "");
+  scripted_topic_append (store, "k00006", "");
+  scripted_topic_append (store, "k00007", "");
+  scripted_topic_append (store, "k00007", "added again");
+}
+
+/* Pages fail at the beginning and half way, and keys are deleted and added again in between: after
+ * the load and the first read, each key has its newest value. */
+static void
+test_load_with_failed_pages (void)
+{
+  struct fixture fixture;
+
+  fixture_start (&fixture, 8);
+  fixture.scripted.page_max = 3;
+  fixture.scripted.fail_pages = 1;
+  fixture.scripted.page_sent = change_between_pages;
+  fixture_open (&fixture);
+  SUITE_REQUIRE (fixture_run_until (&fixture, &fixture.n_loaded, 1, LIMIT_MS));
+  CU_ASSERT_TRUE (fixture_read_to_end (&fixture));
+  for (unsigned i = 0; i < 8; i++)
+    {
+      g_autofree char *key = g_strdup_printf ("k%05u", i);
+
+      CU_ASSERT_STRING_EQUAL (fixture_value (&fixture, key),
+                              scripted_topic_value (&fixture.scripted, key));
+    }
+  fixture_stop (&fixture);
+}
+
+static const struct suite_test tests[] = {
+  { "failed read", test_failed_read },
+  { "page without records", test_page_without_records },
+  { "load with failed pages", test_load_with_failed_pages },
+};
+
+int
+main (void)
+{
+  return suite_run ("topic_reader", tests, sizeof tests / sizeof tests[0]);
+}
