Load the topic again when a read can't continue at its offset

A response that begins after the offset that was asked for, or a log that ends before it, left records unread for good: the reader numbered what it got from its own offset on, said that it had reached the end, and an additional read let the host answer 410 for jobs in the records between.

Both now lead to a load of the newest records (the second after 250 ms, so that a store that keeps saying so is not asked without pause), and an additional read that sees them fails, which the caller gets as 503. A store that keeps to the protocol answers 410 for deleted records and never shrinks, so this guards against a topic that begins anew.

Tests "response with a gap" and "offset beyond the end" failed before: the additional read succeeded, the topic was not loaded again within 8 s, and the job's record was never passed on.

--- a/jobd/topic_reader.c
+++ b/jobd/topic_reader.c
@@ -73,6 +73,27 @@
     reader->config.on_record (reader->config.ctx, &response->records[i]);
 }
 
+/* Returns whether a response to a read can't continue at the offset that was asked for: it begins
+ * later, or the partition ends before. */
+static bool
+response_has_gap (const struct store_response *response, int64_t from)
+{
+  return response->first > from || response->end < from;
+}
+
+/* Loads the newest records again. */
+static void
+topic_reader_reload (struct topic_reader *reader, const struct store_response *response,
+                     const char *reason, int64_t after_ms)
+{
+  log_info ("tail",
+            "reading the newest records again: topic=%s reason=\"%s\" offset=%" G_GINT64_FORMAT
+            " first=%" G_GINT64_FORMAT " end=%" G_GINT64_FORMAT,
+            reader->config.topic, reason, reader->next_offset, response->first, response->end);
+  reader->loaded = false;
+  topic_reader_schedule (reader, after_ms);
+}
+
 static void
 topic_reader_read_succeeded (struct topic_reader *reader)
 {
@@ -146,10 +167,7 @@
 
   if (response->result == STORE_EXPIRED)
     {
-      log_info ("tail", "records expired, reading the newest: topic=%s offset=%" G_GINT64_FORMAT,
-                reader->config.topic, reader->next_offset);
-      reader->loaded = false;
-      topic_reader_schedule (reader, 0);
+      topic_reader_reload (reader, response, "records expired", 0);
       return;
     }
   if (response->result != STORE_DONE)
@@ -157,6 +175,11 @@
       topic_reader_read_failed (reader, response);
       return;
     }
+  if (response_has_gap (response, reader->next_offset))
+    {
+      topic_reader_reload (reader, response, "records are missing", RETRY_DELAY_MS);
+      return;
+    }
   topic_reader_read_succeeded (reader);
   topic_reader_deliver (reader, response);
   reader->next_offset += (int64_t) response->n_records;
@@ -254,7 +277,7 @@
 extra_read_on_done (void *ctx, const struct store_response *response)
 {
   struct extra_read *extra = ctx;
-  bool success = response->result == STORE_DONE;
+  bool success = response->result == STORE_DONE && !response_has_gap (response, extra->from);
 
   log_info ("tail",
             "additional read: topic=%s from=%" G_GINT64_FORMAT " records=%zu end=%" G_GINT64_FORMAT
--- a/tests/jobd/test_topic_reader.c
+++ b/tests/jobd/test_topic_reader.c
@@ -186,6 +186,47 @@
   fixture_stop (&fixture);
 }
 
+/* A response that begins after the offset that was asked for: the records in between are unread, so
+ * an additional read fails and the topic is loaded again. */
+static void
+test_response_with_a_gap (void)
+{
+  struct fixture fixture;
+
+  fixture_start (&fixture, 3);
+  fixture.scripted.hold_reads = true;
+  fixture_open (&fixture);
+  fixture_run_until_loaded (&fixture);
+  scripted_topic_append (&fixture.scripted, "job", "value");
+  scripted_topic_append_many (&fixture.scripted, 3);
+  fixture.scripted.skip_expired = true;
+  fixture.scripted.first = 5;
+  CU_ASSERT_FALSE (fixture_read_to_end (&fixture));
+  fixture.scripted.hold_reads = false;
+  scripted_topic_append_many (&fixture.scripted, 1);
+  CU_ASSERT (fixture_run_until (&fixture, &fixture.n_loaded, 2, LIMIT_MS));
+  CU_ASSERT_STRING_EQUAL (fixture_value (&fixture, "job"), "value");
+  fixture_stop (&fixture);
+}
+
+/* A topic that ends before the offset to read next, as if it had begun anew: records below that
+ * offset would never be read, so the topic is loaded again. */
+static void
+test_offset_beyond_the_end (void)
+{
+  struct fixture fixture;
+
+  fixture_start (&fixture, 3);
+  fixture.scripted.claimed_end = 9;
+  fixture_open (&fixture);
+  SUITE_REQUIRE (fixture_run_until (&fixture, &fixture.n_loaded, 1, LIMIT_MS));
+  scripted_topic_append (&fixture.scripted, "job", "value");
+  fixture_run_until (&fixture, &fixture.n_loaded, 2, LIMIT_MS);
+  CU_ASSERT_EQUAL (fixture.n_loaded, 2);
+  CU_ASSERT_STRING_EQUAL (fixture_value (&fixture, "job"), "value");
+  fixture_stop (&fixture);
+}
+
 /* A page that says that there is more but holds nothing: the topic is not loaded yet. Taken for the
  * last page, it would leave the keys after it unread for good. */
 static void
@@ -243,6 +284,8 @@
 
 static const struct suite_test tests[] = {
   { "failed read", test_failed_read },
+  { "response with a gap", test_response_with_a_gap },
+  { "offset beyond the end", test_offset_beyond_the_end },
   { "page without records", test_page_without_records },
   { "load with failed pages", test_load_with_failed_pages },
 };
