--- a/jobd/topic_reader.h
+++ b/jobd/topic_reader.h
@@ -19,7 +19,8 @@
   long wait_ms;
   int64_t min_interval_ms;
   int64_t (*now_ms) (void *ctx);
-  /* Called for each record. The same record may be passed more than once. */
+  /* Called for each record, in their order; only while the newest records are being loaded again
+   * may older records follow newer ones. */
   void (*on_record) (void *ctx, const struct store_record *record);
   /* Called when all of the newest records have been passed; also after a reload because records
    * expired unread. May be NULL. */
@@ -42,8 +43,10 @@
 int64_t topic_reader_healthy_since_ms (const struct topic_reader *reader);
 /* Returns the offset of the next record to read. */
 int64_t topic_reader_offset (const struct topic_reader *reader);
-/* Reads the new records at once, in one read (of at most 1 MiB), passes them, then calls done.
- * success is false if the store did not respond, or the newest records have not been loaded yet. */
+/* Reads the new records at once, up to the end as of a time after this call, passes them, then
+ * calls done. success is false if the end was not reached: the store did not respond or took too
+ * long, or the newest records are being loaded. Calls that are made at about the same time share
+ * reads. */
 void topic_reader_read_to_end (struct topic_reader *reader, void (*done) (void *ctx, bool success),
                                void *ctx);
 
--- a/tests/jobd/test_topic_reader.c
+++ b/tests/jobd/test_topic_reader.c
@@ -17,6 +17,8 @@
   MIN_INTERVAL_MS = 20,
   /* Time limit of a wait of a test. */
   LIMIT_MS = 8000,
+  /* Longest time until an additional read reports its end, with a margin for a busy machine. */
+  READ_TO_END_LIMIT_MS = 3500,
 };
 
 /* A reader, its store, and what the reader has passed on. */
@@ -168,6 +170,83 @@
   return fixture->n_success > n_success;
 }
 
+/* A host further behind than one response holds: an additional read that stopped after one response
+ * made it answer 410 for a job that is in the journal. */
+static void
+test_reads_on_to_the_end (void)
+{
+  struct fixture fixture;
+
+  fixture_start (&fixture, 3);
+  fixture.scripted.hold_reads = true;
+  fixture_open (&fixture);
+  fixture_run_until_loaded (&fixture);
+  fixture.scripted.records_max = 4;
+  scripted_topic_append_many (&fixture.scripted, 10);
+  CU_ASSERT_TRUE (fixture_read_to_end (&fixture));
+  CU_ASSERT_STRING_EQUAL (fixture_value (&fixture, "k00012"), "k00012");
+  CU_ASSERT_EQUAL (fixture.scripted.n_extra_reads, 3);
+  fixture_stop (&fixture);
+}
+
+/* A journal that grows as fast as it is read: the additional read ends at the end as of its first
+ * response, instead of following the journal until its deadline. */
+static void
+test_end_as_of_the_first_response (void)
+{
+  struct fixture fixture;
+
+  fixture_start (&fixture, 3);
+  fixture.scripted.hold_reads = true;
+  fixture_open (&fixture);
+  fixture_run_until_loaded (&fixture);
+  fixture.scripted.records_max = 4;
+  fixture.scripted.grow = 4;
+  scripted_topic_append_many (&fixture.scripted, 10);
+  CU_ASSERT_TRUE (fixture_read_to_end (&fixture));
+  CU_ASSERT_STRING_EQUAL (fixture_value (&fixture, "k00012"), "k00012");
+  CU_ASSERT_EQUAL (fixture.scripted.n_extra_reads, 3);
+  fixture_stop (&fixture);
+}
+
+/* A store that returns little at a time: the additional read fails at its deadline, instead of
+ * reporting success with records unread or keeping its caller waiting. */
+static void
+test_deadline (void)
+{
+  struct fixture fixture;
+  int64_t begun_ms;
+
+  fixture_start (&fixture, 3);
+  fixture.scripted.hold_reads = true;
+  fixture_open (&fixture);
+  fixture_run_until_loaded (&fixture);
+  fixture.scripted.records_max = 1;
+  fixture.scripted.extra_delay_ms = 150;
+  scripted_topic_append_many (&fixture.scripted, 100);
+  begun_ms = test_now_ms ();
+  CU_ASSERT_FALSE (fixture_read_to_end (&fixture));
+  CU_ASSERT (test_now_ms () - begun_ms < READ_TO_END_LIMIT_MS);
+  fixture_stop (&fixture);
+}
+
+/* A response without records before the end: the additional read fails, as the unread records may
+ * hold the job. */
+static void
+test_response_without_records (void)
+{
+  struct fixture fixture;
+
+  fixture_start (&fixture, 3);
+  fixture.scripted.hold_reads = true;
+  fixture_open (&fixture);
+  fixture_run_until_loaded (&fixture);
+  fixture.scripted.withhold_records = true;
+  scripted_topic_append_many (&fixture.scripted, 2);
+  CU_ASSERT_FALSE (fixture_read_to_end (&fixture));
+  fixture_stop (&fixture);
+}
+
 /* A store that refuses the additional read, at once or half way: the read fails. */
 static void
 test_failed_read (void)
@@ -186,6 +265,61 @@
   fixture_stop (&fixture);
 }
 
+/* The response to the regular read arrives after that of an additional read with newer records: the
+ * older ones are not passed on again, which would show older values for a while. */
+static void
+test_responses_that_overtake (void)
+{
+  struct fixture fixture;
+
+  fixture_start (&fixture, 3);
+  fixture.scripted.hold_reads = true;
+  fixture_open (&fixture);
+  fixture_run_until_loaded (&fixture);
+  fixture.last_offset = 2;
+  fixture.n_out_of_order = 0;
+  scripted_topic_append (&fixture.scripted, "job", "older");
+  /* The read that is withheld sees this record only. */
+  scripted_topic_release (&fixture.scripted, false);
+  SUITE_REQUIRE (fixture_run_until (&fixture, &fixture.scripted.n_reads, 2, LIMIT_MS));
+  scripted_topic_append (&fixture.scripted, "job", "newer");
+  CU_ASSERT_TRUE (fixture_read_to_end (&fixture));
+  CU_ASSERT_STRING_EQUAL (fixture_value (&fixture, "job"), "newer");
+  scripted_topic_release (&fixture.scripted, false);
+  SUITE_REQUIRE (fixture_run_until (&fixture, &fixture.scripted.n_reads, 3, LIMIT_MS));
+  CU_ASSERT_STRING_EQUAL (fixture_value (&fixture, "job"), "newer");
+  CU_ASSERT_EQUAL (fixture.n_out_of_order, 0);
+  fixture_stop (&fixture);
+}
+
+/* An additional read from before a reload of the topic: its older records are not passed on after
+ * the newer ones of the reload, which would stay for good, and the read fails. */
+static void
+test_read_across_a_reload (void)
+{
+  struct fixture fixture;
+
+  fixture_start (&fixture, 3);
+  fixture.scripted.hold_reads = true;
+  fixture_open (&fixture);
+  fixture_run_until_loaded (&fixture);
+  scripted_topic_append (&fixture.scripted, "job", "older");
+  fixture.scripted.hold_extra_reads = true;
+  topic_reader_read_to_end (fixture.reader, fixture_on_done, &fixture);
+  SUITE_REQUIRE (fixture_run_until (&fixture, &fixture.scripted.n_extra_reads, 1, LIMIT_MS));
+  scripted_topic_append (&fixture.scripted, "job", "newer");
+  fixture.scripted.first = 4;
+  scripted_topic_release (&fixture.scripted, false);
+  SUITE_REQUIRE (fixture_run_until (&fixture, &fixture.n_loaded, 2, LIMIT_MS));
+  CU_ASSERT_STRING_EQUAL (fixture_value (&fixture, "job"), "newer");
+  fixture.scripted.first = 0;
+  scripted_topic_release (&fixture.scripted, true);
+  CU_ASSERT (fixture_run_until (&fixture, &fixture.n_done, 1, LIMIT_MS));
+  CU_ASSERT_EQUAL (fixture.n_success, 0);
+  CU_ASSERT_STRING_EQUAL (fixture_value (&fixture, "job"), "newer");
+  fixture_stop (&fixture);
+}
+
 /* A response that begins after the offset that was asked for: the records in between are unread, so
  * an additional read fails and the topic is loaded again. */
 static void
@@ -283,7 +417,13 @@
 }
 
 static const struct suite_test tests[] = {
+  { "reads on to the end", test_reads_on_to_the_end },
+  { "end as of the first response", test_end_as_of_the_first_response },
+  { "deadline", test_deadline },
+  { "response without records", test_response_without_records },
   { "failed read", test_failed_read },
+  { "responses that overtake", test_responses_that_overtake },
+  { "read across a reload", test_read_across_a_reload },
   { "response with a gap", test_response_with_a_gap },
   { "offset beyond the end", test_offset_beyond_the_end },
   { "page without records", test_page_without_records },
