--- a/jobd/topic_reader.c
+++ b/jobd/topic_reader.c
@@ -1,5 +1,7 @@
 #include "topic_reader.h"
 
+#include <sys/queue.h>
+
 #include "common/log.h"
 #include "common/loop_timer.h"
 
@@ -11,6 +13,36 @@
   RETRY_DELAY_MS = 250,
   /* Additional reads give up after this; callers wait for a few seconds. */
   EXTRA_READS_TIMEOUT_MS = 2000,
+  /* Minimum time between two series of additional reads. All hosts share the store's limit of
+   * reads. */
+  EXTRA_READS_INTERVAL_MS = 50,
+};
+
+/* Someone who waits until the reader has read to the end. */
+struct read_waiter
+{
+  STAILQ_ENTRY (read_waiter) link;
+  void (*done) (void *ctx, bool success);
+  void *ctx;
+};
+
+STAILQ_HEAD (read_waiter_list, read_waiter);
+
+/* Additional reads to the end of the topic as of the first of them. One series is in progress at a
+ * time; who asks meanwhile waits for the next one, as a read serves only those who asked before it
+ * was sent. */
+struct extra_reads
+{
+  ev_timer timer;
+  struct read_waiter_list served;
+  struct read_waiter_list waiting;
+  bool in_progress;
+  /* When the series began, the offset of its read in progress, the end as of its first response
+   * (-1 before that), and the load of the topic to which it belongs. */
+  int64_t begun_ms;
+  int64_t from;
+  int64_t end;
+  unsigned load;
 };
 
 struct topic_reader
@@ -38,24 +70,12 @@
   int64_t read_to_end_ms;
   int64_t healthy_since_ms;
   bool failing;
-};
-
-/* Additional reads to the end of the topic as of the first of them. */
-struct extra_reads
-{
-  struct topic_reader *reader;
-  /* When they began, the offset of the read in progress, the end as of the first response (-1
-   * before that), and the load of the topic to which they belong. */
-  int64_t begun_ms;
-  int64_t from;
-  int64_t end;
-  unsigned load;
-  void (*done) (void *ctx, bool success);
-  void *ctx;
+  struct extra_reads extra;
 };
 
 static void topic_reader_send (struct topic_reader *reader);
-static void extra_reads_send (struct extra_reads *extra);
+static void extra_reads_send (struct topic_reader *reader);
+static void extra_reads_schedule (struct topic_reader *reader);
 
 static int64_t
 topic_reader_now_ms (const struct topic_reader *reader)
@@ -240,21 +260,35 @@
                 config->wait_ms + READ_MARGIN_MS, topic_reader_on_read, reader);
 }
 
+/* Reports the end of the additional reads to those that they serve. */
 static void
-extra_reads_finish (struct extra_reads *extra, bool success)
+extra_reads_finish (struct topic_reader *reader, bool success)
 {
-  extra->done (extra->ctx, success);
-  g_free (extra);
+  struct read_waiter_list served = STAILQ_HEAD_INITIALIZER (served);
+  struct extra_reads *extra = &reader->extra;
+
+  STAILQ_CONCAT (&served, &extra->served);
+  extra->in_progress = false;
+  while (!STAILQ_EMPTY (&served))
+    {
+      struct read_waiter *waiter = STAILQ_FIRST (&served);
+
+      STAILQ_REMOVE_HEAD (&served, link);
+      waiter->done (waiter->ctx, success);
+      g_free (waiter);
+    }
+  if (!STAILQ_EMPTY (&extra->waiting))
+    extra_reads_schedule (reader);
 }
 
 /* Handles the response to an additional read: passes its records on and reads further, unless the
- * end as of the first response is reached. Reads from before a reload of the topic fail, as the
+ * end as of the first response is reached. A series from before a reload of the topic fails, as the
  * reload has passed newer records. */
 static void
 extra_reads_on_read (void *ctx, const struct store_response *response)
 {
-  struct extra_reads *extra = ctx;
-  struct topic_reader *reader = extra->reader;
+  struct topic_reader *reader = ctx;
+  struct extra_reads *extra = &reader->extra;
   bool valid = response->result == STORE_DONE && reader->loaded &&
                extra->load == reader->n_reloads && !response_has_gap (response, extra->from);
 
@@ -265,30 +299,77 @@
             response->status, response->n_sends, valid);
   if (!valid)
     {
-      extra_reads_finish (extra, false);
+      extra_reads_finish (reader, false);
       return;
     }
   topic_reader_deliver (reader, response);
   if (extra->end < 0)
     extra->end = response->end;
   if (reader->next_offset >= extra->end)
-    extra_reads_finish (extra, true);
+    extra_reads_finish (reader, true);
   else if (response->n_records == 0 ||
            topic_reader_now_ms (reader) - extra->begun_ms >= EXTRA_READS_TIMEOUT_MS)
-    extra_reads_finish (extra, false);
+    extra_reads_finish (reader, false);
+  else
+    extra_reads_send (reader);
+}
+
+/* Sends the next read of a series. */
+static void
+extra_reads_send (struct topic_reader *reader)
+{
+  reader->extra.from = reader->next_offset;
+  store_read (reader->store, reader->config.topic, reader->config.partition, reader->extra.from, 0,
+              READ_MARGIN_MS, extra_reads_on_read, reader);
+}
+
+/* Begins a series for all who wait. */
+static void
+extra_reads_begin (struct topic_reader *reader)
+{
+  struct extra_reads *extra = &reader->extra;
+
+  extra->in_progress = true;
+  extra->begun_ms = topic_reader_now_ms (reader);
+  extra->end = -1;
+  extra->load = reader->n_reloads;
+  STAILQ_CONCAT (&extra->served, &extra->waiting);
+  if (reader->loaded)
+    extra_reads_send (reader);
   else
-    extra_reads_send (extra);
+    extra_reads_finish (reader, false);
 }
 
-/* Sends the next additional read. */
 static void
-extra_reads_send (struct extra_reads *extra)
+extra_reads_on_timer (struct ev_loop *loop, ev_timer *timer, int events)
 {
-  struct topic_reader *reader = extra->reader;
+  (void) loop;
+  (void) events;
+  extra_reads_begin (timer->data);
+}
 
-  extra->from = reader->next_offset;
-  store_read (reader->store, reader->config.topic, reader->config.partition, extra->from, 0,
-              READ_MARGIN_MS, extra_reads_on_read, extra);
+/* Schedules the next series, in the minimum distance from the last one. */
+static void
+extra_reads_schedule (struct topic_reader *reader)
+{
+  struct extra_reads *extra = &reader->extra;
+  int64_t due_ms = extra->begun_ms + EXTRA_READS_INTERVAL_MS;
+
+  if (!ev_is_active (&extra->timer))
+    loop_timer_arm (reader->loop, &extra->timer, due_ms - topic_reader_now_ms (reader));
+}
+
+/* Frees those who wait without a report. */
+static void
+read_waiters_clear (struct read_waiter_list *list)
+{
+  while (!STAILQ_EMPTY (list))
+    {
+      struct read_waiter *waiter = STAILQ_FIRST (list);
+
+      STAILQ_REMOVE_HEAD (list, link);
+      g_free (waiter);
+    }
 }
 
 /* Starts reading a topic. */
@@ -303,6 +384,10 @@
   reader->store = store;
   ev_timer_init (&reader->timer, topic_reader_on_timer, 0.0, 0.0);
   reader->timer.data = reader;
+  ev_timer_init (&reader->extra.timer, extra_reads_on_timer, 0.0, 0.0);
+  reader->extra.timer.data = reader;
+  STAILQ_INIT (&reader->extra.served);
+  STAILQ_INIT (&reader->extra.waiting);
   topic_reader_schedule (reader, 0);
   return reader;
 }
@@ -312,6 +397,9 @@
 topic_reader_destroy (struct topic_reader *reader)
 {
   ev_timer_stop (reader->loop, &reader->timer);
+  ev_timer_stop (reader->loop, &reader->extra.timer);
+  read_waiters_clear (&reader->extra.served);
+  read_waiters_clear (&reader->extra.waiting);
   g_free (reader->page_key);
   g_free (reader);
 }
@@ -356,21 +444,17 @@
 topic_reader_read_to_end (struct topic_reader *reader, void (*done) (void *ctx, bool success),
                           void *ctx)
 {
-  struct extra_reads *extra;
+  struct read_waiter *waiter;
 
   if (!reader->loaded)
     {
       done (ctx, false);
       return;
     }
-  extra = g_new (struct extra_reads, 1);
-  *extra = (struct extra_reads){
-    .reader = reader,
-    .begun_ms = topic_reader_now_ms (reader),
-    .end = -1,
-    .load = reader->n_reloads,
-    .done = done,
-    .ctx = ctx,
-  };
-  extra_reads_send (extra);
+  waiter = g_new0 (struct read_waiter, 1);
+  waiter->done = done;
+  waiter->ctx = ctx;
+  STAILQ_INSERT_TAIL (&reader->extra.waiting, waiter, link);
+  if (!reader->extra.in_progress)
+    extra_reads_schedule (reader);
 }
--- a/tests/jobd/test_topic_reader.c
+++ b/tests/jobd/test_topic_reader.c
@@ -19,6 +19,7 @@
   LIMIT_MS = 8000,
   /* Longest time until an additional read reports its end, with a margin for a busy machine. */
   READ_TO_END_LIMIT_MS = 3500,
+  N_QUESTIONS = 50,
 };
 
 /* A reader, its store, and what the reader has passed on. */
@@ -142,6 +143,15 @@
   return *counter >= value;
 }
 
+/* Runs the loop for some time. */
+static void
+fixture_run (struct fixture *fixture, int64_t ms)
+{
+  unsigned never = 0;
+
+  fixture_run_until (fixture, &never, 1, ms);
+}
+
 /* Runs the loop until the reader has loaded the topic and its next read waits for records. */
 static void
 fixture_run_until_loaded (struct fixture *fixture)
@@ -416,6 +426,60 @@
   fixture_stop (&fixture);
 }
 
+/* Many questions for unknown jobs at once: those that arrive while a read is in progress share the
+ * next one. With a read for each, one host could use up the reads that all hosts have. */
+static void
+test_questions_share_reads (void)
+{
+  struct fixture fixture;
+
+  fixture_start (&fixture, 3);
+  fixture.scripted.hold_reads = true;
+  fixture_open (&fixture);
+  fixture_run_until_loaded (&fixture);
+  fixture.scripted.hold_extra_reads = true;
+  topic_reader_read_to_end (fixture.reader, fixture_on_done, &fixture);
+  SUITE_REQUIRE (fixture_run_until (&fixture, &fixture.scripted.n_extra_reads, 1, LIMIT_MS));
+  /* The read in progress doesn't hold this record, so it can't serve the questions after it. */
+  scripted_topic_append (&fixture.scripted, "job", "value");
+  for (unsigned i = 0; i < N_QUESTIONS; i++)
+    topic_reader_read_to_end (fixture.reader, fixture_on_done, &fixture);
+  fixture_run (&fixture, 100);
+  CU_ASSERT_EQUAL (fixture.scripted.n_extra_reads, 1);
+  CU_ASSERT_EQUAL (fixture.n_done, 0);
+  fixture.scripted.hold_extra_reads = false;
+  scripted_topic_release (&fixture.scripted, true);
+  CU_ASSERT (fixture_run_until (&fixture, &fixture.n_done, 1 + N_QUESTIONS, LIMIT_MS));
+  CU_ASSERT_EQUAL (fixture.n_success, 1 + N_QUESTIONS);
+  CU_ASSERT_STRING_EQUAL (fixture_value (&fixture, "job"), "value");
+  CU_ASSERT_EQUAL (fixture.scripted.n_extra_reads, 2);
+  fixture_stop (&fixture);
+}
+
+/* Questions that come one after the other, each as soon as the last one has its response: reads
+ * keep a minimum distance. */
+static void
+test_questions_in_a_row (void)
+{
+  enum
+  {
+    RUN_MS = 1000,
+    READS_MAX = 25,
+  };
+  struct fixture fixture;
+  int64_t begun_ms;
+
+  fixture_start (&fixture, 3);
+  fixture.scripted.hold_reads = true;
+  fixture_open (&fixture);
+  fixture_run_until_loaded (&fixture);
+  begun_ms = test_now_ms ();
+  while (test_now_ms () - begun_ms < RUN_MS)
+    CU_ASSERT_TRUE (fixture_read_to_end (&fixture));
+  CU_ASSERT (fixture.scripted.n_extra_reads <= READS_MAX);
+  fixture_stop (&fixture);
+}
+
 static const struct suite_test tests[] = {
   { "reads on to the end", test_reads_on_to_the_end },
   { "end as of the first response", test_end_as_of_the_first_response },
@@ -428,6 +492,8 @@
   { "offset beyond the end", test_offset_beyond_the_end },
   { "page without records", test_page_without_records },
   { "load with failed pages", test_load_with_failed_pages },
+  { "questions share reads", test_questions_share_reads },
+  { "questions in a row", test_questions_in_a_row },
 };
 
 int
