Keep an endpoint's fence when it is listed again

An endpoint restarts under its id, and the leader raises its fence. Later it is idle and its registration goes away, as happens while the store is down; the leader forgets it. When the registration is back, the leader began with its epoch's first fence, which is lower than the one the endpoint holds. The heartbeat was rejected for its fence, the leader took this for a successor's and gave up the leadership, and no task of any pool started until another host had claimed (1.3 to 1.6 s) and taken over (up to 4 s).

An endpoint that is new to the scheduler now gets the highest fence that this leader has used for any endpoint.

The new test "endpoint listed again" failed before: superseded, and 0 of 20 tasks started.

--- a/lib/jobs/endpoint_heartbeats.c
+++ b/lib/jobs/endpoint_heartbeats.c
@@ -87,6 +87,7 @@
                    endpoint->id, endpoint->n_tasks, born_ms);
   endpoint->born_ms = born_ms;
   endpoint->fence++;
+  scheduler->highest_fence = MAX (scheduler->highest_fence, endpoint->fence);
   endpoint_reset_incarnation (scheduler, endpoint);
 }
 
--- a/lib/jobs/scheduler.c
+++ b/lib/jobs/scheduler.c
@@ -88,6 +88,7 @@
   scheduler->now_ms = now_ms;
   scheduler->wall_ms = wall_ms;
   scheduler->leading_since_ms = now_ms;
+  scheduler->highest_fence = config->epoch * INCARNATIONS_PER_EPOCH;
   scheduler->host_commands_allowed = true;
   scheduler->starts_per_pass = STARTS_PER_PASS_DIRECT;
   scheduler->endpoints = g_hash_table_new (g_str_hash, g_str_equal);
@@ -174,7 +175,9 @@
   if (!endpoint)
     {
       endpoint = endpoint_create (entry->id, now_ms);
-      endpoint->fence = scheduler->config.epoch * INCARNATIONS_PER_EPOCH;
+      /* The endpoint may have left the registry for a while, and holds the fence that was raised
+       * for it before. */
+      endpoint->fence = scheduler->highest_fence;
       endpoint->born_ms = entry->born_ms;
       g_hash_table_insert (scheduler->endpoints, endpoint->id, endpoint);
     }
--- a/lib/jobs/scheduler_state.h
+++ b/lib/jobs/scheduler_state.h
@@ -68,6 +68,8 @@
   int64_t leading_since_ms;
   /* Id to struct endpoint. */
   GHashTable *endpoints;
+  /* Highest fence of any endpoint, also of those that are no longer known. */
+  uint64_t highest_fence;
   bool registry_loaded;
   struct pool_list pools;
   struct host_list hosts;
--- a/tests/jobs/test_scheduler.c
+++ b/tests/jobs/test_scheduler.c
@@ -329,6 +329,31 @@
   simulation_destroy (simulation);
 }
 
+/* An endpoint restarts under its id, loses its registration while it is idle (as when the store was
+ * down) and is listed again. It holds the fence that was raised for its new incarnation; one that
+ * begins anew is rejected, and the leader would take that for a successor's and give up. */
+static void
+test_endpoint_listed_again (void)
+{
+  struct simulation *simulation = simulation_with_pool (2);
+  Sp__JobStep step = make_step (20);
+  struct simulated_endpoint *endpoint = g_ptr_array_index (simulation->endpoints, 0);
+
+  simulation_run (simulation, 500);
+  simulation_crash_endpoint (simulation, endpoint, true);
+  simulation_run (simulation, 1000);
+  endpoint->listed = false;
+  simulation_run (simulation, 1000);
+  endpoint->listed = true;
+  simulation_run (simulation, 1000);
+  CU_ASSERT_FALSE (simulation->superseded);
+  simulation_submit (simulation, "job", "pool", &step, 1, 3);
+  simulation_run (simulation, 500);
+  CU_ASSERT_EQUAL (simulation->starts, 20);
+  CU_ASSERT_EQUAL (simulation_violations (simulation), 0);
+  simulation_destroy (simulation);
+}
+
 /* A long-running task is started again after its endpoint restarts, and tasks stay within the
  * spread limit of their step. */
 static void
@@ -445,6 +470,7 @@
   { "takeover with a former incarnation", test_takeover_with_former_incarnation },
   { "cancel", test_cancel },
   { "endpoint restart", test_endpoint_restart },
+  { "endpoint listed again", test_endpoint_listed_again },
   { "long-running", test_long_running },
   { "unanswered starts of a limited step", test_unanswered_starts_of_a_limited_step },
   { "gang", test_gang },
