--- a/lib/jobs/job_table.c
+++ b/lib/jobs/job_table.c
@@ -43,18 +43,23 @@
   return job;
 }
 
-/* Applies a definition; the first one of an id wins. */
+/* Applies a definition; the first one of an id that is read wins. A host applies its own append
+ * early, so that an earlier one may be read later: a leader must then know from where on, and since
+ * which epoch, another may have started the job. */
 static void
 job_table_define (struct job_table *table, Sp__JobRecord *record, int64_t offset, int64_t now_ms)
 {
   struct job *job = job_table_get_or_create (table, record->definition->id, now_ms);
-  bool known = job->definition != NULL;
 
+  if (job->definition)
+    {
+      job->offset = MIN (job->offset, offset);
+      job->definition->epoch = MIN (job->definition->epoch, record->definition->epoch);
+      return;
+    }
   job_define (job, record->definition);
   record->definition = NULL;
   record->body_case = SP__JOB_RECORD__BODY__NOT_SET;
-  if (known)
-    return;
   job->offset = offset;
   if (table->on_defined && !job_state_is_final (job->state))
     table->on_defined (table->ctx, job);
--- a/tests/jobs/test_job.c
+++ b/tests/jobs/test_job.c
@@ -2,6 +2,7 @@
 
 #include "lib/jobs/job_table.h"
 #include "lib/jobs/queue_table.h"
+#include "job_records.h"
 #include "suite.h"
 
 /* The job table, as the journal builds it, and the queues of a configuration. */
@@ -23,9 +24,10 @@
   CU_ASSERT_EQUAL (job_table_apply (all_jobs, key, data, len, offset, NOW_MS), 0);
 }
 
-/* Applies the definition of a job with one step of n_tasks tasks. */
+/* Applies the definition of a job with one step of n_tasks tasks, accepted under an epoch. */
 static void
-apply_definition (struct job_table *all_jobs, const char *id, uint32_t n_tasks, int64_t offset)
+apply_definition_of_epoch (struct job_table *all_jobs, const char *id, uint32_t n_tasks,
+                           int64_t offset, uint64_t epoch)
 {
   Sp__JobStep step = SP__JOB_STEP__INIT;
   Sp__JobStep *steps[] = { &step };
@@ -37,11 +39,18 @@
   definition.queue = (char *) "q";
   definition.n_steps = 1;
   definition.steps = steps;
+  definition.epoch = epoch;
   record.body_case = SP__JOB_RECORD__BODY_DEFINITION;
   record.definition = &definition;
   apply_record (all_jobs, &record, offset);
 }
 
+static void
+apply_definition (struct job_table *all_jobs, const char *id, uint32_t n_tasks, int64_t offset)
+{
+  apply_definition_of_epoch (all_jobs, id, n_tasks, offset, 0);
+}
+
 /* Applies a progress record of a job's first task. */
 static void
 apply_progress (struct job_table *all_jobs, const char *id, Sp__JobState state, bool done,
@@ -79,6 +88,22 @@
   job_table_finish (&all_jobs);
 }
 
+/* A host applies its own append of a job before it has read another host's earlier one. The job
+ * counts from the earliest on: a leader that claimed in between must take it for one that a former
+ * leader may have started, and reserve its attempts from that epoch on. */
+static void
+test_earlier_definition_is_read_later (void)
+{
+  struct job_table all_jobs;
+
+  job_table_init (&all_jobs);
+  apply_definition_of_epoch (&all_jobs, "a", 2, 9, 4);
+  apply_definition_of_epoch (&all_jobs, "a", 2, 7, 3);
+  CU_ASSERT_EQUAL (job_table_find (&all_jobs, "a")->offset, 7);
+  CU_ASSERT_EQUAL (job_table_find (&all_jobs, "a")->definition->epoch, 3);
+  job_table_finish (&all_jobs);
+}
+
 /* Progress records that are read again, or in the wrong order, undo nothing. */
 static void
 test_progress_never_goes_back (void)
@@ -136,6 +161,24 @@
   job_table_finish (&all_jobs);
 }
 
+/* A cancellation or progress that is read before the definition still counts after it. */
+static void
+test_definition_read_last (void)
+{
+  struct job_table all_jobs;
+  g_autoptr (GBytes) cancel = job_record_pack_cancel ("a");
+
+  job_table_init (&all_jobs);
+  job_table_apply_record (&all_jobs, cancel, 1, NOW_MS);
+  apply_progress (&all_jobs, "b", SP__JOB_STATE__JOB_RUNNING, false, 0, 0);
+  apply_definition (&all_jobs, "a", 1, 2);
+  apply_definition (&all_jobs, "b", 1, 3);
+  CU_ASSERT_TRUE (job_table_find (&all_jobs, "a")->cancelled);
+  CU_ASSERT_EQUAL (job_table_find (&all_jobs, "b")->state, SP__JOB_STATE__JOB_RUNNING);
+  CU_ASSERT_PTR_NOT_NULL (job_table_find (&all_jobs, "b")->definition);
+  job_table_finish (&all_jobs);
+}
+
 /* A record that can't be parsed changes nothing and is reported as an error. */
 static void
 test_unreadable_record (void)
@@ -209,9 +252,11 @@
 
 static const struct suite_test tests[] = {
   { "the first definition wins", test_first_definition_wins },
+  { "earlier definition is read later", test_earlier_definition_is_read_later },
   { "progress is never undone", test_progress_never_goes_back },
   { "pending", test_pending },
   { "removed", test_removed },
+  { "definition read last", test_definition_read_last },
   { "unreadable record", test_unreadable_record },
   { "validity", test_validity },
   { "queues", test_queues },
