Don't remove a job for a deletion that is older than its definition

A host that had applied its own append, or had loaded the newest records, and then read the older deletion removed the job: it answered 410 for an accepted job, and as leader it forgot its tasks, until it read the definition.

A deletion with a lower offset than the job's definition is ignored now.

Test "older deletion" failed before: the job was gone.

--- a/lib/jobs/job_table.c
+++ b/lib/jobs/job_table.c
@@ -102,9 +102,10 @@
     table->on_leadership (table->ctx, offset);
 }
 
-/* Removes a job whose records are deleted. The key of its progress is deleted last. */
+/* Removes a job whose records are deleted. The key of its progress is deleted last. A deletion that
+ * is older than the job's definition removes nothing: the job was accepted again. */
 static void
-job_table_remove (struct job_table *table, const char *key)
+job_table_remove (struct job_table *table, const char *key, int64_t offset)
 {
   struct job *job;
 
@@ -118,7 +119,7 @@
   if (!g_str_has_prefix (key, "p/"))
     return;
   job = job_table_find (table, key + 2);
-  if (!job)
+  if (!job || offset < job->offset)
     return;
   if (table->on_removed)
     table->on_removed (table->ctx, job);
@@ -133,7 +134,7 @@
 
   if (len == 0)
     {
-      job_table_remove (table, key);
+      job_table_remove (table, key, offset);
       return 0;
     }
   record = sp__job_record__unpack (NULL, len, value);
--- a/tests/jobs/test_job.c
+++ b/tests/jobs/test_job.c
@@ -161,6 +161,22 @@
   job_table_finish (&all_jobs);
 }
 
+/* A job was deleted and accepted again, and this host has applied its own append: the deletion,
+ * read after that, is older and removes nothing. */
+static void
+test_older_deletion (void)
+{
+  struct job_table all_jobs;
+
+  job_table_init (&all_jobs);
+  apply_definition (&all_jobs, "a", 1, 9);
+  job_table_apply (&all_jobs, "p/a", NULL, 0, 8, NOW_MS);
+  CU_ASSERT_PTR_NOT_NULL (job_table_find (&all_jobs, "a"));
+  job_table_apply (&all_jobs, "p/a", NULL, 0, 10, NOW_MS);
+  CU_ASSERT_PTR_NULL (job_table_find (&all_jobs, "a"));
+  job_table_finish (&all_jobs);
+}
+
 /* A cancellation or progress that is read before the definition still counts after it. */
 static void
 test_definition_read_last (void)
@@ -256,6 +272,7 @@
   { "progress is never undone", test_progress_never_goes_back },
   { "pending", test_pending },
   { "removed", test_removed },
+  { "older deletion", test_older_deletion },
   { "definition read last", test_definition_read_last },
   { "unreadable record", test_unreadable_record },
   { "validity", test_validity },
