--- a/jobd/leader.c
+++ b/jobd/leader.c
@@ -16,6 +16,9 @@
   HEARTBEAT_INTERVAL_MS = 350,
   /* Without a durable heartbeat for this long, no host is moved or maintained. */
   HEARTBEAT_VALID_MS = 1500,
+  /* A leader that has not read the journal to its end for this long writes no heartbeats. Longer
+   * than a read without a response and the one after it take. */
+  JOURNAL_UNREAD_MAX_MS = 2500,
   /* Minimum time between two appends, so that progress is written in batches. */
   LEADER_APPEND_INTERVAL_MS = 25,
   /* Minimum time between two reads of the journal. */
@@ -92,6 +95,7 @@
   leader->phase = LEADER_FOLLOWING;
   leader->leader_seen_ms = leader_now_ms (leader);
   leader->heartbeat_in_flight = false;
+  leader->silent = false;
   leader->n_unflushed = 0;
   if (leader->registry)
     {
@@ -350,6 +354,24 @@
   writer_append (leader->writer, key, data, len, leader_on_progress, leader);
 }
 
+/* Returns whether the leader may write heartbeats. One that can't read the journal learns of no new
+ * job, so it leaves the leadership to a host that can read, if there is one: it is replaced when it
+ * has been silent for long enough. Until then it goes on with the jobs that it knows. */
+static bool
+leader_may_send_heartbeat (struct leader *leader)
+{
+  int64_t unread_ms = leader_now_ms (leader) - topic_reader_caught_up_ms (leader->jobd->journal);
+  bool silent = unread_ms > JOURNAL_UNREAD_MAX_MS;
+
+  if (silent != leader->silent)
+    log_warning ("leader",
+                 "heartbeats %s: epoch=%" G_GUINT64_FORMAT " journal_unread_ms=%" G_GINT64_FORMAT,
+                 silent ? "stopped, the journal is unread" : "again, the journal is read",
+                 leader->epoch, unread_ms);
+  leader->silent = silent;
+  return !silent;
+}
+
 /* Appends the scheduler's progress and, when due, a heartbeat. */
 static void
 leader_append_records (struct leader *leader)
@@ -358,7 +380,8 @@
 
   if (leader->n_unflushed == 0 && scheduler_is_dirty (leader->scheduler))
     scheduler_collect (leader->scheduler, leader_append_progress, leader);
-  if (!leader->heartbeat_in_flight && now_ms - leader->heartbeat_sent_ms >= HEARTBEAT_INTERVAL_MS)
+  if (!leader->heartbeat_in_flight && now_ms - leader->heartbeat_sent_ms >= HEARTBEAT_INTERVAL_MS &&
+      leader_may_send_heartbeat (leader))
     {
       leader->heartbeat_in_flight = true;
       leader_append_leadership (leader, false, leader_on_heartbeat);
--- a/jobd/leader_state.h
+++ b/jobd/leader_state.h
@@ -66,6 +66,8 @@
   int64_t heartbeat_sent_ms;
   int64_t heartbeat_durable_ms;
   bool heartbeat_in_flight;
+  /* No heartbeats are written because the journal can't be read. */
+  bool silent;
   /* Progress records that are not durable yet. */
   unsigned n_unflushed;
   /* Number of host commands sent under this epoch. */
--- a/standin/cluster.h
+++ b/standin/cluster.h
@@ -102,6 +102,9 @@
   ev_timer tick;
   struct http_server *store_server;
   struct http_server *machine_server;
+  /* A second port of the store, on which reads may be refused while all else is served. */
+  struct http_server *second_store_server;
+  bool second_refuses_reads;
   /* From name to struct topic. */
   GHashTable *topics;
   LIST_HEAD (, pending_read) pending_reads;
--- a/standin/cluster_main.c
+++ b/standin/cluster_main.c
@@ -35,12 +35,14 @@
                  (int) cluster->max_in_maintenance));
 }
 
-/* Sets faults: {"store":"up|busy|silent|mute"} sets the store's mode, {"dark":"HOST"} makes a
- * host's endpoint unresponsive, {"light":"HOST"} makes it respond again. */
+/* Sets faults: {"store":"up|busy|silent|mute"} sets the store's mode, {"second_reads":"up|refused"}
+ * whether reads are refused on the store's second port, {"dark":"HOST"} makes a host's endpoint
+ * unresponsive, {"light":"HOST"} makes it respond again. */
 static void
 cluster_set_faults (struct cluster *cluster, struct http_request *request, const json_t *body)
 {
   const char *store = json_string_value (json_object_get (body, "store"));
+  const char *second = json_string_value (json_object_get (body, "second_reads"));
   const char *unresponsive = json_string_value (json_object_get (body, "dark"));
   const char *responsive = json_string_value (json_object_get (body, "light"));
 
@@ -49,6 +51,8 @@
                           : strcmp (store, "busy") == 0 ? STORE_BUSY
                           : strcmp (store, "mute") == 0 ? STORE_LOSES_ACKS
                                                         : STORE_UNRESPONSIVE;
+  if (second)
+    cluster->second_refuses_reads = strcmp (second, "refused") == 0;
   for (guint i = 0; i < cluster->hosts->len; i++)
     {
       struct cluster_host *host = g_ptr_array_index (cluster->hosts, i);
@@ -115,6 +119,23 @@
   json_decref (body);
 }
 
+/* Handles a request on the store's second port. */
+static void
+cluster_on_second_request (void *ctx, struct http_request *request)
+{
+  struct cluster *cluster = ctx;
+  const char *path = http_request_path (request);
+  bool read = g_str_has_prefix (path, "/v1/log-read") || g_str_has_prefix (path, "/v1/log-newest");
+
+  if (!read || !cluster->second_refuses_reads)
+    {
+      cluster_on_request (ctx, request);
+      return;
+    }
+  http_request_set_data (request, NULL);
+  http_request_respond_json (request, 503, json_pack ("{s:s}", "error", "refused"));
+}
+
 /* Advances the simulation. */
 static void
 cluster_on_tick (struct ev_loop *loop, ev_timer *timer, int events)
@@ -138,7 +159,7 @@
   ev_break (loop, EVBREAK_ALL);
 }
 
-/* Opens the ports of the store and, next to it, of the machine list. */
+/* Opens the ports of the store and, next to it, of the machine list and the store again. */
 static bool
 cluster_listen (struct cluster *cluster)
 {
@@ -157,7 +178,11 @@
   config.handle = cluster_hosts_handle;
   config.caller_disconnected = NULL;
   cluster->machine_server = http_server_create (cluster->loop, &config);
-  return cluster->store_server && cluster->machine_server;
+  config.port++;
+  config.handle = cluster_on_second_request;
+  config.caller_disconnected = cluster_store_disconnected;
+  cluster->second_store_server = http_server_create (cluster->loop, &config);
+  return cluster->store_server && cluster->machine_server && cluster->second_store_server;
 }
 
 /* Runs the simulated platform until SIGTERM or SIGINT. */
@@ -179,10 +204,10 @@
   cluster_store_init (&cluster);
   if (!cluster_hosts_init (&cluster) || !cluster_listen (&cluster))
     {
-      log_error (
-          "main",
-          "Can't start: the pools \"%s\" are malformed, or port %u or the next one is in use.",
-          settings.pools, settings.port);
+      log_error ("main",
+                 "Can't start: the pools \"%s\" are malformed, or port %u or one of the next two "
+                 "is in use.",
+                 settings.pools, settings.port);
       return PROGRAM_EXIT_BAD_SETTINGS;
     }
   ev_signal_init (&term, cluster_stop, SIGTERM);
@@ -196,6 +221,7 @@
   ev_run (cluster.loop, 0);
   http_server_destroy (cluster.store_server);
   http_server_destroy (cluster.machine_server);
+  http_server_destroy (cluster.second_store_server);
   cluster_hosts_finish (&cluster);
   cluster_store_finish (&cluster);
   g_hash_table_destroy (cluster.done_tasks);
--- a/tests/jobd/hosts.c
+++ b/tests/jobd/hosts.c
@@ -11,6 +11,8 @@
   READY_LIMIT_MS = 15000,
   POLL_INTERVAL_MS = 25,
   PORTS_PER_HOST = 2,
+  /* Distance of the second port of the store from the first. */
+  SECOND_STORE_PORT = 2,
   /* Distance of the first host's ports from the first port of the simulated platform. */
   FIRST_HOST_PORT_OFFSET = 60,
 };
@@ -41,7 +43,8 @@
   snprintf (args[0], sizeof args[0], "--name=%s", name);
   snprintf (args[1], sizeof args[1], "--frontend=127.0.0.1:%u", hosts_port (hosts, n));
   snprintf (args[2], sizeof args[2], "--readiness=127.0.0.1:%u", hosts_port (hosts, n) + 1U);
-  snprintf (args[3], sizeof args[3], "--store=127.0.0.1:%u", hosts->port);
+  snprintf (args[3], sizeof args[3], "--store=127.0.0.1:%u",
+            hosts->port + (n == 0 && hosts->first_uses_second_store_port ? SECOND_STORE_PORT : 0U));
   snprintf (args[4], sizeof args[4], "--machines=127.0.0.1:%u", hosts->port + 1U);
   snprintf (args[5], sizeof args[5], "--seed=%u", n + 1);
   snprintf (args[6], sizeof args[6], "--relay=127.0.0.1:%u", hosts_port (hosts, HOSTS + n));
--- a/tests/jobd/hosts.h
+++ b/tests/jobd/hosts.h
@@ -19,6 +19,8 @@
   uint16_t port;
   /* The leader sends its commands through the other hosts. Set before hosts_start. */
   bool relays;
+  /* The first host reaches the store through its second port. Set before hosts_start. */
+  bool first_uses_second_store_port;
   struct process *cluster;
   struct process *jobds[HOSTS];
 };
