Use a host again that the platform says is in no wave

A wave drains a host, and the platform answers its maintenance with "not of that wave" (409 with reason wave). The host left the wave, but its endpoint stayed marked as drained for it: no task was placed there until the endpoint left or the leader changed, although there was room.

The mark now ends with that answer.

--- a/lib/jobs/hosts.c
+++ b/lib/jobs/hosts.c
@@ -233,6 +233,7 @@
 scheduler_maintain_done (struct scheduler *scheduler, struct host *host, uint32_t number,
                          enum host_command_result result, int64_t now_ms)
 {
+  struct endpoint *endpoint = host_endpoint (scheduler, host);
   struct wave *wave;
 
   scheduler->now_ms = now_ms;
@@ -249,6 +250,9 @@
         g_hash_table_add (wave->begun, g_strdup (host->id));
       wave->dirty = true;
     }
+  /* No wave drains the host any longer. */
+  if (endpoint && result == HOST_COMMAND_NOT_IN_WAVE)
+    endpoint->cordoned_for_wave = false;
   if (result != HOST_COMMAND_DONE)
     {
       host_command_failed (scheduler, host, result);
--- a/tests/jobs/simulation.h
+++ b/tests/jobs/simulation.h
@@ -69,6 +69,8 @@
   /* Index of its endpoint, or -1. */
   int endpoint;
   uint32_t maintained_in;
+  /* The platform says that the host is in no wave. */
+  bool in_no_wave;
   char *rack;
 };
 
--- a/tests/jobs/simulation_hosts.c
+++ b/tests/jobs/simulation_hosts.c
@@ -220,6 +220,12 @@
   for (unsigned i = 0; i < simulation->n_hosts; i++)
     {
       unavailable += simulation->hosts[i].state == HOST_IN_MAINTENANCE;
+      if (strcmp (simulation->hosts[i].id, event->host->id) == 0 && simulation->hosts[i].in_no_wave)
+        {
+          scheduler_maintain_done (simulation->scheduler, event->host, event->wave,
+                                   HOST_COMMAND_NOT_IN_WAVE, simulation->now_ms);
+          return;
+        }
       if (strcmp (simulation->hosts[i].id, event->host->id) == 0 &&
           simulation->hosts[i].maintained_in == event->wave)
         {
--- a/tests/jobs/test_waves.c
+++ b/tests/jobs/test_waves.c
@@ -76,6 +76,29 @@
   simulation_destroy (simulation);
 }
 
+/* The platform says that a host is not in the wave for which it was drained. The host then runs
+ * tasks again; it once stayed empty, as no wave would ever release it. */
+static void
+test_host_not_in_wave (void)
+{
+  struct simulation *simulation = simulation_create (1);
+  Sp__JobStep step = long_running_step (4, 0, 0);
+
+  simulation_add_hosts (simulation, "pool", 1);
+  simulation->hosts[0].in_no_wave = true;
+  simulation_start_new_leader (simulation);
+  simulation_run (simulation, 100);
+  request_wave (simulation, 1, 1, 27000);
+  simulation_run (simulation, 3000);
+  CU_ASSERT_TRUE (simulation->wave_completed);
+  CU_ASSERT_EQUAL (count_maintained (simulation), 0);
+  simulation_submit (simulation, "job", "pool", &step, 1, 3);
+  simulation_run (simulation, 1000);
+  CU_ASSERT_EQUAL (simulation->starts, 4);
+  CU_ASSERT_EQUAL (simulation_violations (simulation), 0);
+  simulation_destroy (simulation);
+}
+
 /* Tasks that were moved for a wave aren't placed on hosts that have yet to be maintained. */
 static void
 test_moved_once (void)
@@ -168,6 +191,7 @@
 }
 
 static const struct suite_test tests[] = {
+  { "host not in the wave", test_host_not_in_wave },
   { "long-running tasks", test_long_running_tasks },
   { "moved once", test_moved_once },
   { "standby hosts", test_standby_hosts },
