tests: takeover without the machine list or a registration

Checks a suspicion that a pool could stay not taken over for good. It can't: test "takeover with missing lists" passes on the unchanged code. The wait ends when the former leader's leases have expired, 4.1 s after the start of the leadership.

--- a/tests/jobs/simulation.h
+++ b/tests/jobs/simulation.h
@@ -96,6 +96,8 @@
   GPtrArray *flush;
   /* The store accepts no records. */
   bool store_down;
+  /* The leader can't read the machine list. */
+  bool machine_list_unreadable;
   struct wave_request wave;
   bool wave_requested;
   bool wave_completed;
--- a/tests/jobs/simulation_hosts.c
+++ b/tests/jobs/simulation_hosts.c
@@ -113,6 +113,8 @@
   struct host_entry entries[SIMULATION_HOSTS_MAX];
   const char *labels[SIMULATION_HOSTS_MAX][3];
 
+  if (simulation->machine_list_unreadable)
+    return;
   for (unsigned i = 0; i < simulation->n_hosts; i++)
     {
       /* Each leader reads the hosts in another order. */
--- a/tests/jobs/test_scheduler.c
+++ b/tests/jobs/test_scheduler.c
@@ -292,6 +292,35 @@
     }
 }
 
+/* After a takeover the machine list can't be read, or an endpoint's registration has gone and comes
+ * back later. The pool's inherited jobs start when the former leader's leases have expired, not
+ * only when all is known again. */
+static void
+test_takeover_with_missing_lists (void)
+{
+  for (int unlisted = 0; unlisted <= 1; unlisted++)
+    {
+      struct simulation *simulation = simulation_with_pool (2);
+      Sp__JobStep step = make_step (1);
+      struct simulated_endpoint *endpoint = g_ptr_array_index (simulation->endpoints, 0);
+
+      simulation_submit (simulation, "job", "pool", &step, 1, 3);
+      endpoint->listed = !unlisted;
+      simulation->machine_list_unreadable = !unlisted;
+      simulation_start_new_leader (simulation);
+      simulation_run (simulation, 3500);
+      CU_ASSERT_EQUAL (simulation->starts, 0);
+      simulation_run (simulation, 1000);
+      CU_ASSERT_EQUAL (simulation->starts, 1);
+      simulation->machine_list_unreadable = false;
+      endpoint->listed = true;
+      simulation_run (simulation, 2000);
+      CU_ASSERT_EQUAL (simulation_job_state (simulation, "job"), SP__JOB_STATE__JOB_COMPLETED);
+      CU_ASSERT_EQUAL (simulation_violations (simulation), 0);
+      simulation_destroy (simulation);
+    }
+}
+
 /* A cancelled job's tasks are stopped, and none starts again. */
 static void
 test_cancel (void)
@@ -468,6 +497,7 @@
   { "takeover", test_takeover },
   { "takeover with an unreachable endpoint", test_takeover_with_unreachable_endpoint },
   { "takeover with a former incarnation", test_takeover_with_former_incarnation },
+  { "takeover with missing lists", test_takeover_with_missing_lists },
   { "cancel", test_cancel },
   { "endpoint restart", test_endpoint_restart },
   { "endpoint listed again", test_endpoint_listed_again },
