Let jobs wait for the takeover that a claiming host has appended itself

Such a job lies behind its claim, and was started at once when it led, although the records before it, not read yet, may hold another host's claim. That host starts the job too: its tasks could run twice at a time.

Jobs that were read behind the claim start at once as before.

--- a/include/lib/jobs/scheduler.h
+++ b/include/lib/jobs/scheduler.h
@@ -112,6 +112,9 @@
   /* Offset of the claim record. Tasks of jobs defined before it may have been started by an earlier
    * leader. */
   int64_t claim_offset;
+  /* Offset up to which the journal has been read. Jobs from there on are known because this host
+   * appended them; the records before them may hold another leader's claim. */
+  int64_t read_offset;
   /* How long a task may run without hearing from the leader. */
   int64_t lease_ms;
   /* How long a task may take to end after it is stopped. */
--- a/jobd/scheduling.c
+++ b/jobd/scheduling.c
@@ -325,6 +325,7 @@
   struct scheduler_config config = {
     .epoch = leader->epoch,
     .claim_offset = leader->claim_offset,
+    .read_offset = topic_reader_offset (jobd->journal),
     .lease_ms = settings->lease_ms,
     .stop_ms = settings->stop_ms,
   };
--- a/lib/jobs/scheduled_jobs.c
+++ b/lib/jobs/scheduled_jobs.c
@@ -169,20 +169,18 @@
   return progress;
 }
 
-/* Adds a job to the scheduler, with the state that its durable progress implies. */
-void
-scheduler_job_defined (struct scheduler *scheduler, struct job *job, int64_t now_ms,
-                       int64_t wall_ms)
+/* Adds a job to the scheduler, with the state that its durable progress implies. inherited: an
+ * earlier leader, or one that has replaced this one, may have started its tasks. */
+static void
+scheduler_add_job (struct scheduler *scheduler, struct job *job, bool inherited)
 {
   struct pool *pool;
   bool exhausted;
 
-  scheduler->now_ms = now_ms;
-  scheduler->wall_ms = wall_ms;
   if (job->scheduled || !job->definition || job_state_is_final (job->state))
     return;
   job->scheduled = true;
-  job->inherited = job->offset < scheduler->config.claim_offset;
+  job->inherited = inherited;
   job_reset_tasks (job);
   if (job->inherited)
     job_reserve_attempts (scheduler, job);
@@ -190,7 +188,7 @@
   pool = scheduler_pool (scheduler, job->definition->pool);
   TAILQ_INSERT_TAIL (&pool->jobs, job, pool_link);
   if (!job->inherited)
-    demand_add_arrival (&pool->demand, job, HOST_READY_MS, now_ms);
+    demand_add_arrival (&pool->demand, job, HOST_READY_MS, scheduler->now_ms);
   scheduler->counts.jobs++;
   if (job_has_progress (job, &exhausted))
     job_mark_dirty (scheduler, job);
@@ -198,7 +196,35 @@
     job->next_state = SP__JOB_STATE__JOB_FAILED;
   job_advance (scheduler, job);
   if (job->cancelled)
-    scheduler_job_cancelled (scheduler, job, now_ms);
+    scheduler_job_cancelled (scheduler, job, scheduler->now_ms);
+}
+
+/* Adds a job whose definition has been read. */
+void
+scheduler_job_defined (struct scheduler *scheduler, struct job *job, int64_t now_ms,
+                       int64_t wall_ms)
+{
+  scheduler->now_ms = now_ms;
+  scheduler->wall_ms = wall_ms;
+  scheduler_add_job (scheduler, job, job->offset < scheduler->config.claim_offset);
+}
+
+/* Adds all jobs that are known when the leadership begins. */
+void
+scheduler_add_jobs (struct scheduler *scheduler)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, scheduler->all_jobs->jobs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct job *job = value;
+
+      scheduler_add_job (scheduler, job,
+                         job->offset < scheduler->config.claim_offset ||
+                             job->offset >= scheduler->config.read_offset);
+    }
 }
 
 /* Finishes a cancelled job once none of its tasks is active. */
--- a/lib/jobs/scheduler.c
+++ b/lib/jobs/scheduler.c
@@ -79,8 +79,6 @@
                   struct job_table *all_jobs, int64_t now_ms, int64_t wall_ms)
 {
   struct scheduler *scheduler = g_new0 (struct scheduler, 1);
-  GHashTableIter iter;
-  gpointer value;
 
   scheduler->config = *config;
   scheduler->ops = *ops;
@@ -98,9 +96,7 @@
   TAILQ_INIT (&scheduler->pools);
   TAILQ_INIT (&scheduler->hosts);
   TAILQ_INIT (&scheduler->waves);
-  g_hash_table_iter_init (&iter, all_jobs->jobs);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    scheduler_job_defined (scheduler, value, now_ms, wall_ms);
+  scheduler_add_jobs (scheduler);
   return scheduler;
 }
 
--- a/lib/jobs/scheduler_state.h
+++ b/lib/jobs/scheduler_state.h
@@ -112,6 +112,7 @@
 bool job_is_late (const struct job *job, int64_t now_ms);
 bool step_dependencies_are_done (const struct job *job, uint32_t occurrence, uint32_t step);
 struct task *scheduler_find_task (const struct scheduler *scheduler, const char *name);
+void scheduler_add_jobs (struct scheduler *scheduler);
 void scheduler_remove_job (struct scheduler *scheduler, struct job *job);
 void scheduler_advance_jobs (struct scheduler *scheduler);
 void scheduler_remove_finished_jobs (struct scheduler *scheduler);
--- a/tests/jobs/simulation.c
+++ b/tests/jobs/simulation.c
@@ -121,6 +121,7 @@
   struct scheduler_config config = {
     .epoch = ++simulation->epoch,
     .claim_offset = simulation->journal->len,
+    .read_offset = simulation->journal->len,
     .lease_ms = LEASE_MS,
     .stop_ms = STOP_MS,
   };
--- a/tests/jobs/test_scheduler.c
+++ b/tests/jobs/test_scheduler.c
@@ -1,7 +1,8 @@
 #include <string.h>
 
-#include "suite.h"
+#include "job_records.h"
 #include "simulation.h"
+#include "suite.h"
 
 /* How the leader handles tasks: dependencies, retries, leases and takeover. */
 
@@ -292,6 +293,52 @@
     }
 }
 
+/* A host claims, and before it has read the journal up to there, it applies a job that it appended
+ * itself. Another host's claim may lie between the two, and that host may have started the job: the
+ * job waits for the takeover, like those from before the claim. */
+static void
+test_takeover_with_own_append (void)
+{
+  enum
+  {
+    CLAIM_OFFSET = 5,
+    READ_OFFSET = 8,
+  };
+  static const struct
+  {
+    const char *id;
+    int64_t offset;
+    bool inherited;
+  } cases[] = {
+    { "before", 3, true },
+    { "read", 6, false },
+    { "ahead", 9, true },
+  };
+  Sp__JobStep step = make_step (1);
+  struct scheduler_config config = {
+    .epoch = 2, .claim_offset = CLAIM_OFFSET, .read_offset = READ_OFFSET, .lease_ms = 3500
+  };
+  struct scheduler_ops ops = { 0 };
+  struct scheduler *scheduler;
+  struct job_table all_jobs;
+
+  job_table_init (&all_jobs);
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct job_spec spec = {
+        .id = cases[i].id, .pool = "pool", .steps = &step, .n_steps = 1, .epoch = 1
+      };
+      g_autoptr (GBytes) record = job_record_pack_definition (&spec);
+
+      job_table_apply_record (&all_jobs, record, cases[i].offset, 1000);
+    }
+  scheduler = scheduler_create (&config, &ops, &all_jobs, 1000, 1000);
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    CU_ASSERT_EQUAL (job_table_find (&all_jobs, cases[i].id)->inherited, cases[i].inherited);
+  scheduler_destroy (scheduler);
+  job_table_finish (&all_jobs);
+}
+
 /* After a takeover the machine list can't be read, or an endpoint's registration has gone and comes
  * back later. The pool's inherited jobs start when the former leader's leases have expired, not
  * only when all is known again. */
@@ -497,6 +544,7 @@
   { "takeover", test_takeover },
   { "takeover with an unreachable endpoint", test_takeover_with_unreachable_endpoint },
   { "takeover with a former incarnation", test_takeover_with_former_incarnation },
+  { "takeover with own append", test_takeover_with_own_append },
   { "takeover with missing lists", test_takeover_with_missing_lists },
   { "cancel", test_cancel },
   { "endpoint restart", test_endpoint_restart },
