tests: a host that is more than one read behind, with real processes

Test "host far behind" of test_partial_store: 300 jobs of 4 kB are accepted while reads of a host are refused.

--- a/standin/cluster_store.c
+++ b/standin/cluster_store.c
@@ -10,6 +10,9 @@
   LENGTH_BYTES = 4,
   PAGE_ITEMS_MAX = 500,
   PRODUCER_OFFSETS_MAX = 5,
+  /* Largest response to a read that names no limit. */
+  READ_KB_MAX = 1024,
+  BYTES_PER_KB = 1024,
 };
 
 struct record
@@ -118,15 +121,19 @@
     g_hash_table_replace (topic->newest, g_strdup (key), GUINT_TO_POINTER (topic->records->len));
 }
 
-/* Answers a read with all records from an offset on: the end offset and the first offset, 8 bytes
- * each, then for each record its length in 4 bytes, the length of the key in 1 byte, key and value.
- * The length of a record does not count its own 4 bytes; numbers are big-endian. */
+/* Answers a read with the records from an offset on, up to the size that max_kb allows: the end
+ * offset and the first offset, 8 bytes each, then for each record its length in 4 bytes, the length
+ * of the key in 1 byte, key and value. The length of a record does not count its own 4 bytes;
+ * numbers are big-endian. */
 static void
 read_answer (struct http_request *request, const struct topic *topic, int64_t from)
 {
   GByteArray *body = g_byte_array_new ();
   uint64_t end = GUINT64_TO_BE ((uint64_t) topic->records->len);
   uint64_t first = 0;
+  const char *max_text = http_request_query (request, "max_kb");
+  guint64 max_bytes =
+      (max_text ? g_ascii_strtoull (max_text, NULL, 10) : READ_KB_MAX) * BYTES_PER_KB;
   struct http_response response = { .status = 200 };
 
   g_byte_array_append (body, (const guint8 *) &end, sizeof end);
@@ -139,6 +146,8 @@
       const void *value = g_bytes_get_data (record->value, &len);
       uint32_t size = GUINT32_TO_BE ((uint32_t) (1 + key_len + len));
 
+      if (i > (guint) from && body->len + sizeof size + 1 + key_len + len > max_bytes)
+        break;
       g_byte_array_append (body, (const guint8 *) &size, sizeof size);
       g_byte_array_append (body, &key_len, 1);
       g_byte_array_append (body, (const guint8 *) record->key, key_len);
--- a/tests/jobd/test_partial_store.c
+++ b/tests/jobd/test_partial_store.c
@@ -12,11 +12,20 @@
   ELECTION_LIMIT_MS = 10000,
   EXIT_LIMIT_MS = 8000,
   COMPLETION_LIMIT_MS = 15000,
+  /* Jobs that are together larger than a response to a read, 1 MiB. */
+  JOBS_BEHIND = 300,
+  SPEC_BYTES = 4000,
+  FIRST_ID_BEHIND = 0x100,
+  TRIES_BEHIND = 200,
 };
 
 #define JOB                                                                                        \
   "{\"spec\":\"s\",\"steps\":[{\"count\":3,\"cpu\":1000,\"mem_mb\":500,\"estimate_ms\":500}]}"
 
+/* No endpoint has the label that it requires. */
+#define JOB_NEVER_STARTED                                                                          \
+  "{\"spec\":\"%s\",\"steps\":[{\"count\":1,\"cpu\":1000,\"mem_mb\":500,\"requires\":\"none\"}]}"
+
 static struct hosts hosts;
 
 /* Makes the first host lead: the others are stopped and started again. */
@@ -56,8 +65,46 @@
   CU_ASSERT_EQUAL (hosts_report_count (&hosts, "after_done"), 0);
 }
 
+static bool
+first_host_follows (void *ctx)
+{
+  (void) ctx;
+  return hosts_leader (&hosts) > 0;
+}
+
+/* A host's reads were refused while more was written to the journal than one response holds. Asked
+ * for the newest job as soon as it can read again, it may say that it doesn't know yet (503), but
+ * not that there is no such job. */
+static void
+test_host_far_behind (void)
+{
+  g_autofree char *spec = g_strnfill (SPEC_BYTES, 's');
+  g_autofree char *job = g_strdup_printf (JOB_NEVER_STARTED, spec);
+  g_autofree char *path = NULL;
+  int status = 0;
+
+  CU_ASSERT_TRUE (test_wait (first_host_follows, NULL, ELECTION_LIMIT_MS));
+  hosts_post (&hosts, "/faults", "{\"second_reads\":\"refused\"}");
+  test_sleep_ms (1000);
+  for (unsigned i = 0; i < JOBS_BEHIND; i++)
+    {
+      g_free (path);
+      path = g_strdup_printf ("/one/%016x", FIRST_ID_BEHIND + i);
+      CU_ASSERT_EQUAL (hosts_call (&hosts, 1, "POST", path, job, NULL), 200);
+    }
+  hosts_post (&hosts, "/faults", "{\"second_reads\":\"up\"}");
+  for (unsigned try = 0; try < TRIES_BEHIND && status != 200; try++)
+    {
+      status = hosts_call (&hosts, 0, "GET", path, NULL, NULL);
+      CU_ASSERT (status == 200 || status == 503);
+      test_sleep_ms (20);
+    }
+  CU_ASSERT_EQUAL (status, 200);
+}
+
 static const struct suite_test tests[] = {
   { "leader cannot read", test_leader_cannot_read },
+  { "host far behind", test_host_far_behind },
 };
 
 int
