--- a/jobd/record_sender.c
+++ b/jobd/record_sender.c
@@ -27,8 +27,7 @@
 struct record_sender
 {
   struct jobd *jobd;
-  /* In the order in which they were handed over. Numbers begin at the process's incarnation, so
-   * that what the leader reports of an earlier process's records fits none of this one's. */
+  /* In the order in which they were handed over. */
   TAILQ_HEAD (, handed_record) records;
   uint64_t last_number;
   struct metric handed;
@@ -40,7 +39,6 @@
   struct record_sender *sender = g_new0 (struct record_sender, 1);
 
   sender->jobd = jobd;
-  sender->last_number = jobd->incarnation;
   TAILQ_INIT (&sender->records);
   metric_add_counter (&jobd->metrics, &sender->handed, "sesamepick_jobd_records_handed_total", "",
                       "Records of callers that were handed to the leader.");
--- a/protocols/command.pb-c.h
+++ b/protocols/command.pb-c.h
@@ -165,7 +165,7 @@
 {
   ProtobufCMessage base;
   /*
-   * Number of the record. It differs from those of the host's earlier processes.
+   * Number of the record, unique within one process of the host.
    */
   uint64_t number;
   char *key;
