Repeat a read without response as soon as it has timed out

A read that hangs ends after 1.7 s, and its repetition followed 0.25 s later.

The 0.25 s between a failed read and the next now count from when the failed one was sent. A read that is refused at once is still repeated after 0.25 s.

Test "read without response" failed before (repeated later than 1.85 s after the read).

--- a/jobd/topic_reader.c
+++ b/jobd/topic_reader.c
@@ -155,7 +155,7 @@
     reader->healthy_since_ms = topic_reader_now_ms (reader);
 }
 
-/* Schedules a retry after a failed read. */
+/* Schedules a retry after a failed read, RETRY_DELAY_MS after that was sent at the earliest. */
 static void
 topic_reader_read_failed (struct topic_reader *reader, const struct store_response *response)
 {
@@ -164,7 +164,7 @@
                  reader->config.topic, response->result, response->status);
   reader->failing = true;
   reader->healthy_since_ms = 0;
-  topic_reader_schedule (reader, RETRY_DELAY_MS);
+  topic_reader_schedule (reader, reader->sent_ms + RETRY_DELAY_MS - topic_reader_now_ms (reader));
 }
 
 /* Handles the response to a read of the newest records: one page of them, or a failure. */
--- a/tests/jobd/test_topic_reader.c
+++ b/tests/jobd/test_topic_reader.c
@@ -15,6 +15,9 @@
   PORT_BLOCK = 98,
   WAIT_MS = 1000,
   MIN_INTERVAL_MS = 20,
+  /* Timeout of a read, and the longest time until it is repeated. */
+  READ_TIMEOUT_MS = WAIT_MS + 700,
+  REPEAT_LIMIT_MS = 150,
   /* Time limit of a wait of a test. */
   LIMIT_MS = 8000,
   /* Longest time until an additional read reports its end, with a margin for a busy machine. */
@@ -275,6 +278,24 @@
   fixture_stop (&fixture);
 }
 
+/* A read that gets no response is repeated when it has timed out, without a further wait: a
+ * configuration has to be in force 2 s after it was written, and the read takes 1.7 s of that. */
+static void
+test_read_without_response (void)
+{
+  struct fixture fixture;
+  int64_t begun_ms;
+
+  fixture_start (&fixture, 3);
+  fixture.scripted.hold_reads = true;
+  fixture_open (&fixture);
+  fixture_run_until_loaded (&fixture);
+  begun_ms = test_now_ms ();
+  CU_ASSERT (fixture_run_until (&fixture, &fixture.scripted.n_reads, 2, LIMIT_MS));
+  CU_ASSERT (test_now_ms () - begun_ms < READ_TIMEOUT_MS + REPEAT_LIMIT_MS);
+  fixture_stop (&fixture);
+}
+
 /* The response to the regular read arrives after that of an additional read with newer records: the
  * older ones are not passed on again, which would show older values for a while. */
 static void
@@ -486,6 +507,7 @@
   { "deadline", test_deadline },
   { "response without records", test_response_without_records },
   { "failed read", test_failed_read },
+  { "read without response", test_read_without_response },
   { "responses that overtake", test_responses_that_overtake },
   { "read across a reload", test_read_across_a_reload },
   { "response with a gap", test_response_with_a_gap },
