--- a/lib/jobs/hosts.c
+++ b/lib/jobs/hosts.c
@@ -277,6 +277,7 @@
 scheduler_maintain_done (struct scheduler *scheduler, struct host *host, uint32_t number,
                          enum host_command_result result, int64_t now_ms)
 {
+  struct endpoint *endpoint = host_endpoint (scheduler, host);
   struct wave *wave;
 
   scheduler->now_ms = now_ms;
@@ -302,6 +303,9 @@
     {
       host->maintenance_unknown = false;
       g_clear_pointer (&host->maintained_endpoint_id, g_free);
+      /* No wave drains the host any longer. */
+      if (endpoint)
+        endpoint->cordoned_for_wave = false;
     }
   if (result != HOST_COMMAND_DONE)
     {
--- a/lib/jobs/job_table.c
+++ b/lib/jobs/job_table.c
@@ -43,18 +43,23 @@
   return job;
 }
 
-/* Applies a definition; the first one of an id wins. */
+/* Applies a definition; the first one of an id that is read wins. A host applies its own append
+ * early, so that an earlier one may be read later: a leader must then know from where on, and since
+ * which epoch, another may have started the job. */
 static void
 job_table_define (struct job_table *table, Sp__JobRecord *record, int64_t offset, int64_t now_ms)
 {
   struct job *job = job_table_get_or_create (table, record->definition->id, now_ms);
-  bool known = job->definition != NULL;
 
+  if (job->definition)
+    {
+      job->offset = MIN (job->offset, offset);
+      job->definition->epoch = MIN (job->definition->epoch, record->definition->epoch);
+      return;
+    }
   job_define (job, record->definition);
   record->definition = NULL;
   record->body_case = SP__JOB_RECORD__BODY__NOT_SET;
-  if (known)
-    return;
   job->offset = offset;
   if (table->on_defined && !job_state_is_final (job->state))
     table->on_defined (table->ctx, job);
@@ -97,9 +102,10 @@
     table->on_leadership (table->ctx, offset);
 }
 
-/* Removes a job whose records are deleted. The key of its progress is deleted last. */
+/* Removes a job whose records are deleted. The key of its progress is deleted last. A deletion that
+ * is older than the job's definition removes nothing: the job was accepted again. */
 static void
-job_table_remove (struct job_table *table, const char *key)
+job_table_remove (struct job_table *table, const char *key, int64_t offset)
 {
   struct job *job;
 
@@ -113,7 +119,7 @@
   if (!g_str_has_prefix (key, "p/"))
     return;
   job = job_table_find (table, key + 2);
-  if (!job)
+  if (!job || offset < job->offset)
     return;
   if (table->on_removed)
     table->on_removed (table->ctx, job);
@@ -128,7 +134,7 @@
 
   if (len == 0)
     {
-      job_table_remove (table, key);
+      job_table_remove (table, key, offset);
       return 0;
     }
   record = sp__job_record__unpack (NULL, len, value);
--- a/tests/jobd/hosts.h
+++ b/tests/jobd/hosts.h
@@ -11,6 +11,8 @@
 enum
 {
   HOSTS = 3,
+  /* Distance of the store's second port from its first. */
+  SECOND_STORE_PORT = 2,
 };
 
 struct hosts
@@ -21,9 +23,9 @@
   bool relays;
   /* How long ended jobs are kept; 0 for the default. Set before hosts_start. */
   unsigned status_ms;
-  /* Port at which the first host reaches the store; 0 for the store's own. Set before hosts_start.
-   */
-  uint16_t first_store_port;
+  /* Port at which the first host reaches the store, as the distance from the store's first port; 0
+   * for that one. Set before hosts_start. */
+  unsigned first_store_port_offset;
   struct process *cluster;
   struct process *jobds[HOSTS];
 };
--- a/tests/jobs/simulation.h
+++ b/tests/jobs/simulation.h
@@ -81,6 +81,8 @@
   uint32_t maintained_in;
   /* Highest token of a command that has reached it. */
   uint64_t token;
+  /* The platform says that the host is in no wave. */
+  bool in_no_wave;
   char *rack;
 };
 
@@ -106,6 +108,8 @@
   GPtrArray *flush;
   /* The store accepts no records. */
   bool store_down;
+  /* The leader can't read the machine list. */
+  bool machine_list_unreadable;
   struct wave_request wave;
   bool wave_requested;
   bool wave_completed;
--- a/tests/jobs/simulation_hosts.c
+++ b/tests/jobs/simulation_hosts.c
@@ -113,6 +113,8 @@
   struct host_entry entries[SIMULATION_HOSTS_MAX];
   const char *labels[SIMULATION_HOSTS_MAX][3];
 
+  if (simulation->machine_list_unreadable)
+    return;
   for (unsigned i = 0; i < simulation->n_hosts; i++)
     {
       /* Each leader reads the hosts in another order. */
@@ -247,6 +249,8 @@
 
   if (!simulated_host_accept_token (host, event->token))
     return HOST_COMMAND_FENCED;
+  if (host->in_no_wave)
+    return HOST_COMMAND_NOT_IN_WAVE;
   if (host->maintained_in == event->wave)
     return HOST_COMMAND_DONE;
   if (host->state != HOST_UP)
--- a/tests/jobs/test_scheduler.c
+++ b/tests/jobs/test_scheduler.c
@@ -1,7 +1,8 @@
 #include <string.h>
 
-#include "suite.h"
+#include "job_records.h"
 #include "simulation.h"
+#include "suite.h"
 
 /* How the leader handles tasks: dependencies, retries, leases and takeover. */
 
@@ -431,6 +432,81 @@
     }
 }
 
+/* A host claims, and before it has read the journal up to there, it applies a job that it appended
+ * itself. Another host's claim may lie between the two, and that host may have started the job: the
+ * job waits for the takeover, like those from before the claim. */
+static void
+test_takeover_with_own_append (void)
+{
+  enum
+  {
+    CLAIM_OFFSET = 5,
+    READ_OFFSET = 8,
+  };
+  static const struct
+  {
+    const char *id;
+    int64_t offset;
+    bool inherited;
+  } cases[] = {
+    { "before", 3, true },
+    { "read", 6, false },
+    { "ahead", 9, true },
+  };
+  Sp__JobStep step = make_step (1);
+  struct scheduler_config config = {
+    .epoch = 2, .claim_offset = CLAIM_OFFSET, .read_offset = READ_OFFSET, .lease_ms = 3500
+  };
+  struct scheduler_ops ops = { 0 };
+  struct scheduler *scheduler;
+  struct job_table all_jobs;
+
+  job_table_init (&all_jobs);
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct job_spec spec = {
+        .id = cases[i].id, .pool = "pool", .steps = &step, .n_steps = 1, .epoch = 1
+      };
+      g_autoptr (GBytes) record = job_record_pack_definition (&spec);
+
+      job_table_apply_record (&all_jobs, record, cases[i].offset, 1000);
+    }
+  scheduler = scheduler_create (&config, &ops, &all_jobs, 1000, 1000);
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    CU_ASSERT_EQUAL (job_table_find (&all_jobs, cases[i].id)->inherited, cases[i].inherited);
+  scheduler_destroy (scheduler);
+  job_table_finish (&all_jobs);
+}
+
+/* After a takeover the machine list can't be read, or an endpoint's registration has gone and comes
+ * back later. The pool's inherited jobs start when the former leader's leases have expired, not
+ * only when all is known again. */
+static void
+test_takeover_with_missing_lists (void)
+{
+  for (int unlisted = 0; unlisted <= 1; unlisted++)
+    {
+      struct simulation *simulation = simulation_with_pool (2);
+      Sp__JobStep step = make_step (1);
+      struct simulated_endpoint *endpoint = g_ptr_array_index (simulation->endpoints, 0);
+
+      simulation_submit (simulation, "job", "pool", &step, 1, 3);
+      endpoint->listed = !unlisted;
+      simulation->machine_list_unreadable = !unlisted;
+      simulation_start_new_leader (simulation);
+      simulation_run (simulation, 3500);
+      CU_ASSERT_EQUAL (simulation->starts, 0);
+      simulation_run (simulation, 1000);
+      CU_ASSERT_EQUAL (simulation->starts, 1);
+      simulation->machine_list_unreadable = false;
+      endpoint->listed = true;
+      simulation_run (simulation, 2000);
+      CU_ASSERT_EQUAL (simulation_job_state (simulation, "job"), SP__JOB_STATE__JOB_COMPLETED);
+      CU_ASSERT_EQUAL (simulation_violations (simulation), 0);
+      simulation_destroy (simulation);
+    }
+}
+
 /* A cancelled job's tasks are stopped, and none starts again. */
 static void
 test_cancel (void)
@@ -468,6 +544,31 @@
   simulation_destroy (simulation);
 }
 
+/* An endpoint restarts under its id, loses its registration while it is idle (as when the store was
+ * down) and is listed again. It holds the fence that was raised for its new incarnation; one that
+ * begins anew is rejected, and the leader would take that for a successor's and give up. */
+static void
+test_endpoint_listed_again (void)
+{
+  struct simulation *simulation = simulation_with_pool (2);
+  Sp__JobStep step = make_step (20);
+  struct simulated_endpoint *endpoint = g_ptr_array_index (simulation->endpoints, 0);
+
+  simulation_run (simulation, 500);
+  simulation_crash_endpoint (simulation, endpoint, true);
+  simulation_run (simulation, 1000);
+  endpoint->listed = false;
+  simulation_run (simulation, 1000);
+  endpoint->listed = true;
+  simulation_run (simulation, 1000);
+  CU_ASSERT_FALSE (simulation->superseded);
+  simulation_submit (simulation, "job", "pool", &step, 1, 3);
+  simulation_run (simulation, 500);
+  CU_ASSERT_EQUAL (simulation->starts, 20);
+  CU_ASSERT_EQUAL (simulation_violations (simulation), 0);
+  simulation_destroy (simulation);
+}
+
 /* A long-running task is started again after its endpoint restarts, and tasks stay within the
  * spread limit of their step. */
 static void
@@ -586,8 +687,11 @@
   { "takeover", test_takeover },
   { "takeover with an unreachable endpoint", test_takeover_with_unreachable_endpoint },
   { "takeover with a former incarnation", test_takeover_with_former_incarnation },
+  { "takeover with own append", test_takeover_with_own_append },
+  { "takeover with missing lists", test_takeover_with_missing_lists },
   { "cancel", test_cancel },
   { "endpoint restart", test_endpoint_restart },
+  { "endpoint listed again", test_endpoint_listed_again },
   { "long-running", test_long_running },
   { "unanswered starts of a limited step", test_unanswered_starts_of_a_limited_step },
   { "gang", test_gang },
