--- a/lib/jobs/scheduler_state.h
+++ b/lib/jobs/scheduler_state.h
@@ -68,6 +68,8 @@
   int64_t leading_since_ms;
   /* Id to struct endpoint. */
   GHashTable *endpoints;
+  /* Highest fence of any endpoint, also of those that are no longer known. */
+  uint64_t highest_fence;
   bool registry_loaded;
   struct pool_list pools;
   struct host_list hosts;
@@ -110,6 +112,7 @@
 bool job_is_late (const struct job *job, int64_t now_ms);
 bool step_dependencies_are_done (const struct job *job, uint32_t occurrence, uint32_t step);
 struct task *scheduler_find_task (const struct scheduler *scheduler, const char *name);
+void scheduler_add_jobs (struct scheduler *scheduler);
 void scheduler_remove_job (struct scheduler *scheduler, struct job *job);
 void scheduler_advance_jobs (struct scheduler *scheduler);
 void scheduler_remove_finished_jobs (struct scheduler *scheduler);
--- a/tests/jobs/simulation.h
+++ b/tests/jobs/simulation.h
@@ -47,6 +47,16 @@
   bool unreachable;
   /* Every attempt that it starts fails after a short time. */
   bool fails_all;
+  /* Answers every start with an unknown status, such as 500, and carries out none, or all. */
+  bool start_errors;
+  bool start_errors_carried_out;
+  /* Answers every stop so, and carries out none. */
+  bool stop_errors;
+  /* Number of start commands sent to it. */
+  unsigned start_commands;
+  /* It rejects all commands as unhealthy within this time. */
+  int64_t unhealthy_from_ms;
+  int64_t unhealthy_until_ms;
   bool listed;
   bool draining;
   int64_t born_ms;
@@ -69,6 +79,10 @@
   /* Index of its endpoint, or -1. */
   int endpoint;
   uint32_t maintained_in;
+  /* Highest token of a command that has reached it. */
+  uint64_t token;
+  /* The platform says that the host is in no wave. */
+  bool in_no_wave;
   char *rack;
 };
 
@@ -94,6 +108,8 @@
   GPtrArray *flush;
   /* The store accepts no records. */
   bool store_down;
+  /* The leader can't read the machine list. */
+  bool machine_list_unreadable;
   struct wave_request wave;
   bool wave_requested;
   bool wave_completed;
@@ -103,6 +119,15 @@
    * that are carried out seconds late and get no response either. */
   int lost_permille;
   int late_permille;
+  /* Share of commands, in thousandths, whose connection closes at once: they are carried out,
+   * carried out late or not at all, and the endpoint rejects what follows for a while as unhealthy.
+   */
+  int closed_permille;
+  /* The same for commands to hosts: the connection closes at once, and the command is carried out,
+   * carried out late or not at all. And the share of those that are rejected as too many. */
+  int host_closed_permille;
+  int host_rejected_permille;
+  uint64_t last_token;
   /* Duration of batch attempts, and share of attempts that fail. */
   int64_t work_ms;
   int fail_permille;
@@ -119,6 +144,7 @@
   /* Counters. */
   unsigned starts;
   unsigned moves;
+  unsigned attempts_ended_by_moves;
   unsigned lease_extensions;
 };
 
--- a/tests/jobs/test_scheduler.c
+++ b/tests/jobs/test_scheduler.c
@@ -1,7 +1,8 @@
 #include <string.h>
 
-#include "suite.h"
+#include "job_records.h"
 #include "simulation.h"
+#include "suite.h"
 
 /* How the leader handles tasks: dependencies, retries, leases and takeover. */
 
@@ -190,6 +191,145 @@
   simulation_destroy (simulation);
 }
 
+/* Connections close before the response, and what follows is rejected as by an unhealthy endpoint.
+ * The rejection of a repeated start doesn't prove that the first one was not carried out: no task
+ * may be started elsewhere before it is stopped. */
+static void
+test_closed_connections (void)
+{
+  enum
+  {
+    SEEDS = 20,
+  };
+
+  for (guint32 seed = 1; seed <= SEEDS; seed++)
+    {
+      struct simulation *simulation = simulation_create (seed);
+      Sp__JobStep step = make_step (20);
+
+      simulation_add_hosts (simulation, "pool", 4);
+      simulation_start_new_leader (simulation);
+      simulation_run (simulation, 100);
+      simulation->closed_permille = 200;
+      simulation->work_ms = 2000;
+      simulation_submit (simulation, "job", "pool", &step, 1, 3);
+      simulation_run (simulation, 10000);
+      simulation->closed_permille = 0;
+      simulation_run (simulation, 20000);
+      CU_ASSERT_EQUAL (simulation_job_state (simulation, "job"), SP__JOB_STATE__JOB_COMPLETED);
+      CU_ASSERT_EQUAL (simulation_violations (simulation), 0);
+      simulation_destroy (simulation);
+    }
+}
+
+/* The connection of one start closes, and the endpoint is unhealthy for up to 0.6 s. If the start
+ * was carried out, the attempt goes on: it is not stopped because the repetition was rejected. */
+static void
+test_unhealthy_after_lost_start (void)
+{
+  enum
+  {
+    SEEDS = 40,
+  };
+
+  for (guint32 seed = 1; seed <= SEEDS; seed++)
+    {
+      struct simulation *simulation = simulation_create (seed);
+      Sp__JobStep step = make_step (1);
+
+      simulation_add_hosts (simulation, "pool", 2);
+      simulation_start_new_leader (simulation);
+      simulation_run (simulation, 100);
+      simulation->closed_permille = 1000;
+      simulation_submit (simulation, "job", "pool", &step, 1, 3);
+      simulation_run (simulation, 20);
+      simulation->closed_permille = 0;
+      simulation_run (simulation, 8000);
+      CU_ASSERT_EQUAL (simulation->starts, 1);
+      CU_ASSERT_EQUAL (simulation_job_state (simulation, "job"), SP__JOB_STATE__JOB_COMPLETED);
+      CU_ASSERT_EQUAL (simulation_violations (simulation), 0);
+      simulation_destroy (simulation);
+    }
+}
+
+/* An endpoint answers every start with status 500, and carries out none or all of them; and in half
+ * of the variants every stop, of which it carries out none. It is avoided like one that fails its
+ * tasks. Otherwise the tasks return to it for good, since it is the emptiest one, or wait for their
+ * stops. */
+static void
+test_start_errors (void)
+{
+  enum
+  {
+    JOBS = 40,
+    SUBMIT_INTERVAL_MS = 250,
+    LAST_MS = 3000,
+    /* Sends of one start, see START_SENDS_MAX, and the time for them. */
+    SENDS = 3,
+    SENDS_MS = 400,
+    TASKS_AT_ONCE = 10,
+    AVOID_MS = 3000,
+    /* The endpoint takes tasks up to its ten cores once, and again whenever it is no longer
+     * avoided. The first time of avoidance is shorter. */
+    TURNS_MAX = 2 + (JOBS * SUBMIT_INTERVAL_MS + LAST_MS) / (AVOID_MS + SENDS_MS),
+  };
+
+  for (int variant = 0; variant < 4; variant++)
+    {
+      struct simulation *simulation = simulation_with_pool (3);
+      struct simulated_endpoint *failing = g_ptr_array_index (simulation->endpoints, 0);
+      Sp__JobStep step = make_step (4);
+
+      failing->start_errors = true;
+      failing->start_errors_carried_out = variant % 2 == 1;
+      failing->stop_errors = variant >= 2;
+      for (int i = 0; i < JOBS; i++)
+        {
+          g_autofree char *id = g_strdup_printf ("job%d", i);
+
+          simulation_submit (simulation, id, "pool", &step, 1, 2);
+          simulation_run (simulation, SUBMIT_INTERVAL_MS);
+        }
+      simulation_run (simulation, LAST_MS);
+      for (int i = 0; i < JOBS; i++)
+        {
+          g_autofree char *id = g_strdup_printf ("job%d", i);
+
+          CU_ASSERT_EQUAL (simulation_job_state (simulation, id), SP__JOB_STATE__JOB_COMPLETED);
+        }
+      CU_ASSERT (failing->start_commands <= SENDS * TASKS_AT_ONCE * TURNS_MAX);
+      CU_ASSERT_EQUAL (simulation_violations (simulation), 0);
+      simulation_destroy (simulation);
+    }
+}
+
+/* As above, with the tasks of a step that lasts, of which few may be unavailable. None of those
+ * that the endpoint doesn't start may be stopped while the others are away, and none would start
+ * elsewhere. */
+static void
+test_start_errors_of_a_limited_step (void)
+{
+  struct simulation *simulation = simulation_with_pool (3);
+  struct simulated_endpoint *failing = g_ptr_array_index (simulation->endpoints, 0);
+  Sp__JobStep step = make_step (9);
+
+  step.long_running = true;
+  step.away_limit = 1;
+  failing->start_errors = true;
+  simulation_submit (simulation, "job", "pool", &step, 1, 2);
+  simulation_run (simulation, 6000);
+  for (unsigned i = 0; i < step.n_tasks; i++)
+    {
+      g_autofree char *name = g_strdup_printf ("job.0.0.%u", i);
+
+      CU_ASSERT_PTR_NOT_NULL (simulation_find_attempt (simulation, name, NULL));
+    }
+  /* Three sends of each start, once or twice. */
+  CU_ASSERT (failing->start_commands <= 2 * 3 * step.n_tasks);
+  CU_ASSERT_EQUAL (simulation_violations (simulation), 0);
+  simulation_destroy (simulation);
+}
+
 /* An unreachable endpoint gets no further lease. Its tasks start elsewhere once the last lease has
  * certainly expired, and not before. */
 static void
@@ -292,6 +432,81 @@
     }
 }
 
+/* A host claims, and before it has read the journal up to there, it applies a job that it appended
+ * itself. Another host's claim may lie between the two, and that host may have started the job: the
+ * job waits for the takeover, like those from before the claim. */
+static void
+test_takeover_with_own_append (void)
+{
+  enum
+  {
+    CLAIM_OFFSET = 5,
+    READ_OFFSET = 8,
+  };
+  static const struct
+  {
+    const char *id;
+    int64_t offset;
+    bool inherited;
+  } cases[] = {
+    { "before", 3, true },
+    { "read", 6, false },
+    { "ahead", 9, true },
+  };
+  Sp__JobStep step = make_step (1);
+  struct scheduler_config config = {
+    .epoch = 2, .claim_offset = CLAIM_OFFSET, .read_offset = READ_OFFSET, .lease_ms = 3500
+  };
+  struct scheduler_ops ops = { 0 };
+  struct scheduler *scheduler;
+  struct job_table all_jobs;
+
+  job_table_init (&all_jobs);
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct job_spec spec = {
+        .id = cases[i].id, .pool = "pool", .steps = &step, .n_steps = 1, .epoch = 1
+      };
+      g_autoptr (GBytes) record = job_record_pack_definition (&spec);
+
+      job_table_apply_record (&all_jobs, record, cases[i].offset, 1000);
+    }
+  scheduler = scheduler_create (&config, &ops, &all_jobs, 1000, 1000);
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    CU_ASSERT_EQUAL (job_table_find (&all_jobs, cases[i].id)->inherited, cases[i].inherited);
+  scheduler_destroy (scheduler);
+  job_table_finish (&all_jobs);
+}
+
+/* After a takeover the machine list can't be read, or an endpoint's registration has gone and comes
+ * back later. The pool's inherited jobs start when the former leader's leases have expired, not
+ * only when all is known again. */
+static void
+test_takeover_with_missing_lists (void)
+{
+  for (int unlisted = 0; unlisted <= 1; unlisted++)
+    {
+      struct simulation *simulation = simulation_with_pool (2);
+      Sp__JobStep step = make_step (1);
+      struct simulated_endpoint *endpoint = g_ptr_array_index (simulation->endpoints, 0);
+
+      simulation_submit (simulation, "job", "pool", &step, 1, 3);
+      endpoint->listed = !unlisted;
+      simulation->machine_list_unreadable = !unlisted;
+      simulation_start_new_leader (simulation);
+      simulation_run (simulation, 3500);
+      CU_ASSERT_EQUAL (simulation->starts, 0);
+      simulation_run (simulation, 1000);
+      CU_ASSERT_EQUAL (simulation->starts, 1);
+      simulation->machine_list_unreadable = false;
+      endpoint->listed = true;
+      simulation_run (simulation, 2000);
+      CU_ASSERT_EQUAL (simulation_job_state (simulation, "job"), SP__JOB_STATE__JOB_COMPLETED);
+      CU_ASSERT_EQUAL (simulation_violations (simulation), 0);
+      simulation_destroy (simulation);
+    }
+}
+
 /* A cancelled job's tasks are stopped, and none starts again. */
 static void
 test_cancel (void)
@@ -329,6 +544,31 @@
   simulation_destroy (simulation);
 }
 
+/* An endpoint restarts under its id, loses its registration while it is idle (as when the store was
+ * down) and is listed again. It holds the fence that was raised for its new incarnation; one that
+ * begins anew is rejected, and the leader would take that for a successor's and give up. */
+static void
+test_endpoint_listed_again (void)
+{
+  struct simulation *simulation = simulation_with_pool (2);
+  Sp__JobStep step = make_step (20);
+  struct simulated_endpoint *endpoint = g_ptr_array_index (simulation->endpoints, 0);
+
+  simulation_run (simulation, 500);
+  simulation_crash_endpoint (simulation, endpoint, true);
+  simulation_run (simulation, 1000);
+  endpoint->listed = false;
+  simulation_run (simulation, 1000);
+  endpoint->listed = true;
+  simulation_run (simulation, 1000);
+  CU_ASSERT_FALSE (simulation->superseded);
+  simulation_submit (simulation, "job", "pool", &step, 1, 3);
+  simulation_run (simulation, 500);
+  CU_ASSERT_EQUAL (simulation->starts, 20);
+  CU_ASSERT_EQUAL (simulation_violations (simulation), 0);
+  simulation_destroy (simulation);
+}
+
 /* A long-running task is started again after its endpoint restarts, and tasks stay within the
  * spread limit of their step. */
 static void
@@ -439,12 +679,19 @@
   { "same process leads again", test_same_process_leads_again },
   { "failing endpoint", test_failing_endpoint },
   { "lost responses", test_lost_responses },
+  { "closed connections", test_closed_connections },
+  { "unhealthy after a lost start", test_unhealthy_after_lost_start },
+  { "start errors", test_start_errors },
+  { "start errors of a limited step", test_start_errors_of_a_limited_step },
   { "unreachable endpoint", test_unreachable_endpoint },
   { "takeover", test_takeover },
   { "takeover with an unreachable endpoint", test_takeover_with_unreachable_endpoint },
   { "takeover with a former incarnation", test_takeover_with_former_incarnation },
+  { "takeover with own append", test_takeover_with_own_append },
+  { "takeover with missing lists", test_takeover_with_missing_lists },
   { "cancel", test_cancel },
   { "endpoint restart", test_endpoint_restart },
+  { "endpoint listed again", test_endpoint_listed_again },
   { "long-running", test_long_running },
   { "unanswered starts of a limited step", test_unanswered_starts_of_a_limited_step },
   { "gang", test_gang },
