Count a 409 without a known reason and a 410 to an append as unknown

They come from something else than the store, which may have carried the append out. The writer now retries such an append under its sequence number.

--- a/jobd/writer.c
+++ b/jobd/writer.c
@@ -205,6 +205,8 @@
         writer_schedule_next (writer);
       break;
     case STORE_UNKNOWN:
+    case STORE_EXPIRED:
+      /* Only a read can be rejected because its records have expired. */
       writer->maybe_written = true;
       /* Before the callbacks, since these may destroy the writer. A call that failed quickly is
        * repeated at once only the first time. */
--- a/tests/jobd/scripted_store.c
+++ b/tests/jobd/scripted_store.c
@@ -183,6 +183,29 @@
   setsockopt (connection->readable.fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
 }
 
+/* Returns the status of a response; status is the one that follows from the protocol. */
+static int
+behaviour_status (enum store_behaviour behaviour, int status)
+{
+  switch (behaviour)
+    {
+    case BEHAVIOUR_BAD_GATEWAY:
+      return 502;
+    case BEHAVIOUR_UNAVAILABLE_DONE:
+      return 503;
+    case BEHAVIOUR_MALFORMED:
+      return 400;
+    case BEHAVIOUR_OTHER_CONFLICT:
+      return 409;
+    case BEHAVIOUR_GONE:
+      return 410;
+    case BEHAVIOUR_EMPTY_RESPONSE:
+      return 200;
+    default:
+      return status;
+    }
+}
+
 /* Treats an append, which it takes over, as the script says. Returns whether the connection stays
  * open. */
 static bool
@@ -193,7 +216,8 @@
       topic->n_appends < topic->script_len ? topic->script[topic->n_appends] : BEHAVIOUR_RESPOND;
   bool late = behaviour == BEHAVIOUR_CLOSE_LATE || behaviour == BEHAVIOUR_SILENT_LATE ||
               behaviour == BEHAVIOUR_UNAVAILABLE_LATE;
-  bool never = behaviour == BEHAVIOUR_CLOSE_NOT_DONE || behaviour == BEHAVIOUR_UNAVAILABLE;
+  bool never = behaviour == BEHAVIOUR_CLOSE_NOT_DONE || behaviour == BEHAVIOUR_UNAVAILABLE ||
+               behaviour >= BEHAVIOUR_MALFORMED;
   bool silent = behaviour == BEHAVIOUR_SILENT_DONE || behaviour == BEHAVIOUR_SILENT_LATE;
   bool closes = behaviour == BEHAVIOUR_CLOSE_DONE || behaviour == BEHAVIOUR_RESET_DONE ||
                 behaviour == BEHAVIOUR_CLOSE_NOT_DONE || behaviour == BEHAVIOUR_CLOSE_LATE;
@@ -215,11 +239,7 @@
     connection_set_reset (connection);
   if (closes)
     return false;
-  if (behaviour == BEHAVIOUR_BAD_GATEWAY)
-    status = 502;
-  if (behaviour == BEHAVIOUR_UNAVAILABLE_DONE)
-    status = 503;
-  connection_respond (connection, status, body);
+  connection_respond (connection, behaviour_status (behaviour, status), body);
   return true;
 }
 
--- a/tests/jobd/scripted_store.h
+++ b/tests/jobd/scripted_store.h
@@ -33,6 +33,12 @@
    * ms later. */
   BEHAVIOUR_UNAVAILABLE_DONE = BEHAVIOUR_COUNT,
   BEHAVIOUR_UNAVAILABLE_LATE,
+  /* Carries the append out and responds 409 without a known reason, or 410. */
+  BEHAVIOUR_OTHER_CONFLICT,
+  BEHAVIOUR_GONE,
+  /* Responds 400, or 200 without offset and end; the append is never carried out. */
+  BEHAVIOUR_MALFORMED,
+  BEHAVIOUR_EMPTY_RESPONSE,
   BEHAVIOUR_NAMES,
 };
 
--- a/tests/jobd/test_writer.c
+++ b/tests/jobd/test_writer.c
@@ -77,9 +77,9 @@
 };
 
 static const char *const behaviour_names[BEHAVIOUR_NAMES] = {
-  "respond",     "close done",       "reset done",       "close not done",
-  "close late",  "unavailable",      "bad gateway",      "silent done",
-  "silent late", "unavailable done", "unavailable late",
+  "respond",          "close done",     "reset done",  "close not done", "close late",
+  "unavailable",      "bad gateway",    "silent done", "silent late",    "unavailable done",
+  "unavailable late", "other conflict", "gone",        "malformed",      "empty response",
 };
 
 static int64_t
@@ -139,6 +139,7 @@
     .epoch = 1,
     .first_sequence = 1,
     .keep_while_unavailable = fixture->keep,
+    .producer_is_shared = fixture->keep,
     .now_ms = fixture_now_ms,
     .ctx = fixture,
   };
@@ -347,6 +348,23 @@
   run_scripts (fixture);
 }
 
+/* Guards against a refusal of a record that is stored all the same: an append without a response is
+ * followed by one that the store rejects for what it is, or in a way that the protocol does not
+ * name. */
+static void
+test_rejected_after_unknown (void)
+{
+  static const enum store_behaviour behaviours[] = {
+    BEHAVIOUR_CLOSE_LATE,     BEHAVIOUR_SILENT_DONE, BEHAVIOUR_MALFORMED,
+    BEHAVIOUR_OTHER_CONFLICT, BEHAVIOUR_GONE,        BEHAVIOUR_EMPTY_RESPONSE,
+  };
+  g_autofree struct writer_fixture *fixture = g_new0 (struct writer_fixture, 1);
+
+  fixture->behaviours = behaviours;
+  fixture->n_behaviours = G_N_ELEMENTS (behaviours);
+  run_scripts (fixture);
+}
+
 /* Runs the loop for a time. */
 static void
 run_for (struct writer_fixture *fixture, int64_t ms)
@@ -401,6 +419,7 @@
   { "refused or durable", test_refused_or_durable },
   { "leader's records", test_leader_records },
   { "rejected but carried out", test_rejected_but_carried_out },
+  { "rejected after unknown", test_rejected_after_unknown },
   { "waiting refused", test_waiting_refused },
 };
 
