Give up an append of unknown fate after a minute

A host that doesn't reach the store retried an append without a response for as long as that lasted. The definition that came after that started the job again.

The append is now reported as not known after 60 s, or as long as an ended job's state is kept if that is shorter, and the next append begins a higher epoch, which fences late calls of it.

--- a/jobd/main.c
+++ b/jobd/main.c
@@ -35,6 +35,8 @@
   STOP_NOTICE_MS = 2200,
   /* The process exits this long before the end of its grace period at the latest. */
   STOP_MARGIN_MS = 700,
+  /* Callers wait no longer than this. */
+  APPEND_RETRY_LIMIT_MS = 60000,
 };
 
 /* Watchers of signals and of the tick, and the progress of a stop. */
@@ -196,6 +198,7 @@
     .producer = producer,
     .epoch = 1,
     .min_interval_ms = APPEND_INTERVAL_MS,
+    .retry_limit_ms = MIN (APPEND_RETRY_LIMIT_MS, jobd->settings->status_ms),
     .now_ms = jobd_now_ms,
     .ctx = jobd,
   };
--- a/jobd/writer.c
+++ b/jobd/writer.c
@@ -155,6 +155,21 @@
                      writer->sent_ms + writer->config.min_interval_ms - writer_now_ms (writer));
 }
 
+/* Gives up an append that has been retried for too long: its callers are gone, and other hosts may
+ * have accepted its jobs, completed and deleted them. The next append is in a higher epoch, which
+ * fences late calls of this one. Returns false if it is to be retried. */
+static bool
+writer_give_up (struct writer *writer, const struct store_response *response)
+{
+  if (!writer->maybe_written || writer->config.retry_limit_ms == 0 ||
+      writer_now_ms (writer) - writer->batch_begun_ms < writer->config.retry_limit_ms)
+    return false;
+  if (writer_finish_batch (writer, WRITER_UNKNOWN, response) &&
+      writer_finish_waiting (writer, WRITER_REFUSED, response))
+    writer_schedule_next (writer);
+  return true;
+}
+
 /* Handles a call that the store has certainly not carried out. It is retried if the writer keeps
  * records while the store is unavailable, or if an earlier try may have been carried out; a
  * malformed call would be rejected again. */
@@ -163,6 +178,8 @@
 {
   bool maybe_written = writer->maybe_written;
 
+  if (writer_give_up (writer, response))
+    return;
   if (writer->config.keep_while_unavailable || (maybe_written && response->result == STORE_REFUSED))
     {
       /* Before the callbacks, since these may destroy the writer. */
@@ -208,6 +225,8 @@
     case STORE_EXPIRED:
       /* Only a read can be rejected because its records have expired. */
       writer->maybe_written = true;
+      if (writer_give_up (writer, response))
+        break;
       /* Before the callbacks, since these may destroy the writer. A call that failed quickly is
        * repeated at once only the first time. */
       writer_schedule (writer, writer->n_tries == 1
--- a/jobd/writer.h
+++ b/jobd/writer.h
@@ -21,8 +21,8 @@
   /* Rejected by the store: another writer has used the producer's name with a higher epoch or the
    * same one. */
   WRITER_FENCED,
-  /* May be written or not: the append was rejected after a call without a response, or the record
-   * was handed to the leader. */
+  /* May be written or not: the append was rejected or given up after a call without a response, or
+   * the record was handed to the leader. */
   WRITER_UNKNOWN,
 };
 
@@ -59,6 +59,8 @@
   /* Whether records are kept while the store is unavailable. Otherwise those that have not been
    * sent yet are refused at once. */
   bool keep_while_unavailable;
+  /* How long an append is retried that may have been written; 0 for no limit. */
+  int64_t retry_limit_ms;
   int64_t (*now_ms) (void *ctx);
   void *ctx;
 };
--- a/tests/jobd/test_writer.c
+++ b/tests/jobd/test_writer.c
@@ -73,6 +73,8 @@
   bool keep;
   /* Whether the store may carry out what it rejects, against the protocol. */
   bool carries_out_rejected;
+  /* Of the next trials. */
+  int64_t retry_limit_ms;
   unsigned n_failed;
 };
 
@@ -140,6 +142,7 @@
     .first_sequence = 1,
     .keep_while_unavailable = fixture->keep,
     .producer_is_shared = fixture->keep,
+    .retry_limit_ms = fixture->retry_limit_ms,
     .now_ms = fixture_now_ms,
     .ctx = fixture,
   };
@@ -415,12 +418,50 @@
   ev_loop_destroy (fixture->loop);
 }
 
+/* Guards against a job that is written minutes after its request, when others may have accepted,
+ * completed and deleted it: an append is given up after a time, and the writer goes on with the
+ * next record. */
+static void
+test_append_given_up (void)
+{
+  static const enum store_behaviour behaviours[] = { BEHAVIOUR_CLOSE_NOT_DONE };
+  g_autofree struct writer_fixture *fixture = g_new0 (struct writer_fixture, 1);
+  enum store_behaviour script[9] = { BEHAVIOUR_RESPOND, BEHAVIOUR_CLOSE_NOT_DONE };
+  struct trial *trial = &fixture->trials[0];
+
+  fixture->behaviours = behaviours;
+  fixture->n_behaviours = 1;
+  fixture->retry_limit_ms = 300;
+  fixture->loop = ev_loop_new (EVFLAG_AUTO);
+  fixture->store = scripted_store_create (fixture->loop, process_port_block (PORT_BLOCK));
+  SUITE_REQUIRE (fixture->store != NULL);
+  trial_start (fixture, trial, 0);
+  for (unsigned i = 2; i < G_N_ELEMENTS (script); i++)
+    script[i] = BEHAVIOUR_UNAVAILABLE;
+  trial->topic->script = script;
+  trial->topic->script_len = G_N_ELEMENTS (script);
+  trial_append (trial);
+  run_for (fixture, 50);
+  trial_append (trial);
+  run_for (fixture, 1500);
+  trial->topic->script_len = 0;
+  trial_append (trial);
+  run_for (fixture, 100);
+  CU_ASSERT_EQUAL (trial->records[1].outcome.result, WRITER_UNKNOWN);
+  CU_ASSERT_EQUAL (trial_count_stored (trial, &trial->records[1]), 0);
+  CU_ASSERT_EQUAL (trial->records[2].outcome.result, WRITER_DURABLE);
+  trial_stop (trial);
+  scripted_store_destroy (fixture->store);
+  ev_loop_destroy (fixture->loop);
+}
+
 static const struct suite_test tests[] = {
   { "refused or durable", test_refused_or_durable },
   { "leader's records", test_leader_records },
   { "rejected but carried out", test_rejected_but_carried_out },
   { "rejected after unknown", test_rejected_after_unknown },
   { "waiting refused", test_waiting_refused },
+  { "append given up", test_append_given_up },
 };
 
 int
