Keep a host recorded while its command of unknown result may run

A host left the record with every end of its call, also one without a response.

Seen by callers: a connection that closed at once ended the call after a millisecond, the next record no longer named the host, and a new leader commanded it at once. The former command could be carried out after the new one: a lower token after a higher one (found by review, not seen in a run of the daemons).

Cause: leader_on_host_command_ended took the end of the call for the end of the command.

Fix: the callback gets the result. After an unknown one, an aborted command included, the guard names the host until the timeout and the clock margin have passed since the result (1.2 s). The command was sent before its result, so nothing of it can follow. Then the host leaves the record. A certain result releases a host at once, unless an earlier command's result is unknown; those are kept in a map of their own, so that a later command doesn't overwrite their time.

Evidence: test_host_command_guard with an unknown result handled as before failed 4 of 7 tests: "leaders do not overlap" (now with connections that close at once), "unknown result keeps host", "response keeps earlier command" and "expiry keeps next command". With the fix all pass. In "leaders do not overlap" a leader no longer commands a host whose command is in flight, which the scheduler doesn't do either.

--- a/include/lib/jobs/host_command_guard.h
+++ b/include/lib/jobs/host_command_guard.h
@@ -19,7 +19,8 @@
   /* A command is only sent this long after its record was first sent. */
   HOST_COMMAND_SEND_WINDOW_MS = 1500,
   /* Timeout of a host command, from sending it to the response, and the same where tokens are
-   * checked. */
+   * checked. A platform is taken to carry a command out within it or not at all, also if the
+   * connection closes before. */
   HOST_COMMAND_TIMEOUT_MS = 1000,
   HOST_COMMAND_TIMEOUT_FENCED_MS = 1500,
 };
@@ -31,8 +32,11 @@
   GHashTable *recorded;
   /* The same as of the beginning of this host's leadership: commands of former leaders. */
   GHashTable *inherited;
-  /* Set of the hosts whose commands of this leadership are in progress. */
+  /* Set of the hosts whose commands of this leadership have no result yet. */
   GHashTable *own;
+  /* Hosts with a command of this leadership whose result is unknown, each with the time until which
+   * the platform may still carry it out. */
+  GHashTable *unknown;
   /* Commands have ended since the last record. */
   bool changed;
 };
@@ -46,9 +50,15 @@
 void host_command_guard_begin (struct host_command_guard *guard, int64_t now_ms);
 /* Returns until when a former leader's command for a host may be in progress; 0 if none is. */
 int64_t host_command_guard_busy_until_ms (const struct host_command_guard *guard, const char *host);
-/* A command for the host is to be recorded and sent, or has ended. */
+/* A command for the host is to be recorded and sent. */
 void host_command_guard_add (struct host_command_guard *guard, const char *host);
+/* The host's command has certainly ended: it was carried out, rejected or not sent. */
 void host_command_guard_remove (struct host_command_guard *guard, const char *host);
+/* The caller of the host's command has no result, or one that doesn't say what was done. */
+void host_command_guard_set_unknown (struct host_command_guard *guard, const char *host,
+                                     int64_t now_ms);
+/* Returns whether commands have certainly ended since the last record. */
+bool host_command_guard_changed (struct host_command_guard *guard, int64_t now_ms);
 /* Returns the hosts that a record must name: all whose commands may be in progress.
  * NULL-terminated; free with g_strfreev. */
 char **host_command_guard_hosts (struct host_command_guard *guard, int64_t now_ms);
--- a/include/platform/command_client.h
+++ b/include/platform/command_client.h
@@ -33,8 +33,9 @@
   long connect_timeout_ms;
   long command_timeout_ms;
   long machines_timeout_ms;
-  /* Called when a command for a host has ended, before its result is reported. May be NULL. */
-  void (*host_command_ended) (void *ctx, const char *host);
+  /* Called when the call of a command for a host has ended, before the scheduler gets the result.
+   * May be NULL. */
+  void (*host_command_ended) (void *ctx, const char *host, enum host_command_result result);
   /* Returns the time of the scheduler's clock in milliseconds. */
   int64_t (*now_ms) (void *ctx);
   void *ctx;
--- a/jobd/host_command_queue.c
+++ b/jobd/host_command_queue.c
@@ -146,7 +146,7 @@
     return;
   if (TAILQ_EMPTY (&queue->waiting))
     {
-      if (guard->changed)
+      if (host_command_guard_changed (guard, leader_now_ms (queue->leader)))
         host_command_queue_record (queue, NULL);
       return;
     }
--- a/jobd/scheduling.c
+++ b/jobd/scheduling.c
@@ -296,13 +296,17 @@
     command_sender_set_relay (leader->sender, name, address);
 }
 
-/* Handles the end of a command for a host. */
+/* Handles the end of the call of a command for a host. Without a certain result, the command itself
+ * may still be in progress. */
 static void
-leader_on_host_command_ended (void *ctx, const char *host)
+leader_on_host_command_ended (void *ctx, const char *host, enum host_command_result result)
 {
   struct jobd *jobd = ctx;
 
-  host_command_guard_remove (&jobd->host_guard, host);
+  if (result == HOST_COMMAND_UNKNOWN)
+    host_command_guard_set_unknown (&jobd->host_guard, host, jobd_now_ms (jobd));
+  else
+    host_command_guard_remove (&jobd->host_guard, host);
 }
 
 void
--- a/tests/jobd/test_command_client.c
+++ b/tests/jobd/test_command_client.c
@@ -79,6 +79,7 @@
   struct scheduler *scheduler;
   unsigned done;
   enum command_result result;
+  enum host_command_result host_result;
   unsigned hosts_listed;
 };
 
@@ -249,10 +250,13 @@
 }
 
 static void
-fixture_on_host_command_ended (void *ctx, const char *host)
+fixture_on_host_command_ended (void *ctx, const char *host, enum host_command_result result)
 {
+  struct fixture *fixture = ctx;
+
   (void) host;
-  ((struct fixture *) ctx)->done++;
+  fixture->host_result = result;
+  fixture->done++;
 }
 
 static void
@@ -608,6 +612,8 @@
                 ? "; REPORTED AS NOT CARRIED OUT"
                 : "");
   CU_ASSERT_FALSE (outcome == HOST_OUTCOME_REJECTED && fixture.carried_out > 0);
+  CU_ASSERT_EQUAL (fixture.host_result == HOST_COMMAND_UNKNOWN,
+                   script->expected == HOST_OUTCOME_UNKNOWN);
   CU_ASSERT_EQUAL (outcome, script->expected);
   CU_ASSERT_EQUAL (fixture.n_requests, 1);
   fixture_stop (&fixture);
@@ -627,6 +633,26 @@
     }
 }
 
+/* A command that is aborted may have been sent, and be carried out afterwards. */
+static void
+test_aborted_host_command (void)
+{
+  struct fixture fixture;
+  struct host host = { .id = "m1" };
+
+  fixture_start (&fixture);
+  host.pool = g_strdup ("one");
+  host.target_pool = g_strdup ("two");
+  command_client_move_host (fixture.client, &host, "two", 7);
+  command_client_abort_host_commands (fixture.client);
+  CU_ASSERT_EQUAL (fixture.done, 1);
+  CU_ASSERT_EQUAL (fixture.host_result, HOST_COMMAND_UNKNOWN);
+  CU_ASSERT (host.command_outcome_unknown);
+  fixture_stop (&fixture);
+  g_free (host.pool);
+  g_free (host.target_pool);
+}
+
 /* A read of the machine list is repeated on a new connection if a reused one closes: it changes
  * nothing, and a list that is dropped delays moves by seconds. */
 static void
@@ -653,6 +679,7 @@
   { "not sent", test_not_sent },
   { "heartbeat without report", test_heartbeat_without_report },
   { "host commands", test_host_commands },
+  { "aborted host command", test_aborted_host_command },
   { "list is repeated", test_list_is_repeated },
 };
 
--- a/tests/jobs/test_host_command_guard.c
+++ b/tests/jobs/test_host_command_guard.c
@@ -33,6 +33,10 @@
    */
   int64_t ends_ms[HOSTS];
   unsigned leader_of[HOSTS];
+  /* By host: whether the current leader waits for a result, and until when an earlier command of
+   * unknown result may be carried out. */
+  bool in_flight[HOSTS];
+  int64_t unknown_ends_ms[HOSTS];
   unsigned overlaps;
   unsigned sent;
 };
@@ -86,6 +90,38 @@
   return -1;
 }
 
+/* Appends a record of a leader if commands have ended since its last one. */
+static void
+world_flush (struct world *world, struct host_command_guard *guard, int64_t now_ms,
+             int64_t claimed_ms)
+{
+  if (host_command_guard_changed (guard, now_ms))
+    world_append_record (world, guard, now_ms, claimed_ms);
+}
+
+/* Ends the call of a command that was sent at now_ms: the leader sees no end of it, or its
+ * connection closes at once and the platform carries it out later, or it gets a response. */
+static void
+world_end_command (struct world *world, struct host_command_guard *guard, unsigned host,
+                   const char *name, int64_t *now_ms)
+{
+  switch (g_rand_int_range (world->random, 0, 4))
+    {
+    case 0:
+      world->in_flight[host] = true;
+      break;
+    case 1:
+      world->unknown_ends_ms[host] = *now_ms + HOST_COMMAND_TIMEOUT_MS;
+      *now_ms += 1;
+      host_command_guard_set_unknown (guard, name, *now_ms);
+      break;
+    default:
+      *now_ms += g_rand_int_range (world->random, 0, HOST_COMMAND_TIMEOUT_MS);
+      world->ends_ms[host] = MAX (*now_ms, world->unknown_ends_ms[host]);
+      host_command_guard_remove (guard, name);
+    }
+}
+
 /* Carries out one command of a leader: recorded, durable, perhaps delayed by a freeze, sent, and
  * carried out at any time until its timeout. The leader often sees its end, and records that. */
 static void
@@ -98,7 +134,8 @@
   int64_t sent_ms;
 
   snprintf (name, sizeof name, "m%u", host);
-  if (*now_ms < host_command_guard_busy_until_ms (guard, name))
+  world_flush (world, guard, *now_ms, claimed_ms);
+  if (world->in_flight[host] || *now_ms < host_command_guard_busy_until_ms (guard, name))
     return;
   host_command_guard_add (guard, name);
   sent_ms = world_append_record (world, guard, recorded_ms, claimed_ms);
@@ -120,12 +157,8 @@
   world->overlaps += world->leader_of[host] != leader && sent_ms < world->ends_ms[host];
   world->leader_of[host] = leader;
   world->ends_ms[host] = sent_ms + HOST_COMMAND_TIMEOUT_MS;
-  if (g_rand_boolean (world->random))
-    return;
-  *now_ms += g_rand_int_range (world->random, 0, HOST_COMMAND_TIMEOUT_MS);
-  world->ends_ms[host] = *now_ms;
-  host_command_guard_remove (guard, name);
-  world_append_record (world, guard, *now_ms, claimed_ms);
+  world_end_command (world, guard, host, name, now_ms);
+  world_flush (world, guard, *now_ms, claimed_ms);
 }
 
 /* Leaders follow each other at random times, some of them hosts that have just started. No command
@@ -142,12 +175,14 @@
       world.journal = g_ptr_array_new_with_free_func (record_free);
       memset (world.ends_ms, 0, sizeof world.ends_ms);
       memset (world.leader_of, 0, sizeof world.leader_of);
+      memset (world.unknown_ends_ms, 0, sizeof world.unknown_ends_ms);
       for (unsigned leader = 1; leader <= LEADERS; leader++)
         {
           struct host_command_guard guard;
           int64_t next_claim_ms = claim_ms + g_rand_int_range (world.random, 10, 2500);
           int64_t now_ms = claim_ms + g_rand_int_range (world.random, 5, 200);
 
+          memset (world.in_flight, 0, sizeof world.in_flight);
           host_command_guard_init (&guard);
           world_read_journal (&world, &guard, g_rand_boolean (world.random), now_ms);
           for (unsigned i = 0; i < COMMANDS; i++)
@@ -213,6 +248,91 @@
   host_command_guard_finish (&guard);
 }
 
+/* Returns until when a new leader, which reads a leader's next record at now_ms, leaves a host
+ * alone. */
+static int64_t
+successor_busy_until_ms (struct host_command_guard *leader, const char *host, int64_t now_ms)
+{
+  Sp__HostCommands commands = SP__HOST_COMMANDS__INIT;
+  char **hosts = host_command_guard_hosts (leader, now_ms);
+  struct host_command_guard successor;
+  int64_t until_ms;
+
+  commands.n_hosts = g_strv_length (hosts);
+  commands.hosts = hosts;
+  host_command_guard_init (&successor);
+  host_command_guard_observe (&successor, &commands, now_ms);
+  host_command_guard_begin (&successor, now_ms);
+  until_ms = host_command_guard_busy_until_ms (&successor, host);
+  host_command_guard_finish (&successor);
+  g_strfreev (hosts);
+  return until_ms;
+}
+
+/* A command is sent at 1000, its connection closes 1 ms later, and the platform carries it out at
+ * 1999. A new leader that reads the newest record in between doesn't command the host before that,
+ * and the host leaves the record when the command has certainly ended. */
+static void
+test_unknown_result_keeps_host (void)
+{
+  struct host_command_guard guard;
+
+  host_command_guard_init (&guard);
+  host_command_guard_begin (&guard, 900);
+  host_command_guard_add (&guard, "a");
+  host_command_guard_set_unknown (&guard, "a", 1001);
+  CU_ASSERT_FALSE (host_command_guard_changed (&guard, 1001));
+  CU_ASSERT (successor_busy_until_ms (&guard, "a", 1002) > 1999);
+  CU_ASSERT (successor_busy_until_ms (&guard, "a", 1999) > 1999);
+  CU_ASSERT_FALSE (host_command_guard_changed (&guard, 2200));
+  CU_ASSERT (host_command_guard_changed (&guard, 2201));
+  CU_ASSERT_EQUAL (successor_busy_until_ms (&guard, "a", 2201), 0);
+  CU_ASSERT_FALSE (host_command_guard_changed (&guard, 2202));
+  host_command_guard_finish (&guard);
+}
+
+/* The response to a second command says nothing of an earlier one whose result is unknown. */
+static void
+test_response_keeps_earlier_command (void)
+{
+  struct host_command_guard guard;
+
+  host_command_guard_init (&guard);
+  host_command_guard_begin (&guard, 900);
+  host_command_guard_add (&guard, "a");
+  host_command_guard_set_unknown (&guard, "a", 1001);
+  host_command_guard_add (&guard, "a");
+  host_command_guard_remove (&guard, "a");
+  CU_ASSERT_FALSE (host_command_guard_changed (&guard, 1500));
+  CU_ASSERT (successor_busy_until_ms (&guard, "a", 1500) > 1999);
+  CU_ASSERT (host_command_guard_changed (&guard, 2201));
+  CU_ASSERT_EQUAL (successor_busy_until_ms (&guard, "a", 2201), 0);
+  host_command_guard_add (&guard, "a");
+  CU_ASSERT (successor_busy_until_ms (&guard, "a", 2300) > 2300);
+  host_command_guard_remove (&guard, "a");
+  CU_ASSERT (host_command_guard_changed (&guard, 2300));
+  host_command_guard_finish (&guard);
+}
+
+/* The time of an earlier command with an unknown result doesn't release a host whose next command
+ * is in progress. */
+static void
+test_expiry_keeps_next_command (void)
+{
+  struct host_command_guard guard;
+
+  host_command_guard_init (&guard);
+  host_command_guard_begin (&guard, 900);
+  host_command_guard_add (&guard, "a");
+  host_command_guard_set_unknown (&guard, "a", 1001);
+  host_command_guard_add (&guard, "a");
+  CU_ASSERT_FALSE (host_command_guard_changed (&guard, 2300));
+  CU_ASSERT (successor_busy_until_ms (&guard, "a", 2300) > 2300);
+  host_command_guard_remove (&guard, "a");
+  CU_ASSERT (host_command_guard_changed (&guard, 2301));
+  host_command_guard_finish (&guard);
+}
+
 /* A command whose record took too long to become durable, or whose process was frozen, is not
  * sent. */
 static void
@@ -229,6 +349,9 @@
     { "leaders do not overlap", test_leaders_do_not_overlap },
     { "only named hosts wait", test_only_named_hosts_wait },
     { "records are complete", test_records_are_complete },
+    { "unknown result keeps host", test_unknown_result_keeps_host },
+    { "response keeps earlier command", test_response_keeps_earlier_command },
+    { "expiry keeps next command", test_expiry_keeps_next_command },
     { "send window", test_send_window },
   };
 
