--- a/tests/jobd/test_partial_store.c
+++ b/tests/jobd/test_partial_store.c
@@ -9,6 +9,8 @@
 enum
 {
   PORT_BLOCK = 98,
+  /* Distance of the second port of the store from the first. */
+  SECOND_STORE_PORT = 2,
   ELECTION_LIMIT_MS = 10000,
   EXIT_LIMIT_MS = 8000,
   COMPLETION_LIMIT_MS = 15000,
@@ -112,7 +114,7 @@
 {
   int code;
 
-  hosts.first_uses_second_store_port = true;
+  hosts.first_store_port = (uint16_t) (process_port_block (PORT_BLOCK) + SECOND_STORE_PORT);
   hosts_start (&hosts, PORT_BLOCK);
   for (unsigned n = 0; n < HOSTS; n++)
     hosts_wait_ready (&hosts, n, 0);
