Keep a fence that was raised after failed stops, too

Both places now raise it through one function.

Test "endpoint listed again" has both cases now. Without any of the fix both cases fail.

--- a/lib/jobs/endpoint_heartbeats.c
+++ b/lib/jobs/endpoint_heartbeats.c
@@ -77,6 +77,15 @@
   endpoint->next_heartbeat_ms = scheduler->now_ms;
 }
 
+/* Raises an endpoint's fence, so that no command that was sent before can be carried out once the
+ * endpoint has accepted it. */
+void
+endpoint_raise_fence (struct scheduler *scheduler, struct endpoint *endpoint)
+{
+  endpoint->fence++;
+  scheduler->highest_fence = MAX (scheduler->highest_fence, endpoint->fence);
+}
+
 /* Handles a new incarnation of an endpoint. Attempts of the former one are gone, but a start in
  * transit may have reached the new one, so its tasks are kept until a report shows what runs. */
 void
@@ -87,8 +96,7 @@
                    "endpoint has a new incarnation: endpoint=%s tasks=%u born_ms=%" G_GINT64_FORMAT,
                    endpoint->id, endpoint->n_tasks, born_ms);
   endpoint->born_ms = born_ms;
-  endpoint->fence++;
-  scheduler->highest_fence = MAX (scheduler->highest_fence, endpoint->fence);
+  endpoint_raise_fence (scheduler, endpoint);
   endpoint_reset_incarnation (scheduler, endpoint);
 }
 
--- a/lib/jobs/scheduler_state.h
+++ b/lib/jobs/scheduler_state.h
@@ -135,6 +135,7 @@
 int64_t endpoint_extend_lease (struct scheduler *scheduler, struct endpoint *endpoint);
 void endpoint_command_fenced (struct scheduler *scheduler, struct endpoint *endpoint,
                               uint64_t fence, const char *why);
+void endpoint_raise_fence (struct scheduler *scheduler, struct endpoint *endpoint);
 void endpoint_begin_incarnation (struct scheduler *scheduler, struct endpoint *endpoint,
                                  int64_t born_ms);
 void endpoint_release_tasks (struct scheduler *scheduler, struct endpoint *endpoint,
--- a/lib/jobs/task_attempt.c
+++ b/lib/jobs/task_attempt.c
@@ -509,7 +509,7 @@
   task->stops_failed++;
   if (task->stops_failed != STOPS_FAILED_MAX)
     return;
-  endpoint->fence++;
+  endpoint_raise_fence (scheduler, endpoint);
   task->fence_raised_ms = scheduler->now_ms;
   scheduler_log (
       scheduler, "fence raised after failed stops: task=%s.%u.%u.%u attempt=%u endpoint=%s",
--- a/tests/jobs/test_scheduler.c
+++ b/tests/jobs/test_scheduler.c
@@ -544,29 +544,41 @@
   simulation_destroy (simulation);
 }
 
-/* An endpoint restarts under its id, loses its registration while it is idle (as when the store was
- * down) and is listed again. It holds the fence that was raised for its new incarnation; one that
- * begins anew is rejected, and the leader would take that for a successor's and give up. */
+/* An endpoint's fence is raised, because it restarts under its id or fails all stops. It loses its
+ * registration while it is idle (as when the store was down) and is listed again. It still holds
+ * that fence; one that begins anew is rejected, and the leader would take that for a successor's
+ * and give up. */
 static void
 test_endpoint_listed_again (void)
 {
-  struct simulation *simulation = simulation_with_pool (2);
-  Sp__JobStep step = make_step (20);
-  struct simulated_endpoint *endpoint = g_ptr_array_index (simulation->endpoints, 0);
+  for (int restarts = 0; restarts <= 1; restarts++)
+    {
+      struct simulation *simulation = simulation_with_pool (2);
+      Sp__JobStep step = make_step (20);
+      struct simulated_endpoint *endpoint = g_ptr_array_index (simulation->endpoints, 0);
 
-  simulation_run (simulation, 500);
-  simulation_crash_endpoint (simulation, endpoint, true);
-  simulation_run (simulation, 1000);
-  endpoint->listed = false;
-  simulation_run (simulation, 1000);
-  endpoint->listed = true;
-  simulation_run (simulation, 1000);
-  CU_ASSERT_FALSE (simulation->superseded);
-  simulation_submit (simulation, "job", "pool", &step, 1, 3);
-  simulation_run (simulation, 500);
-  CU_ASSERT_EQUAL (simulation->starts, 20);
-  CU_ASSERT_EQUAL (simulation_violations (simulation), 0);
-  simulation_destroy (simulation);
+      simulation_run (simulation, 500);
+      if (restarts)
+        simulation_crash_endpoint (simulation, endpoint, true);
+      endpoint->start_errors = !restarts;
+      endpoint->stop_errors = !restarts;
+      simulation_submit (simulation, "job1", "pool", &step, 1, 3);
+      simulation_run (simulation, 8000);
+      CU_ASSERT_EQUAL (simulation_job_state (simulation, "job1"), SP__JOB_STATE__JOB_COMPLETED);
+      endpoint->start_errors = false;
+      endpoint->stop_errors = false;
+      endpoint->listed = false;
+      simulation_run (simulation, 1000);
+      endpoint->listed = true;
+      simulation_run (simulation, 4000);
+      CU_ASSERT_FALSE (simulation->superseded);
+      simulation->starts = 0;
+      simulation_submit (simulation, "job2", "pool", &step, 1, 3);
+      simulation_run (simulation, 500);
+      CU_ASSERT_EQUAL (simulation->starts, 20);
+      CU_ASSERT_EQUAL (simulation_violations (simulation), 0);
+      simulation_destroy (simulation);
+    }
 }
 
 /* A long-running task is started again after its endpoint restarts, and tasks stay within the
