--- a/tests/jobd/test_unsettled.c
+++ b/tests/jobd/test_unsettled.c
@@ -29,12 +29,19 @@
 
 static struct hosts hosts = { .status_ms = STATUS_MS };
 
+/* Returns the port at which the first host reaches the store. The fault injector's own port is the
+ * next one. */
+static unsigned
+fault_port (void)
+{
+  return process_port_block (PORT_BLOCK) + FIRST_FAULT_PORT_OFFSET;
+}
+
 /* Sets the mode of the first host's port to the store. */
 static void
 set_store_port (const char *mode)
 {
-  g_autofree char *url =
-      g_strdup_printf ("http://127.0.0.1:%u/standin/faults", hosts.first_store_port + 1U);
+  g_autofree char *url = g_strdup_printf ("http://127.0.0.1:%u/standin/faults", fault_port () + 1U);
   g_autofree char *body = g_strdup_printf ("{\"mode\":\"%s\"}", mode);
   struct fetched fetched;
 
@@ -83,10 +90,10 @@
   char admin[32];
   int code;
 
-  hosts.first_store_port = (uint16_t) (process_port_block (PORT_BLOCK) + FIRST_FAULT_PORT_OFFSET);
-  snprintf (forward, sizeof forward, "--forward=%u=127.0.0.1:%u", hosts.first_store_port,
+  hosts.first_store_port_offset = FIRST_FAULT_PORT_OFFSET;
+  snprintf (forward, sizeof forward, "--forward=%u=127.0.0.1:%u", fault_port (),
             process_port_block (PORT_BLOCK));
-  snprintf (admin, sizeof admin, "--admin-port=%u", hosts.first_store_port + 1U);
+  snprintf (admin, sizeof admin, "--admin-port=%u", fault_port () + 1U);
   process_create ("faults", "standin/standin-faults", (const char *[]){ forward, admin, NULL });
   hosts_start (&hosts, PORT_BLOCK);
   for (unsigned n = 0; n < HOSTS; n++)
--- a/tests/jobs/simulation.h
+++ b/tests/jobs/simulation.h
@@ -79,10 +79,10 @@
   /* Index of its endpoint, or -1. */
   int endpoint;
   uint32_t maintained_in;
-  /* The platform says that the host is in no wave. */
-  bool in_no_wave;
   /* Highest token of a command that has reached it. */
   uint64_t token;
+  /* The platform says that the host is in no wave. */
+  bool in_no_wave;
   char *rack;
 };
 
--- a/tests/jobs/simulation_hosts.c
+++ b/tests/jobs/simulation_hosts.c
@@ -249,10 +249,10 @@
 
   if (!simulated_host_accept_token (host, event->token))
     return HOST_COMMAND_FENCED;
-  if (host->maintained_in == event->wave)
-    return HOST_COMMAND_DONE;
   if (host->in_no_wave)
     return HOST_COMMAND_NOT_IN_WAVE;
+  if (host->maintained_in == event->wave)
+    return HOST_COMMAND_DONE;
   if (host->state != HOST_UP)
     return HOST_COMMAND_BUSY;
   for (unsigned i = 0; i < simulation->n_hosts; i++)
