Don't answer "no such job" while the job's own append is open

Such a request now gets 504 as long as this host has an append of the job without a result.

Evidence: test_jobd "cancelled while unknown" (a store that responds to reads only) failed before with 410 and passes.

--- a/jobd/ingress.c
+++ b/jobd/ingress.c
@@ -379,6 +379,11 @@
   request = pending_request_detach (pending);
   if (request && job && job->definition)
     answer_state (ingress, request, job);
+  else if (request && success && ingress_has_appended (ingress, pending->id, NULL))
+    {
+      log_info ("ingress", "job's fate is unknown: job=%s appended=1", pending->id);
+      answer_error (request, 504, "an earlier request for the job may still be stored");
+    }
   else if (request && success)
     {
       log_info ("ingress", "no such job in the journal: job=%s", pending->id);
--- a/standin/cluster.h
+++ b/standin/cluster.h
@@ -25,6 +25,8 @@
   STORE_UNRESPONSIVE,
   /* Stores appended records without acknowledging them; answers all other requests. */
   STORE_LOSES_ACKS,
+  /* Neither carries out appends nor responds to them; answers all other requests. */
+  STORE_IGNORES_APPENDS,
   /* Stores appended records and closes the connection without a response. */
   STORE_CUTS,
   /* Stores appended records and answers 502. */
--- a/standin/cluster_store.c
+++ b/standin/cluster_store.c
@@ -357,6 +357,8 @@
   json_t *answer = NULL;
   int status;
 
+  if (cluster->store_faults.mode == STORE_IGNORES_APPENDS)
+    return;
   call.body = http_request_body (request, &call.len);
   if (loses_acks && append_is_repetition (topic, &call))
     return;
--- a/standin/cluster_store_faults.c
+++ b/standin/cluster_store_faults.c
@@ -16,8 +16,13 @@
   const char *name;
   enum store_mode mode;
 } modes[] = {
-  { "up", STORE_UP },           { "busy", STORE_BUSY }, { "silent", STORE_UNRESPONSIVE },
-  { "mute", STORE_LOSES_ACKS }, { "cut", STORE_CUTS },  { "gateway", STORE_GATEWAY },
+  { "up", STORE_UP },
+  { "busy", STORE_BUSY },
+  { "silent", STORE_UNRESPONSIVE },
+  { "mute", STORE_LOSES_ACKS },
+  { "deaf", STORE_IGNORES_APPENDS },
+  { "cut", STORE_CUTS },
+  { "gateway", STORE_GATEWAY },
   { "mix", STORE_MIXED },
 };
 
--- a/tests/jobd/test_jobd.c
+++ b/tests/jobd/test_jobd.c
@@ -289,6 +289,23 @@
   check_no_task_ran_twice ();
 }
 
+/* Guards against a job that runs after its cancellation was answered with "no such job": the store
+ * responds to reads only, the host's append of the job is open, and its caller cancels it. */
+static void
+test_cancelled_while_unknown (void)
+{
+  g_autofree char *id = next_job_id ();
+  g_autofree char *path = g_strdup_printf ("/one/%s", id);
+
+  hosts_post (&hosts, "/faults", "{\"store\":\"deaf\"}");
+  CU_ASSERT_EQUAL (
+      hosts_call_within (&hosts, 0, "POST", path, TWO_STEP_JOB, SHORT_DEADLINE_MS, NULL), 504);
+  CU_ASSERT_EQUAL (hosts_call (&hosts, 0, "DELETE", path, NULL, NULL), 504);
+  hosts_post (&hosts, "/faults", "{\"store\":\"up\"}");
+  CU_ASSERT_TRUE (hosts_wait_job_state (&hosts, 1, id, "completed", COMPLETION_LIMIT_MS));
+  check_no_task_ran_twice ();
+}
+
 /* The store rejects calls, then doesn't respond. Accepted jobs complete, a job that was not stored
  * isn't confirmed, and a host that can't accept jobs isn't ready. */
 static void
@@ -383,6 +400,7 @@
   { "leader stopped", test_leader_stopped },
   { "repeated while unknown", test_repeated_while_unknown },
   { "repeated while waiting", test_repeated_while_waiting },
+  { "cancelled while unknown", test_cancelled_while_unknown },
   { "store away", test_store_unavailable },
   { "answers lost", test_responses_lost },
   { "endpoint dark", test_endpoints_unreachable },
