Limit the connections to one endpoint to 16

The simulated endpoints accept 64 connections, as the platform's do; 65 were open to each, and up to 233 waited to be accepted.

Cause: each call of a burst of starts opened a connection of its own, 315 to one endpoint once the stand-in let it, and kept it for 20 s. A former leader that is frozen or cut off keeps its own open besides.

The command client now has at most 16 connections to an endpoint; further calls wait for one, within their timeout. Leaders that were replaced without closing theirs leave room for three others.

Evidence: test_command_client "connections of an endpoint" failed before and passes.

--- a/common/http_client.c
+++ b/common/http_client.c
@@ -431,6 +431,12 @@
   return client;
 }
 
+void
+http_client_limit_endpoint_connections (struct http_client *client, long max)
+{
+  curl_multi_setopt (client->multi, CURLMOPT_MAX_HOST_CONNECTIONS, max);
+}
+
 /* Cancels all calls without calling done, and closes all connections. */
 void
 http_client_destroy (struct http_client *client)
--- a/include/common/http_client.h
+++ b/include/common/http_client.h
@@ -77,6 +77,9 @@
 struct http_client *http_client_create (struct ev_loop *loop, long idle_reuse_ms,
                                         long max_connections);
 void http_client_destroy (struct http_client *client);
+/* Limits the connections that are open to one endpoint at a time. Further calls wait for one, which
+ * counts towards their timeout. */
+void http_client_limit_endpoint_connections (struct http_client *client, long max);
 /* Excludes all present connections to an endpoint, given as IP:PORT as in the URL, from reuse. */
 void http_client_exclude_connections (struct http_client *client, const char *endpoint);
 /* Starts a call; done is called from a later loop iteration. Copies what config points to. Returns
--- a/standin/cluster_endpoints.c
+++ b/standin/cluster_endpoints.c
@@ -9,7 +9,7 @@
 enum
 {
   BODY_LIMIT_BYTES = 1024 * 1024,
-  CONNECTION_LIMIT = 1024,
+  CONNECTION_LIMIT = 64,
   /* From the store's port to the first endpoint's. */
   ENDPOINT_PORT_OFFSET = 10,
   /* How long a task takes to stop after a command. */
--- a/tests/jobd/test_command_client.c
+++ b/tests/jobd/test_command_client.c
@@ -20,7 +20,11 @@
 {
   PORT_BLOCK = 97,
   MESSAGE_BYTES_MAX = 8192,
-  CONNECTIONS_MAX = 16,
+  CONNECTIONS_MAX = 64,
+  /* An endpoint accepts 64 connections: the leader's, and those of three former leaders that are
+   * frozen or cut off. */
+  LEADER_CONNECTIONS_MAX = 64 / 4,
+  BURST = 50,
   CALL_TIMEOUT_MS = 500,
   LIMIT_S = 5,
   STEPS_MAX = 3,
@@ -348,13 +352,12 @@
   fixture->done++;
 }
 
-/* Sends a command to the stand-in and waits for its result. */
+/* Sends a command. */
 static void
-fixture_send (struct fixture *fixture, Sp__EndpointCommandKind kind)
+fixture_begin_send (struct fixture *fixture, Sp__EndpointCommandKind kind)
 {
   g_autofree char *address = g_strdup_printf ("127.0.0.1:%u", fixture->port);
   Sp__EndpointCommand command = SP__ENDPOINT_COMMAND__INIT;
-  bool ended;
 
   command.kind = kind;
   command.endpoint = "e1";
@@ -365,6 +368,15 @@
   command.spec = "work";
   command.lease_end_ms = 1000;
   command_client_send (fixture->client, &command, fixture_on_result, fixture);
+}
+
+/* Sends a command to the stand-in and waits for its result. */
+static void
+fixture_send (struct fixture *fixture, Sp__EndpointCommandKind kind)
+{
+  bool ended;
+
+  fixture_begin_send (fixture, kind);
   ended = fixture_run_until (fixture, &fixture->done, fixture->done + 1);
   SUITE_REQUIRE (ended);
 }
@@ -673,6 +685,22 @@
   fixture_stop (&fixture);
 }
 
+/* Guards against endpoints that accept no more connections, so that accepted jobs have nothing
+ * running: each start of a burst opened a connection of its own. */
+static void
+test_connections_of_endpoint (void)
+{
+  struct fixture fixture;
+
+  fixture_start (&fixture);
+  for (unsigned i = 0; i < BURST; i++)
+    fixture_begin_send (&fixture, SP__ENDPOINT_COMMAND_KIND__COMMAND_START);
+  CU_ASSERT (fixture_run_until (&fixture, &fixture.done, BURST));
+  CU_ASSERT_EQUAL (fixture.n_requests, BURST);
+  CU_ASSERT (fixture.n_connections <= LEADER_CONNECTIONS_MAX);
+  fixture_stop (&fixture);
+}
+
 static const struct suite_test tests[] = {
   { "carried out", test_carried_out },
   { "rejected", test_rejected },
@@ -681,6 +709,7 @@
   { "host commands", test_host_commands },
   { "aborted host command", test_aborted_host_command },
   { "list is repeated", test_list_is_repeated },
+  { "connections of an endpoint", test_connections_of_endpoint },
 };
 
 int
