--- a/jobd/ingress.c
+++ b/jobd/ingress.c
@@ -163,14 +163,12 @@
   gsize len;
   const void *value = g_bytes_get_data (pending->value, &len);
 
-  log_info (
-      "ingress",
-      "%s: job=%s offset=%" G_GINT64_FORMAT " key=%s result=%d status=%d sends=%u"
-      " epoch=%" G_GUINT64_FORMAT " sequence=%" G_GUINT64_FORMAT,
-      durable ? "record durable"
-              : (outcome->result == WRITER_UNKNOWN ? "record's fate is unknown" : "record refused"),
-      pending->id, durable ? outcome->offset : -1, pending->key, outcome->result, outcome->status,
-      outcome->n_sends, outcome->epoch, outcome->sequence);
+  log_info ("ingress",
+            "%s: job=%s offset=%" G_GINT64_FORMAT " key=%s result=%d status=%d sends=%u"
+            " epoch=%" G_GUINT64_FORMAT " sequence=%" G_GUINT64_FORMAT,
+            durable ? "record durable" : (unknown ? "record's fate is unknown" : "record refused"),
+            pending->id, durable ? outcome->offset : -1, pending->key, outcome->result,
+            outcome->status, outcome->n_sends, outcome->epoch, outcome->sequence);
   /* A follower applies the record now, so that the job is known here at once. A leader must apply
    * jobs in journal order only: the journal may hold another host's claim before this job, in which
    * case the new leader starts it. */
