--- a/include/common/http_client.h
+++ b/include/common/http_client.h
@@ -39,9 +39,9 @@
   const void *body;
   size_t body_len;
   bool reused_connection;
-  /* How often the request was sent; above 1 only for a repeatable call. The response is to the last
-   * send, so that a rejection says nothing of the earlier ones. 0 if no connection was
-   * established. */
+  /* How often libcurl began to send the request; above 1 only for a repeatable call, or if the
+   * first connection failed before a byte was sent. The response is to the last send, so that a
+   * rejection says nothing of the earlier ones. 0 if no connection was established. */
   unsigned n_sends;
 };
 
