Log what a release of tasks is inferred from

Which incarnation, fence and lease a start carried, what was left of the lease when an endpoint's tasks were released, and how many endpoints had not reported when a takeover was taken for complete. No change of behaviour; the unit tests of the scheduler pass.

--- a/jobd/scheduling.c
+++ b/jobd/scheduling.c
@@ -25,8 +25,11 @@
   struct leader *leader = ctx;
 
   log_info ("scheduler",
-            "start: task=%s.%u.%u.%u attempt=%u endpoint=%s waited_ms=%" G_GINT64_FORMAT,
+            "start: task=%s.%u.%u.%u attempt=%u endpoint=%s born_ms=%" G_GINT64_FORMAT
+            " fence=%" G_GUINT64_FORMAT " lease_end_ms=%" G_GINT64_FORMAT
+            " waited_ms=%" G_GINT64_FORMAT,
             task->job->id, task->occurrence, task->step, task->index, task->attempt, endpoint->id,
+            endpoint->born_ms, endpoint->fence, lease_end_ms,
             leader_now_ms (leader) - task->job->seen_ms);
   /* Counts the first attempt of the first task, in each occurrence of a repeated job. */
   if (task->step == 0 && task->index == 0 && task->attempt == 1)
--- a/lib/jobs/endpoint_heartbeats.c
+++ b/lib/jobs/endpoint_heartbeats.c
@@ -100,12 +100,34 @@
   endpoint_reset_incarnation (scheduler, endpoint);
 }
 
+/* Counts the tasks of an endpoint of whose start a send got no response: it may be carried out
+ * late. */
+static unsigned
+endpoint_count_unanswered_starts (const struct endpoint *endpoint)
+{
+  const struct task *task;
+  unsigned n = 0;
+
+  TAILQ_FOREACH (task, &endpoint->tasks, endpoint_link)
+    n += task->starts_unanswered > 0;
+  return n;
+}
+
 /* Releases all tasks of an endpoint on which none of them can run any longer. */
 void
 endpoint_release_tasks (struct scheduler *scheduler, struct endpoint *endpoint, const char *why)
 {
-  scheduler_log (scheduler, "endpoint lost, tasks released: endpoint=%s tasks=%u reason=\"%s\"",
-                 endpoint->id, endpoint->n_tasks, why);
+  int64_t silent_ms =
+      endpoint->unresponsive_since_ms > 0 ? scheduler->now_ms - endpoint->unresponsive_since_ms : 0;
+
+  scheduler_log (scheduler,
+                 "endpoint lost, tasks released: endpoint=%s born_ms=%" G_GINT64_FORMAT
+                 " tasks=%u starts_unanswered=%u silent_ms=%" G_GINT64_FORMAT
+                 " lease_left_ms=%" G_GINT64_FORMAT " listed=%d draining=%d reason=\"%s\"",
+                 endpoint->id, endpoint->born_ms, endpoint->n_tasks,
+                 endpoint_count_unanswered_starts (endpoint), silent_ms,
+                 endpoint->lease_expiry_ms - scheduler->now_ms, endpoint->listed,
+                 endpoint->draining, why);
   while (!TAILQ_EMPTY (&endpoint->tasks))
     {
       scheduler->counts.lapses++;
--- a/lib/jobs/scheduler.c
+++ b/lib/jobs/scheduler.c
@@ -241,6 +241,18 @@
   return true;
 }
 
+/* Counts a pool's endpoints that a host runs and that have not responded to this leader. */
+static unsigned
+pool_count_unreported (const struct scheduler *scheduler, const struct pool *pool)
+{
+  const struct endpoint *endpoint;
+  unsigned n = 0;
+
+  TAILQ_FOREACH (endpoint, &pool->endpoints, pool_link)
+    n += !endpoint->fence_accepted && scheduler_endpoint_has_host (scheduler, endpoint->id);
+  return n;
+}
+
 /* Ends a pool's takeover once no task of an earlier leader can run unnoticed there: all its
  * endpoints have responded, or every lease that the earlier leader granted has expired. */
 static void
@@ -255,8 +267,9 @@
     return;
   pool->takeover_complete = true;
   pool->changed = true;
-  scheduler_log (scheduler, "takeover complete: pool=%s after_ms=%" G_GINT64_FORMAT, pool->name,
-                 elapsed_ms);
+  scheduler_log (scheduler,
+                 "takeover complete: pool=%s after_ms=%" G_GINT64_FORMAT " endpoints_unreported=%u",
+                 pool->name, elapsed_ms, pool_count_unreported (scheduler, pool));
 }
 
 /* Checks all endpoints, and frees those that have left, have no tasks and no calls in flight. */
