tests: a leader that is cut off from the store and the other hosts

The simulated platform has a port of the store for each entry host, on which that host's calls alone get no response or 503, and on which it reads other relay addresses, so that relay links lead through the proxy and can be cut; endpoints can respond to the leaders so far only, or to later ones only; a task's specification may set its duration. The report counts attempts that ended with their lease, and /started lists attempts with their machines. Starts of running tasks are counted as before, by one count for the soak and all tests.

--- a/standin/cluster.h
+++ b/standin/cluster.h
@@ -16,6 +16,11 @@
  * metadata store, the machine list, and the endpoints that run tasks under leases and fences. All
  * state is in the memory of one process. Tests inject faults over HTTP. */
 
+enum
+{
+  STORE_PORTS = 5,
+};
+
 enum store_mode
 {
   STORE_UP,
@@ -84,6 +89,18 @@
 
 struct cluster;
 
+/* A port of the store for one entry host, on which the calls of that host alone can fail. */
+struct store_port
+{
+  struct cluster *cluster;
+  struct http_server *server;
+  /* STORE_UP, STORE_BUSY or STORE_UNRESPONSIVE. */
+  enum store_mode mode;
+  /* From an address in the records of entry hosts to the one that this host reads instead, of the
+   * same length. */
+  GHashTable *shown;
+};
+
 /* Faults of the endpoints' calls: responses of carried-out calls are lost, and calls are carried
  * out after their connection closed. */
 struct endpoint_faults
@@ -107,6 +124,16 @@
   bool stopping;
 };
 
+/* Leaders that an endpoint responds to, as if the others could not reach it. */
+enum epochs_heeded
+{
+  EPOCHS_ANY,
+  /* Those of known_epoch and before. */
+  EPOCHS_KNOWN,
+  /* Those after known_epoch. */
+  EPOCHS_LATER,
+};
+
 /* One incarnation of a host as an endpoint. The lease end is on the endpoint's own clock, which
  * starts at 0 when the endpoint is created; all other times are on the process's monotonic
  * clock. */
@@ -126,6 +153,8 @@
   unsigned sequence;
   uint64_t last_completion;
   bool unresponsive;
+  enum epochs_heeded epochs_heeded;
+  uint64_t known_epoch;
   /* The endpoint answers 503 until then. */
   int64_t busy_until_ms;
   /* The responses of the call in progress are lost. */
@@ -176,6 +205,8 @@
   /* A second port of the store, on which reads may be refused while all else is served. */
   struct http_server *second_store_server;
   bool second_refuses_reads;
+  /* Ports of the store for one entry host each. */
+  struct store_port store_ports[STORE_PORTS];
   /* From name to struct topic. */
   GHashTable *topics;
   LIST_HEAD (, pending_read) pending_reads;
@@ -194,6 +225,8 @@
   uint64_t concurrent_starts;
   /* Starts of a task that was done on an endpoint with a valid lease; reported as after_done. */
   uint64_t starts_after_done;
+  /* Attempts that ended with the lease. */
+  uint64_t lapses;
   uint64_t moves;
   uint64_t maintenances;
   unsigned max_in_maintenance;
@@ -203,7 +236,9 @@
 
 void cluster_store_init (struct cluster *cluster);
 void cluster_store_finish (struct cluster *cluster);
-void cluster_store_handle (void *ctx, struct http_request *request);
+/* Handles a request to the store; port is NULL on the ports that all hosts use. */
+void cluster_store_handle (struct cluster *cluster, struct http_request *request,
+                           const struct store_port *port);
 void cluster_store_disconnected (void *ctx, struct http_request *request);
 void cluster_store_tick (struct cluster *cluster);
 /* Sets the store's mode and faults from a request {"store":MODE,"seed":N,"permille":N,"busy_ms":N};
@@ -215,6 +250,17 @@
 int store_busy_status (struct cluster *cluster);
 /* Draws what happens to the next append. */
 struct append_fault store_faults_draw (struct cluster *cluster);
+/* Opens the ports of the store for one entry host each, which handle the requests that the store's
+ * first port handles. Returns false if one is in use. */
+bool store_ports_open (struct cluster *cluster, struct http_server_config *config,
+                       uint16_t first_port);
+void store_ports_close (struct cluster *cluster);
+/* Sets the faults of an entry host's port from a request {"entry_host":N,"entry_store":MODE,
+ * "shown":{"IP:PORT":"IP:PORT"}}; the modes are up, busy and silent. Returns false if it names no
+ * port or mode, or addresses of different lengths. */
+bool store_ports_set_faults (struct cluster *cluster, const json_t *body);
+/* Returns a record's value as the host of a port reads it; free with g_bytes_unref. */
+GBytes *store_port_show (const struct store_port *port, const char *key, GBytes *value);
 /* Appends a record to a topic; a NULL value deletes the key. */
 void cluster_store_put (struct cluster *cluster, const char *topic, const char *key,
                         const char *value);
@@ -229,6 +275,9 @@
 /* Sets the faults of the endpoints' calls from a request {"endpoints":PERMILLE,"seed":N,
  * "busy_ms":N}. */
 void cluster_endpoints_set_faults (struct cluster *cluster, const json_t *body);
+/* Sets the leaders that an endpoint responds to: "any", "known" for those up to the highest epoch
+ * that any endpoint has heard of, or "later" for those after it. Returns false for another name. */
+bool endpoint_set_epochs (struct cluster_endpoint *endpoint, const char *name);
 /* Starts an endpoint on the host at an index of hosts. Returns NULL if its port is in use. */
 struct cluster_endpoint *cluster_endpoint_create (struct cluster *cluster, unsigned host_index);
 /* Removes the endpoint from the registry; the next tick destroys it and the tasks that run on
--- a/standin/cluster_endpoints.c
+++ b/standin/cluster_endpoints.c
@@ -18,6 +18,8 @@
   PERMILLE = 1000,
   LATE_MIN_MS = 20,
   LATE_MAX_MS = 2500,
+  /* Distance of the fences of two epochs. */
+  FENCES_PER_EPOCH = 1 << 20,
 };
 
 /* A call that the endpoint carries out after it closed the connection. */
@@ -55,6 +57,7 @@
   json_array_append_new (endpoint->completions,
                          json_pack ("[I,s,i,s,s]", (json_int_t) ++endpoint->last_completion,
                                     instance->task, (int) instance->attempt, outcome, ""));
+  endpoint->cluster->lapses += strcmp (outcome, "lapsed") == 0;
   if (strcmp (outcome, "done") == 0)
     g_hash_table_replace (endpoint->cluster->done_tasks, g_strdup (instance->task),
                           g_strdup (endpoint->id));
@@ -185,8 +188,20 @@
     cluster->concurrent_starts += endpoint_find_instance (other, task) != NULL;
 }
 
-/* Handles /v1/run-start. Repeating the command for a running attempt has no effect. A task whose
- * specification begins with "lasts" runs until it is stopped. */
+/* Sets when an instance ends by its specification: one that begins with "lasts" runs until it is
+ * stopped, one that is "takes MS" for that long, and any other for the time of the settings. */
+static void
+instance_set_end (struct cluster_task_instance *instance, const char *spec, int64_t work_ms)
+{
+  static const char takes[] = "takes ";
+
+  instance->long_running = spec && g_str_has_prefix (spec, "lasts");
+  if (spec && g_str_has_prefix (spec, takes))
+    work_ms = g_ascii_strtoll (spec + strlen (takes), NULL, 10);
+  instance->end_ms = instance->long_running ? INT64_MAX : instance->start_ms + work_ms;
+}
+
+/* Handles /v1/run-start. Repeating the command for a running attempt has no effect. */
 static void
 endpoint_start (struct cluster_endpoint *endpoint, struct http_request *request, const json_t *body)
 {
@@ -218,9 +233,7 @@
   instance->task = g_strdup (task);
   instance->attempt = attempt;
   instance->start_ms = cluster->clock.now_ms;
-  instance->long_running = spec && g_str_has_prefix (spec, "lasts");
-  instance->end_ms =
-      instance->long_running ? INT64_MAX : instance->start_ms + cluster->settings->work_ms;
+  instance_set_end (instance, spec, cluster->settings->work_ms);
   LIST_INSERT_HEAD (&endpoint->instances, instance, link);
   answer_accepted (endpoint, request);
 }
@@ -355,6 +368,37 @@
   http_request_drop (request);
 }
 
+/* Returns whether a command is of a leader that the endpoint doesn't respond to. */
+static bool
+endpoint_ignores (const struct cluster_endpoint *endpoint, const json_t *body)
+{
+  uint64_t fence = (uint64_t) json_integer_value (json_object_get (body, "fence"));
+  bool later = fence / FENCES_PER_EPOCH > endpoint->known_epoch;
+
+  return (endpoint->epochs_heeded == EPOCHS_KNOWN && later) ||
+         (endpoint->epochs_heeded == EPOCHS_LATER && !later);
+}
+
+bool
+endpoint_set_epochs (struct cluster_endpoint *endpoint, const char *name)
+{
+  static const char *const names[] = { "any", "known", "later" };
+  const struct cluster_endpoint *other;
+  uint64_t highest = 0;
+
+  LIST_FOREACH (other, &endpoint->cluster->endpoints, link)
+    highest = MAX (highest, other->fence);
+  for (size_t i = 0; i < G_N_ELEMENTS (names); i++)
+    {
+      if (strcmp (names[i], name) != 0)
+        continue;
+      endpoint->epochs_heeded = (enum epochs_heeded) i;
+      endpoint->known_epoch = highest / FENCES_PER_EPOCH;
+      return true;
+    }
+  return false;
+}
+
 /* Handles a command, with the fault that is drawn for it. */
 static void
 endpoint_on_request (void *ctx, struct http_request *request)
@@ -370,6 +414,11 @@
   if (endpoint->unresponsive)
     return;
   body = json_loadb (data, len, 0, NULL);
+  if (endpoint_ignores (endpoint, body))
+    {
+      json_decref (body);
+      return;
+    }
   if (!body)
     http_request_respond_json (request, 400, json_pack ("{s:s}", "error", "no JSON"));
   else if (endpoint->cluster->clock.now_ms < endpoint->busy_until_ms)
--- a/standin/cluster_main.c
+++ b/standin/cluster_main.c
@@ -21,29 +21,47 @@
   return cluster->clock.now_ms;
 }
 
-/* Answers with the counts of violations (doubled, after_done) and of starts, moves and
- * maintenance. */
+/* Answers with the counts of violations (doubled, after_done), of starts, of attempts that ended
+ * with their lease, of moves and of maintenance. */
 static void
 cluster_report (const struct cluster *cluster, struct http_request *request)
 {
   http_request_respond_json (
       request, 200,
-      json_pack ("{s:I,s:I,s:I,s:I,s:I,s:i}", "starts", (json_int_t) cluster->starts, "doubled",
+      json_pack ("{s:I,s:I,s:I,s:I,s:I,s:I,s:i}", "starts", (json_int_t) cluster->starts, "doubled",
                  (json_int_t) cluster->concurrent_starts, "after_done",
-                 (json_int_t) cluster->starts_after_done, "moves", (json_int_t) cluster->moves,
-                 "upkeeps", (json_int_t) cluster->maintenances, "most_in_upkeep",
+                 (json_int_t) cluster->starts_after_done, "lapsed", (json_int_t) cluster->lapses,
+                 "moves", (json_int_t) cluster->moves, "upkeeps",
+                 (json_int_t) cluster->maintenances, "most_in_upkeep",
                  (int) cluster->max_in_maintenance));
 }
 
+/* Adds the instances on an endpoint to the running tasks, and as [task, attempt, host] to the
+ * attempts. */
+static void
+endpoint_add_running (const struct cluster_endpoint *endpoint, json_t *running, json_t *attempts)
+{
+  const struct cluster_host *host =
+      g_ptr_array_index (endpoint->cluster->hosts, endpoint->host_index);
+  const struct cluster_task_instance *instance;
+
+  LIST_FOREACH (instance, &endpoint->instances, link)
+    {
+      json_array_append_new (running, json_string (instance->task));
+      json_array_append_new (
+          attempts, json_pack ("[s,i,s]", instance->task, (int) instance->attempt, host->id));
+    }
+}
+
 /* Answers with the time, the last start of each job whose tasks were started, and the tasks that
- * run now. */
+ * run now, with their attempts and where these run. */
 static void
 cluster_answer_started (const struct cluster *cluster, struct http_request *request)
 {
   json_t *jobs = json_object ();
   json_t *running = json_array ();
+  json_t *attempts = json_array ();
   const struct cluster_endpoint *endpoint;
-  const struct cluster_task_instance *instance;
   GHashTableIter iter;
   gpointer id;
   gpointer last_ms;
@@ -52,41 +70,50 @@
   while (g_hash_table_iter_next (&iter, &id, &last_ms))
     json_object_set_new (jobs, id, json_integer (*(const int64_t *) last_ms));
   LIST_FOREACH (endpoint, &cluster->endpoints, link)
-    {
-      LIST_FOREACH (instance, &endpoint->instances, link)
-        json_array_append_new (running, json_string (instance->task));
-    }
+    endpoint_add_running (endpoint, running, attempts);
   http_request_respond_json (request, 200,
-                             json_pack ("{s:I,s:o,s:o}", "now_ms",
+                             json_pack ("{s:I,s:o,s:o,s:o}", "now_ms",
                                         (json_int_t) cluster->clock.now_ms, "jobs", jobs, "running",
-                                        running));
+                                        running, "attempts", attempts));
 }
 
-/* Sets faults: {"store":MODE,...} sets the store's mode, {"endpoints":PERMILLE,...} the share of
- * the endpoints' calls whose response is lost, {"second_reads":"up|refused"} whether reads are
- * refused on the store's second port, {"dark":"HOST"} makes a host's endpoint
- * unresponsive, {"light":"HOST"} makes it respond again. */
+/* Sets the faults of one host's endpoint. Returns false if it is named with unknown epochs. */
+static bool
+host_set_faults (struct cluster_host *host, const json_t *body)
+{
+  const char *unresponsive = json_string_value (json_object_get (body, "dark"));
+  const char *responsive = json_string_value (json_object_get (body, "light"));
+  const char *epochs =
+      json_string_value (json_object_get (json_object_get (body, "epochs"), host->id));
+
+  if (!host->endpoint)
+    return true;
+  if (g_strcmp0 (host->id, unresponsive) == 0)
+    host->endpoint->unresponsive = true;
+  if (g_strcmp0 (host->id, responsive) == 0)
+    host->endpoint->unresponsive = false;
+  return !epochs || endpoint_set_epochs (host->endpoint, epochs);
+}
+
+/* Sets faults: {"store":MODE,...} sets the store's mode, {"entry_host":N,...} the faults of an
+ * entry host's own port of the store, {"endpoints":PERMILLE,...} the share of the endpoints' calls
+ * whose response is lost, {"second_reads":"up|refused"} whether reads are refused on the store's
+ * second port, {"dark":"HOST"} makes a host's endpoint unresponsive, {"light":"HOST"} makes it
+ * respond again, {"epochs":{"HOST":"any|known|later"}} sets the leaders to which endpoints respond.
+ */
 static void
 cluster_set_faults (struct cluster *cluster, struct http_request *request, const json_t *body)
 {
   const char *second = json_string_value (json_object_get (body, "second_reads"));
-  const char *unresponsive = json_string_value (json_object_get (body, "dark"));
-  const char *responsive = json_string_value (json_object_get (body, "light"));
+  bool accepted = store_ports_set_faults (cluster, body);
 
   store_faults_set (cluster, body);
   cluster_endpoints_set_faults (cluster, body);
   if (second)
     cluster->second_refuses_reads = strcmp (second, "refused") == 0;
   for (guint i = 0; i < cluster->hosts->len; i++)
-    {
-      struct cluster_host *host = g_ptr_array_index (cluster->hosts, i);
-
-      if (host->endpoint && g_strcmp0 (host->id, unresponsive) == 0)
-        host->endpoint->unresponsive = true;
-      if (host->endpoint && g_strcmp0 (host->id, responsive) == 0)
-        host->endpoint->unresponsive = false;
-    }
-  http_request_respond_json (request, 200, json_object ());
+    accepted = host_set_faults (g_ptr_array_index (cluster->hosts, i), body) && accepted;
+  http_request_respond_json (request, accepted ? 200 : 400, json_object ());
 }
 
 /* Writes an operator's record, given as {"key":...,"value":{...}}. */
@@ -125,7 +152,7 @@
 
   if (g_str_has_prefix (path, "/v1/"))
     {
-      cluster_store_handle (cluster, request);
+      cluster_store_handle (cluster, request, NULL);
       return;
     }
   http_request_set_data (request, NULL);
@@ -185,7 +212,8 @@
   ev_break (loop, EVBREAK_ALL);
 }
 
-/* Opens the ports of the store and, next to it, of the machine list and the store again. */
+/* Opens the ports of the store and, next to it, of the machine list, the store again, and the store
+ * for one entry host each. */
 static bool
 cluster_listen (struct cluster *cluster)
 {
@@ -208,7 +236,8 @@
   config.handle = cluster_on_second_request;
   config.caller_disconnected = cluster_store_disconnected;
   cluster->second_store_server = http_server_create (cluster->loop, &config);
-  return cluster->store_server && cluster->machine_server && cluster->second_store_server;
+  return cluster->store_server && cluster->machine_server && cluster->second_store_server &&
+         store_ports_open (cluster, &config, (uint16_t) (config.port + 1));
 }
 
 /* Runs the simulated platform until SIGTERM or SIGINT. */
@@ -232,9 +261,9 @@
   if (!cluster_hosts_init (&cluster) || !cluster_listen (&cluster))
     {
       log_error ("main",
-                 "Can't start: the pools \"%s\" are malformed, or port %u or one of the next two "
+                 "Can't start: the pools \"%s\" are malformed, or port %u or one of the next %d "
                  "is in use.",
-                 settings.pools, settings.port);
+                 settings.pools, settings.port, STORE_PORTS + 2);
       return PROGRAM_EXIT_BAD_SETTINGS;
     }
   ev_signal_init (&term, cluster_stop, SIGTERM);
@@ -249,6 +278,7 @@
   http_server_destroy (cluster.store_server);
   http_server_destroy (cluster.machine_server);
   http_server_destroy (cluster.second_store_server);
+  store_ports_close (&cluster);
   cluster_hosts_finish (&cluster);
   cluster_store_finish (&cluster);
   g_hash_table_destroy (cluster.done_tasks);
--- a/standin/cluster_store.c
+++ b/standin/cluster_store.c
@@ -44,6 +44,8 @@
 {
   LIST_ENTRY (pending_read) link;
   struct http_request *request;
+  /* NULL on the ports that all hosts use. */
+  const struct store_port *port;
   struct topic *topic;
   int64_t from;
   int64_t end_ms;
@@ -151,7 +153,8 @@
  * of the key in 1 byte, key and value. The length of a record does not count its own 4 bytes;
  * numbers are big-endian. */
 static void
-read_answer (struct http_request *request, const struct topic *topic, int64_t from)
+read_answer (struct http_request *request, const struct store_port *port, const struct topic *topic,
+             int64_t from)
 {
   GByteArray *body = g_byte_array_new ();
   uint64_t end = GUINT64_TO_BE ((uint64_t) topic->records->len);
@@ -167,8 +170,9 @@
     {
       const struct record *record = g_ptr_array_index (topic->records, i);
       guint8 key_len = (guint8) strlen (record->key);
+      g_autoptr (GBytes) shown = store_port_show (port, record->key, record->value);
       gsize len;
-      const void *value = g_bytes_get_data (record->value, &len);
+      const void *value = g_bytes_get_data (shown, &len);
       uint32_t size = GUINT32_TO_BE ((uint32_t) (1 + key_len + len));
 
       if (i > (guint) from && body->len + sizeof size + 1 + key_len + len > max_bytes)
@@ -407,6 +411,13 @@
     }
 }
 
+/* Returns whether calls of the host of a port are answered. */
+static bool
+store_port_responds (const struct store_port *port)
+{
+  return !port || port->mode == STORE_UP;
+}
+
 /* Carries out late appends, and answers the waiting reads that have a record to return and those
  * whose wait time is over. Reads stay pending while the store is busy or unresponsive. */
 void
@@ -422,10 +433,11 @@
     {
       struct pending_read *next = LIST_NEXT (read, link);
 
-      if ((int64_t) read->topic->records->len > read->from || now_ms >= read->end_ms)
+      if (store_port_responds (read->port) &&
+          ((int64_t) read->topic->records->len > read->from || now_ms >= read->end_ms))
         {
           LIST_REMOVE (read, link);
-          read_answer (read->request, read->topic, read->from);
+          read_answer (read->request, read->port, read->topic, read->from);
           g_free (read);
         }
       read = next;
@@ -434,7 +446,8 @@
 
 /* Handles a read. If there are no records from the offset on, it waits for one. */
 static void
-store_read_request (struct cluster *cluster, struct topic *topic, struct http_request *request)
+store_read_request (struct cluster *cluster, struct topic *topic, struct http_request *request,
+                    const struct store_port *port)
 {
   const char *from_text = http_request_query (request, "from");
   const char *wait_text = http_request_query (request, "wait_ms");
@@ -444,11 +457,12 @@
 
   if (from < (int64_t) topic->records->len || wait_ms == 0)
     {
-      read_answer (request, topic, from);
+      read_answer (request, port, topic, from);
       return;
     }
   read = g_new0 (struct pending_read, 1);
   read->request = request;
+  read->port = port;
   read->topic = topic;
   read->from = from;
   read->end_ms = cluster_now_ms (cluster) + wait_ms;
@@ -459,7 +473,8 @@
 /* Answers with the newest record of each key, in pages sorted by key. The parameter depends_on is
  * the last key of the previous page. */
 static void
-store_newest_request (struct topic *topic, struct http_request *request)
+store_newest_request (struct topic *topic, struct http_request *request,
+                      const struct store_port *port)
 {
   const char *after = http_request_query (request, "depends_on");
   GList *keys = g_list_sort (g_hash_table_get_keys (topic->newest), (GCompareFunc) strcmp);
@@ -470,8 +485,9 @@
     {
       guint at = GPOINTER_TO_UINT (g_hash_table_lookup (topic->newest, each->data)) - 1;
       const struct record *record = g_ptr_array_index (topic->records, at);
+      g_autoptr (GBytes) shown = store_port_show (port, record->key, record->value);
       gsize len;
-      const guchar *value = g_bytes_get_data (record->value, &len);
+      const guchar *value = g_bytes_get_data (shown, &len);
       g_autofree char *text = NULL;
 
       if (after && strcmp (each->data, after) <= 0)
@@ -491,19 +507,21 @@
                                         (json_int_t) topic->records->len));
 }
 
-/* Handles a request to the store. */
 void
-cluster_store_handle (void *ctx, struct http_request *request)
+cluster_store_handle (struct cluster *cluster, struct http_request *request,
+                      const struct store_port *port)
 {
-  struct cluster *cluster = ctx;
   const char *path = http_request_path (request);
   const char *name = http_request_query (request, "topic");
   int busy_status = store_busy_status (cluster);
   struct topic *topic;
 
   http_request_set_data (request, NULL);
-  if (cluster->store_faults.mode == STORE_UNRESPONSIVE)
+  if (cluster->store_faults.mode == STORE_UNRESPONSIVE ||
+      (port && port->mode == STORE_UNRESPONSIVE))
     return;
+  if (port && port->mode == STORE_BUSY)
+    busy_status = 503;
   if (busy_status != 0 || !name)
     {
       http_request_respond_json (request, name ? busy_status : 400,
@@ -514,9 +532,9 @@
   if (g_str_has_prefix (path, "/v1/log-append"))
     store_append_request (cluster, topic, request);
   else if (g_str_has_prefix (path, "/v1/log-read"))
-    store_read_request (cluster, topic, request);
+    store_read_request (cluster, topic, request, port);
   else if (g_str_has_prefix (path, "/v1/log-newest"))
-    store_newest_request (topic, request);
+    store_newest_request (topic, request, port);
   else
     http_request_respond_json (request, 404, json_pack ("{s:s}", "error", "no such call"));
 }
--- a/tests/jobd/hosts.c
+++ b/tests/jobd/hosts.c
@@ -14,6 +14,12 @@
   PORTS_PER_HOST = 2,
   /* Distance of the first host's ports from the first port of the simulated platform. */
   FIRST_HOST_PORT_OFFSET = 60,
+  /* The same of the ports of the store for one host each, of the proxy's links and of the proxy's
+   * own port. */
+  HOST_STORE_PORT_OFFSET = 3,
+  LINK_PORT_OFFSET = 80,
+  PROXY_PORT_OFFSET = 79,
+  PROXY_START_MS = 5000,
 };
 
 #define CONFIG                                                                                     \
@@ -32,6 +38,29 @@
   return (uint16_t) (hosts->port + FIRST_HOST_PORT_OFFSET + n * PORTS_PER_HOST);
 }
 
+/* Returns the port of a host's relay. */
+static uint16_t
+hosts_relay_port (const struct hosts *hosts, unsigned n)
+{
+  return hosts_port (hosts, HOSTS + n);
+}
+
+/* Returns the port of the proxy through which a host reaches the relay of another one. */
+static uint16_t
+hosts_link_port (const struct hosts *hosts, unsigned from, unsigned to)
+{
+  return (uint16_t) (hosts->port + LINK_PORT_OFFSET + from * HOSTS + to);
+}
+
+/* Returns the port at which a host reaches the store. */
+static uint16_t
+hosts_store_port (const struct hosts *hosts, unsigned n)
+{
+  if (hosts->separable)
+    return (uint16_t) (hosts->port + HOST_STORE_PORT_OFFSET + n);
+  return (uint16_t) (hosts->port + (n == 0 ? hosts->first_store_port_offset : 0U));
+}
+
 void
 hosts_start_jobd (struct hosts *hosts, unsigned n)
 {
@@ -44,12 +73,12 @@
   snprintf (args[0], sizeof args[0], "--name=%s", name);
   snprintf (args[1], sizeof args[1], "--frontend=127.0.0.1:%u", hosts_port (hosts, n));
   snprintf (args[2], sizeof args[2], "--readiness=127.0.0.1:%u", hosts_port (hosts, n) + 1U);
-  snprintf (args[3], sizeof args[3], "--store=127.0.0.1:%u",
-            hosts->port + (n == 0 ? hosts->first_store_port_offset : 0U));
+  snprintf (args[3], sizeof args[3], "--store=127.0.0.1:%u", hosts_store_port (hosts, n));
   snprintf (args[4], sizeof args[4], "--machines=127.0.0.1:%u", hosts->port + 1U);
   snprintf (args[5], sizeof args[5], "--seed=%u", n + 1);
-  snprintf (args[6], sizeof args[6], "--relay=127.0.0.1:%u", hosts_port (hosts, HOSTS + n));
-  snprintf (args[7], sizeof args[7], "--relay-endpoints-min=1");
+  snprintf (args[6], sizeof args[6], "--relay=127.0.0.1:%u", hosts_relay_port (hosts, n));
+  snprintf (args[7], sizeof args[7], "--relay-endpoints-min=%u",
+            MAX (hosts->relay_endpoints_min, 1));
   snprintf (args[8], sizeof args[8], "--status-ms=%u", hosts->status_ms);
   for (size_t i = 0; i < G_N_ELEMENTS (args); i++)
     {
@@ -78,6 +107,88 @@
   return process_run_cli (args, output, CALL_TIMEOUT_MS);
 }
 
+/* Starts the proxy, with a port for each link. */
+static void
+hosts_start_proxy (struct hosts *hosts)
+{
+  g_autoptr (GString) forward = g_string_new ("--forward=");
+  g_autofree char *admin = g_strdup_printf ("--admin-port=%u", hosts->port + PROXY_PORT_OFFSET);
+
+  for (unsigned from = 0; from < HOSTS; from++)
+    {
+      for (unsigned to = 0; to < HOSTS; to++)
+        {
+          if (from != to)
+            g_string_append_printf (forward, "%u=127.0.0.1:%u,", hosts_link_port (hosts, from, to),
+                                    hosts_relay_port (hosts, to));
+        }
+    }
+  g_string_truncate (forward, forward->len - 1);
+  process_create ("proxy", "standin/standin-faults", (const char *[]){ admin, forward->str, NULL });
+}
+
+static bool
+platform_responds (void *ctx)
+{
+  return hosts_report_count (ctx, "starts") == 0;
+}
+
+/* Makes each host read the proxy's ports in place of the other hosts' relays. */
+static void
+hosts_separate (struct hosts *hosts)
+{
+  if (!test_wait (platform_responds, hosts, PROXY_START_MS))
+    abort ();
+  for (unsigned from = 0; from < HOSTS; from++)
+    {
+      for (unsigned to = 0; to < HOSTS; to++)
+        {
+          g_autofree char *body = g_strdup_printf (
+              "{\"entry_host\":%u,\"shown\":{\"127.0.0.1:%u\":\"127.0.0.1:%u\"}}", from,
+              hosts_relay_port (hosts, to), hosts_link_port (hosts, from, to));
+
+          if (from != to)
+            hosts_post (hosts, "/faults", body);
+        }
+    }
+}
+
+void
+hosts_set_store (struct hosts *hosts, unsigned n, const char *mode)
+{
+  g_autofree char *body = g_strdup_printf ("{\"entry_host\":%u,\"entry_store\":\"%s\"}", n, mode);
+
+  hosts_post (hosts, "/faults", body);
+}
+
+/* Sets the mode of one link. */
+static void
+hosts_set_link (struct hosts *hosts, unsigned from, unsigned to, const char *mode)
+{
+  g_autofree char *url =
+      g_strdup_printf ("http://127.0.0.1:%u/standin/faults", hosts->port + PROXY_PORT_OFFSET);
+  g_autofree char *body =
+      g_strdup_printf ("{\"port\":%u,\"mode\":\"%s\"}", hosts_link_port (hosts, from, to), mode);
+  struct fetched fetched;
+
+  fetch (&fetched, "POST", url, NULL, body, CALL_TIMEOUT_MS);
+  if (fetched.status != 200)
+    fprintf (stderr, "the proxy answered %d to %s\n", fetched.status, body);
+  fetched_clear (&fetched);
+}
+
+void
+hosts_cut_links (struct hosts *hosts, unsigned n, bool cut)
+{
+  for (unsigned other = 0; other < HOSTS; other++)
+    {
+      if (other == n)
+        continue;
+      hosts_set_link (hosts, n, other, cut ? "freeze" : "none");
+      hosts_set_link (hosts, other, n, cut ? "freeze" : "none");
+    }
+}
+
 void
 hosts_start (struct hosts *hosts, unsigned port_block)
 {
@@ -87,6 +198,11 @@
   snprintf (port, sizeof port, "--port=%u", hosts->port);
   hosts->cluster = process_create ("cluster", "standin/standin-cluster",
                                    (const char *[]){ port, "--pools=one=4,two=4,spare=2", NULL });
+  if (hosts->separable)
+    {
+      hosts_start_proxy (hosts);
+      hosts_separate (hosts);
+    }
   for (unsigned n = 0; n < HOSTS; n++)
     hosts_start_jobd (hosts, n);
   test_sleep_ms (300);
@@ -216,21 +332,29 @@
   fetched_clear (&fetched);
 }
 
-int64_t
-hosts_report_count (struct hosts *hosts, const char *name)
+json_t *
+hosts_get (struct hosts *hosts, const char *path)
 {
   struct fetched fetched;
   char url[URL_BYTES];
-  json_t *report;
-  int64_t count = -1;
+  json_t *page;
 
-  snprintf (url, sizeof url, "http://127.0.0.1:%u/report", hosts->port);
+  snprintf (url, sizeof url, "http://127.0.0.1:%u%s", hosts->port, path);
   fetch (&fetched, "GET", url, NULL, NULL, CALL_TIMEOUT_MS);
-  report = fetched.body ? json_loadb (fetched.body, fetched.body_len, 0, NULL) : NULL;
+  page = fetched.body ? json_loadb (fetched.body, fetched.body_len, 0, NULL) : NULL;
+  fetched_clear (&fetched);
+  return page;
+}
+
+int64_t
+hosts_report_count (struct hosts *hosts, const char *name)
+{
+  json_t *report = hosts_get (hosts, "/report");
+  int64_t count = -1;
+
   if (json_is_integer (json_object_get (report, name)))
     count = json_integer_value (json_object_get (report, name));
   json_decref (report);
-  fetched_clear (&fetched);
   return count;
 }
 
--- a/tests/jobd/hosts.h
+++ b/tests/jobd/hosts.h
@@ -26,6 +26,11 @@
   /* Port at which the first host reaches the store, as the distance from the store's first port; 0
    * for that one. Set before hosts_start. */
   unsigned first_store_port_offset;
+  /* Each host reaches the store through a port of its own, and the relays of the others through a
+   * proxy, so that its calls to the store, and each link, can be cut. Set before hosts_start. */
+  bool separable;
+  /* Number of endpoints from which on the leader uses relays; 0 for 1. Set before hosts_start. */
+  unsigned relay_endpoints_min;
   struct process *cluster;
   struct process *jobds[HOSTS];
 };
@@ -61,6 +66,13 @@
                        const char *operand, char **output);
 /* Sends a POST request to the simulated platform, for example to inject faults. */
 void hosts_post (struct hosts *hosts, const char *path, const char *body);
+/* Sets whether the store responds to a host: "up", "busy" or "silent". Needs separable hosts. */
+void hosts_set_store (struct hosts *hosts, unsigned n, const char *mode);
+/* Cuts a host's relay links with all other hosts, both ways, or restores them. What is sent
+ * meanwhile arrives then. Needs separable hosts. */
+void hosts_cut_links (struct hosts *hosts, unsigned n, bool cut);
+/* Returns a page of the simulated platform, to be freed with json_decref, or NULL. */
+json_t *hosts_get (struct hosts *hosts, const char *path);
 /* Returns a count from the simulated platform's report, or -1 if there is none. */
 int64_t hosts_report_count (struct hosts *hosts, const char *name);
 /* Waits until the operator's status record of a key contains a string. */
