--- a/jobd/leader.c
+++ b/jobd/leader.c
@@ -19,6 +19,8 @@
   /* A leader that has not read the journal to its end for this long writes no heartbeats. Longer
    * than a read without a response and the one after it take. */
   JOURNAL_UNREAD_MAX_MS = 2500,
+  /* Minimum time between two reads of the journal before a claim. */
+  CLAIM_READ_INTERVAL_MS = 250,
   /* Minimum time between two appends, so that progress is written in batches. */
   LEADER_APPEND_INTERVAL_MS = 25,
   /* Minimum time between two reads of the journal. */
@@ -289,6 +291,33 @@
   return leader_election_is_due (&election, leader_now_ms (leader));
 }
 
+/* Claims the leadership after a read that reached the journal's end, unless that has shown a newer
+ * record. */
+static void
+leader_on_claim_read (void *ctx, bool success)
+{
+  struct leader *leader = ctx;
+
+  leader->claim_read_pending = false;
+  if (success && leader->phase == LEADER_FOLLOWING && leader_should_claim (leader))
+    leader_claim (leader);
+}
+
+/* Reads the journal to its end before a claim. A claim that is sent while the store is away may be
+ * carried out at any time later, so that this host could no longer confirm to the leader that no
+ * other leads, and the leader would have to let its leases run out. */
+static void
+leader_read_before_claim (struct leader *leader)
+{
+  int64_t now_ms = leader_now_ms (leader);
+
+  if (leader->claim_read_pending || now_ms < leader->next_claim_read_ms)
+    return;
+  leader->claim_read_pending = true;
+  leader->next_claim_read_ms = now_ms + CLAIM_READ_INTERVAL_MS;
+  topic_reader_read_to_end (leader->jobd->journal, leader_on_claim_read, leader);
+}
+
 void
 leader_on_leadership_record (struct leader *leader, int64_t offset)
 {
@@ -490,7 +519,7 @@
     {
     case LEADER_FOLLOWING:
       if (leader_should_claim (leader))
-        leader_claim (leader);
+        leader_read_before_claim (leader);
       break;
     case LEADER_CLAIMING:
       break;
