Let a leader's leases end with its leadership

A leader that is cut off from the store and the other hosts renews the leases of the endpoints that it still reaches, and starts tasks there, while its successor starts the same tasks elsewhere 4.1 s after it began to lead.

Cause: two properties that don't hold together. A leader without the store went on until a successor's fence stopped it, which needs an endpoint or relay that both reach; a successor counted the former leader's leases as expired one lease after its own beginning, whatever the former leader did since.

Change: all leases that a leader grants have a common end that the successor can bound: one lease after the later of 1.5 s after the leader's last durable record and the time since which all other hosts confirm, over the relay links, that they know of no later epoch and have claimed none.

--- a/include/lib/jobs/command_message.h
+++ b/include/lib/jobs/command_message.h
@@ -13,8 +13,10 @@
  * number. */
 void command_batch_add_appended (GByteArray *batch, uint64_t incarnation, uint64_t number,
                                  int64_t offset);
-/* Appends the sequence and the epoch, which completes the batch. */
-void command_batch_finish (GByteArray *batch, uint64_t sequence, uint64_t epoch);
+/* Appends the sequence and the epoch, which completes the batch. takes_records: hosts may hand
+ * records to the leader. */
+void command_batch_finish (GByteArray *batch, uint64_t sequence, uint64_t epoch,
+                           bool takes_records);
 
 /* Appends the result of a command to an encoded ResultBatch. report may be NULL. */
 void result_batch_add (GByteArray *batch, uint64_t number, enum command_result result,
@@ -23,8 +25,9 @@
  * incarnation of this host. */
 void result_batch_add_record (GByteArray *batch, uint64_t incarnation, uint64_t number,
                               const char *key, const void *value, size_t len);
-void result_batch_finish (GByteArray *batch, uint64_t acked_sequence, uint64_t epoch,
-                          bool stopping);
+/* Ends a batch. confirms_epoch: the host knows of no later epoch and has claimed none. */
+void result_batch_finish (GByteArray *batch, uint64_t acked_sequence, uint64_t epoch, bool stopping,
+                          bool confirms_epoch);
 
 /* Returns the result that a relay has sent as a number. */
 enum command_result command_result_decode (uint32_t value);
--- a/include/lib/jobs/job_table.h
+++ b/include/lib/jobs/job_table.h
@@ -14,6 +14,7 @@
   uint64_t leader_epoch;
   char *leader_node;
   bool leader_resigned;
+  bool earlier_leases_ended;
   /* Called when a job is defined, cancelled, or about to be removed. May be NULL. */
   void (*on_defined) (void *ctx, struct job *job);
   void (*on_cancelled) (void *ctx, struct job *job);
--- a/include/lib/jobs/relay_set.h
+++ b/include/lib/jobs/relay_set.h
@@ -29,6 +29,13 @@
   uint64_t acked_sequence;
   /* When the oldest batch without an acknowledgement was sent; 0 if there is none. */
   int64_t unacked_since_ms;
+  /* A batch whose acknowledgement shows whether the host confirms the leader's epoch, and when it
+   * was sent; 0 if none is on its way. */
+  uint64_t probe_sequence;
+  int64_t probe_sent_ms;
+  /* When the last batch was sent with whose acknowledgement the host confirmed that it knew of no
+   * later leader; 0 if there is none. */
+  int64_t confirmed_ms;
   /* From when on it may be used; 0 while it does not respond. */
   int64_t usable_ms;
   /* It is used: the set's generation rises when this changes. */
@@ -74,6 +81,13 @@
 uint64_t relay_batch_sent (struct relay *relay, int64_t now_ms);
 void relay_batch_acked (struct relay_set *set, struct relay *relay, uint64_t sequence,
                         int64_t now_ms);
+/* Handles whether a host confirms that it knows of no later leader, as said with the
+ * acknowledgement of a batch. */
+void relay_batch_confirmed (struct relay *relay, uint64_t sequence, bool confirms_epoch);
+/* Returns the time since which no host of the set had claimed the leadership when it confirmed
+ * this: the earliest of their confirmed_ms. 0 if one of them has not, now_ms if the set is empty.
+ */
+int64_t relay_set_confirmed_ms (const struct relay_set *set, int64_t now_ms);
 /* Handles what a relay says of its host. A relay that is about to stop gets no more commands; those
  * in progress are not affected. */
 void relay_set_stopping (struct relay_set *set, struct relay *relay, bool stopping);
--- a/include/lib/jobs/scheduler.h
+++ b/include/lib/jobs/scheduler.h
@@ -118,6 +118,8 @@
   int64_t read_offset;
   /* How long a task may run without hearing from the leader. */
   int64_t lease_ms;
+  /* Until when earlier leaders may have granted leases of this length. */
+  int64_t earlier_grants_until_ms;
   /* How long a task may take to end after it is stopped. */
   int64_t stop_ms;
 };
@@ -191,6 +193,12 @@
                         void (*add) (void *ctx, const Sp__JobRecord *record), void *ctx);
 void scheduler_flushed (struct scheduler *scheduler, bool durable, int64_t now_ms);
 
+/* Sets when the leases that this leader grants must have ended, in case it has been replaced. Not
+ * limited at first. */
+void scheduler_set_leases_end (struct scheduler *scheduler, int64_t leases_end_ms);
+/* Returns whether all leases that earlier leaders granted have certainly expired. */
+bool scheduler_earlier_leases_ended (const struct scheduler *scheduler, int64_t now_ms);
+
 /* Allows or forbids commands that move or maintain hosts. They are only allowed while the
  * leadership is renewed. */
 void scheduler_allow_host_commands (struct scheduler *scheduler, bool allowed);
--- a/jobd/command_sender.c
+++ b/jobd/command_sender.c
@@ -76,6 +76,8 @@
   struct scheduler *scheduler;
   struct relay_set relays;
   bool relaying;
+  /* The other hosts are asked to confirm the leader's epoch. */
+  bool confirming;
   unsigned relays_logged;
   /* By number, as struct sent_command; the same in the order in which they were sent. */
   GHashTable *commands;
@@ -209,6 +211,7 @@
     {
       relay_set_stopping (&sender->relays, link->relay, batch->stopping);
       relay_batch_acked (&sender->relays, link->relay, batch->acked_sequence, link->heard_ms);
+      relay_batch_confirmed (link->relay, batch->acked_sequence, batch->confirms_epoch);
       for (size_t i = 0; i < batch->n_results; i++)
         command_sender_on_result (sender, batch->results[i]);
       for (size_t i = 0; i < batch->n_records; i++)
@@ -221,7 +224,8 @@
 static void
 relay_link_send (struct relay_link *link, int64_t now_ms)
 {
-  command_batch_finish (link->batch, relay_batch_sent (link->relay, now_ms), link->sender->epoch);
+  command_batch_finish (link->batch, relay_batch_sent (link->relay, now_ms), link->sender->epoch,
+                        link->sender->relaying);
   /* A batch that can't be sent is not acknowledged, so the relay counts as failed soon. */
   peer_link_send (link->peer, link->batch->data, link->batch->len);
   g_byte_array_set_size (link->batch, 0);
@@ -401,30 +405,58 @@
   sender->relays_logged = sender->relays.n_used;
 }
 
-/* Begins or ends the use of relays as the fleet grows or shrinks. */
+/* Begins or ends the use of relays as the fleet grows or shrinks, and the confirmations of the
+ * epoch. */
 static void
-command_sender_set_relaying (struct command_sender *sender, bool relaying, int64_t now_ms)
+command_sender_set_use (struct command_sender *sender, bool relaying, bool confirming,
+                        int64_t now_ms)
 {
   struct relay *relay;
 
-  if (relaying && !sender->relaying)
+  if ((relaying || confirming) && !sender->relaying && !sender->confirming)
     {
       /* Nothing was sent to the relays before, so they have not been silent. */
       TAILQ_FOREACH (relay, &sender->relays.relays, link)
         ((struct relay_link *) relay->data)->heard_ms = now_ms;
     }
   sender->relaying = relaying;
+  sender->confirming = confirming;
+}
+
+/* Returns whether each other host that the journal names has a link. */
+static bool
+command_sender_reaches_hosts (const struct command_sender *sender)
+{
+  GHashTableIter each;
+  gpointer name;
+  gpointer address;
+
+  g_hash_table_iter_init (&each, sender->jobd->relays);
+  while (g_hash_table_iter_next (&each, &name, &address))
+    {
+      if (((const char *) address)[0] != '\0' && !relay_set_find (&sender->relays, name))
+        return false;
+    }
+  return true;
+}
+
+int64_t
+command_sender_confirmed_ms (const struct command_sender *sender)
+{
+  if (!command_sender_reaches_hosts (sender))
+    return 0;
+  return relay_set_confirmed_ms (&sender->relays, command_sender_now_ms (sender));
 }
 
 void
-command_sender_tick (struct command_sender *sender, unsigned n_endpoints)
+command_sender_tick (struct command_sender *sender, unsigned n_endpoints, bool confirming)
 {
   int64_t now_ms = command_sender_now_ms (sender);
   struct sent_command *command;
 
-  command_sender_set_relaying (sender, n_endpoints >= sender->jobd->settings->relay_endpoints_min,
-                               now_ms);
-  if (sender->relaying || sender->relays.n_used > 0)
+  command_sender_set_use (sender, n_endpoints >= sender->jobd->settings->relay_endpoints_min,
+                          confirming, now_ms);
+  if (sender->relaying || sender->confirming)
     command_sender_check_relays (sender, now_ms);
   scheduler_set_starts_per_pass (sender->scheduler, sender->relaying && sender->relays.n_used > 0
                                                         ? STARTS_PER_PASS_RELAYED
--- a/jobd/jobd.h
+++ b/jobd/jobd.h
@@ -91,6 +91,10 @@
 /* Resigns before a planned stop. */
 void leader_resign (struct leader *leader);
 bool leader_is_leading (const struct leader *leader);
+/* Returns the epoch of this host's last claim, whatever became of it; 0 if it has claimed none. */
+uint64_t leader_claimed_epoch (const struct leader *leader);
+/* Called when the newest records of the journal have been loaded. */
+void leader_on_journal_loaded (struct leader *leader);
 
 /* ingress.c */
 int ingress_create (struct jobd *jobd);
--- a/jobd/leader.c
+++ b/jobd/leader.c
@@ -14,8 +14,9 @@
 {
   /* Interval of the leader's heartbeat records; the leader timeout covers three of them. */
   HEARTBEAT_INTERVAL_MS = 350,
-  /* Without a durable heartbeat for this long, no host is moved or maintained. */
-  HEARTBEAT_VALID_MS = 1500,
+  /* Without a durable heartbeat for this long, the other hosts are asked whether they know of a
+   * later leader. */
+  HEARTBEAT_LATE_MS = 800,
   /* A leader that has not read the journal to its end for this long writes no heartbeats. Longer
    * than a read without a response and the one after it take. */
   JOURNAL_UNREAD_MAX_MS = 2500,
@@ -98,6 +99,7 @@
   leader->leader_seen_ms = leader_now_ms (leader);
   leader->heartbeat_in_flight = false;
   leader->silent = false;
+  leader->leases_limited = false;
   leader->n_unflushed = 0;
   if (leader->registry)
     {
@@ -156,6 +158,18 @@
   g_free (leader);
 }
 
+uint64_t
+leader_claimed_epoch (const struct leader *leader)
+{
+  return leader->epoch;
+}
+
+void
+leader_on_journal_loaded (struct leader *leader)
+{
+  former_leaders_loaded (&leader->former, leader_now_ms (leader));
+}
+
 bool
 leader_is_leading (const struct leader *leader)
 {
@@ -179,6 +193,9 @@
   leadership.epoch = leader->epoch;
   leadership.node = leader->jobd->settings->name;
   leadership.resigned = resigned;
+  leadership.earlier_leases_ended =
+      leader->scheduler &&
+      scheduler_earlier_leases_ended (leader->scheduler, leader_now_ms (leader));
   record.body_case = SP__JOB_RECORD__BODY_LEADERSHIP;
   record.leadership = &leadership;
   return job_record_pack (&record);
@@ -256,6 +273,21 @@
             leader->epoch, jobd->jobs.leader_node ? jobd->jobs.leader_node : "none",
             jobd->jobs.leader_resigned, leader_now_ms (leader) - leader->leader_seen_ms);
   leader_append_leadership (leader, false, leader_on_claim);
+  leader->claim_sent_ms = leader->heartbeat_sent_ms;
+  leader->resignation_sent_ms = 0;
+}
+
+/* Returns whether the last leadership record is by an earlier incarnation of this process, which is
+ * certainly gone: it has this host's name and a higher epoch than this process ever claimed. A
+ * leadership of this process itself doesn't count: another host may have replaced it in a record
+ * that this host has not read yet. */
+static bool
+leader_is_earlier_process (const struct leader *leader)
+{
+  const struct job_table *table = &leader->jobd->jobs;
+
+  return table->leader_node && strcmp (table->leader_node, leader->jobd->settings->name) == 0 &&
+         table->leader_epoch > leader->epoch;
 }
 
 /* Returns whether the current leader counts as gone and this host should claim now. */
@@ -280,13 +312,8 @@
 
   if (jobd->stopping || !jobd->queues || !topic_reader_is_loaded (jobd->journal))
     return false;
-  /* A leader with this host's name and a higher epoch than this process ever claimed is an earlier
-   * incarnation of this process. It is certainly gone, so this host claims at once. A leadership of
-   * this process itself doesn't count: another host may have replaced it in a record that this host
-   * has not read yet. */
-  if (table->leader_node && !table->leader_resigned &&
-      strcmp (table->leader_node, jobd->settings->name) == 0 &&
-      table->leader_epoch > leader->epoch && election.journal_readable_since_ms > 0)
+  if (!table->leader_resigned && leader_is_earlier_process (leader) &&
+      election.journal_readable_since_ms > 0)
     return true;
   return leader_election_is_due (&election, leader_now_ms (leader));
 }
@@ -325,6 +352,10 @@
 
   (void) offset;
   leader->leader_seen_ms = leader_now_ms (leader);
+  former_leaders_record_read (&leader->former, table->leader_epoch, table->leader_resigned,
+                              table->earlier_leases_ended, leader->leader_seen_ms);
+  if (leader_is_earlier_process (leader))
+    former_leaders_process_ended (&leader->former);
   if (leader->phase == LEADER_FOLLOWING)
     return;
   if (table->leader_epoch > leader->epoch)
@@ -464,7 +495,31 @@
   leader->endpoints_unresponsive.value = counts.endpoints_unresponsive;
   leader->relays_used.value = leader->sender ? command_sender_relays (leader->sender) : 0;
   if (leader->sender)
-    command_sender_tick (leader->sender, counts.endpoints);
+    command_sender_tick (leader->sender, counts.endpoints,
+                         leader_now_ms (leader) - leader->heartbeat_durable_ms > HEARTBEAT_LATE_MS);
+}
+
+/* Limits the leases that the scheduler grants to those that a successor knows of. */
+static void
+leader_limit_leases (struct leader *leader, int64_t now_ms)
+{
+  int64_t lease_ms = leader->jobd->settings->lease_ms;
+  int64_t end_ms = leadership_leases_end_ms (
+      leader->heartbeat_durable_ms, command_sender_confirmed_ms (leader->sender), lease_ms);
+  bool limited;
+
+  if (leader->resignation_sent_ms > 0)
+    end_ms = MIN (end_ms, leader->resignation_sent_ms + lease_ms);
+  limited = end_ms - now_ms < lease_ms / 2;
+  if (limited != leader->leases_limited)
+    log_warning ("leader",
+                 "%s: epoch=%" G_GUINT64_FORMAT " record_age_ms=%" G_GINT64_FORMAT
+                 " leases_end_in_ms=%" G_GINT64_FORMAT,
+                 limited ? "no task is started and leases run out, another host may lead"
+                         : "tasks are started again",
+                 leader->epoch, now_ms - leader->heartbeat_durable_ms, end_ms - now_ms);
+  leader->leases_limited = limited;
+  scheduler_set_leases_end (leader->scheduler, end_ms);
 }
 
 /* Runs one scheduling pass, unless scheduling is paused after a stall of the event loop. */
@@ -480,7 +535,7 @@
     return;
   leader->stall_seen_ms = 0;
   scheduler_allow_host_commands (leader->scheduler,
-                                 now_ms - leader->heartbeat_durable_ms < HEARTBEAT_VALID_MS);
+                                 now_ms - leader->heartbeat_durable_ms < LEADERSHIP_VALID_MS);
   topic_reader_set_min_interval (leader->registry, now_ms < leader->hosts_busy_until_ms
                                                        ? REGISTRY_BUSY_INTERVAL_MS
                                                        : REGISTRY_INTERVAL_MS);
@@ -491,6 +546,7 @@
                                                          : HOST_LIST_INTERVAL_MS);
       command_client_list_hosts (leader->commands);
     }
+  leader_limit_leases (leader, now_ms);
   scheduler_tick (leader->scheduler, now_ms, jobd->clock.wall_ms);
   if (leader->host_commands)
     host_command_queue_flush (leader->host_commands);
@@ -555,4 +611,5 @@
       return;
     }
   leader_append_leadership (leader, true, leader_on_resigned);
+  leader->resignation_sent_ms = leader->heartbeat_sent_ms;
 }
--- a/jobd/leader_state.h
+++ b/jobd/leader_state.h
@@ -3,6 +3,7 @@
 
 #include "command_sender.h"
 #include "jobd.h"
+#include "lib/jobs/leadership_lease.h"
 #include "lib/jobs/scheduler.h"
 #include "platform/command_client.h"
 
@@ -68,6 +69,13 @@
    * durable claim or heartbeat was. */
   int64_t heartbeat_sent_ms;
   int64_t heartbeat_durable_ms;
+  /* When this host's last claim and its resignation were sent; 0 if it has not resigned. */
+  int64_t claim_sent_ms;
+  int64_t resignation_sent_ms;
+  /* What the journal says of the leaders before this host. */
+  struct former_leaders former;
+  /* Leases are cut short, because this host may have been replaced. */
+  bool leases_limited;
   bool heartbeat_in_flight;
   /* No heartbeats are written because the journal can't be read. */
   bool silent;
--- a/jobd/main.c
+++ b/jobd/main.c
@@ -118,6 +118,13 @@
   leader_relay_changed (jobd->leader, host->name, host->relay);
 }
 
+/* Tells the leadership that the newest records have been loaded. */
+static void
+jobd_on_journal_loaded (void *ctx)
+{
+  leader_on_journal_loaded (((struct jobd *) ctx)->leader);
+}
+
 /* Applies a journal record to the job table and answers the callers that wait for it. */
 static void
 jobd_on_journal_record (void *ctx, const struct store_record *record)
@@ -181,6 +188,7 @@
     .min_interval_ms = JOURNAL_INTERVAL_MS,
     .now_ms = jobd_now_ms,
     .on_record = jobd_on_journal_record,
+    .on_loaded = jobd_on_journal_loaded,
     .ctx = jobd,
   };
   struct topic_reader_config operators = {
--- a/jobd/relay_server.c
+++ b/jobd/relay_server.c
@@ -31,6 +31,7 @@
   GBytes *reply_to;
   uint64_t epoch;
   uint64_t acked_sequence;
+  bool takes_records;
   int64_t heard_ms;
   /* Encoded results that wait for the timer. */
   GByteArray *results;
@@ -95,6 +96,17 @@
     relay_session_free (session);
 }
 
+/* Returns the highest epoch that this host knows of: by the journal, by the batches of leaders, and
+ * by its own claims, of which the last may be on its way to the store. */
+static uint64_t
+relay_server_known_epoch (const struct relay_server *server)
+{
+  uint64_t epoch =
+      MAX (server->jobd->jobs.leader_epoch, leader_claimed_epoch (server->jobd->leader));
+
+  return server->leader ? MAX (epoch, server->leader->epoch) : epoch;
+}
+
 /* Sends the results that have arrived, and acknowledges the batches received. */
 static void
 relay_session_flush (struct relay_session *session)
@@ -103,7 +115,8 @@
   const void *reply_to = g_bytes_get_data (session->reply_to, &len);
 
   result_batch_finish (session->results, session->acked_sequence, session->epoch,
-                       session->server->jobd->stopping);
+                       session->server->jobd->stopping,
+                       session->epoch >= relay_server_known_epoch (session->server));
   /* A message that can't be sent is lost like one in transit; the leader repeats its commands. */
   peer_node_reply (session->server->node, reply_to, len, session->results->data,
                    session->results->len);
@@ -198,8 +211,8 @@
   const struct job_table *jobs = &server->jobd->jobs;
   struct relay_session *session = server->leader;
 
-  if (!session || session->epoch != jobs->leader_epoch || jobs->leader_resigned ||
-      jobd_now_ms (server->jobd) - session->heard_ms > LEADER_SILENT_MS)
+  if (!session || !session->takes_records || session->epoch != jobs->leader_epoch ||
+      jobs->leader_resigned || jobd_now_ms (server->jobd) - session->heard_ms > LEADER_SILENT_MS)
     return false;
   result_batch_add_record (session->results, server->jobd->incarnation, number, key, value, len);
   relay_session_schedule (session);
@@ -226,6 +239,7 @@
   session->heard_ms = jobd_now_ms (server->jobd);
   session->epoch = batch->epoch;
   session->acked_sequence = batch->sequence;
+  session->takes_records = batch->takes_records;
   if (!server->leader || session->epoch >= server->leader->epoch)
     server->leader = session;
   for (size_t i = 0; i < batch->n_commands; i++)
--- a/jobd/scheduling.c
+++ b/jobd/scheduling.c
@@ -334,6 +334,9 @@
     .claim_offset = leader->claim_offset,
     .read_offset = topic_reader_offset (jobd->journal),
     .lease_ms = settings->lease_ms,
+    /* Confirmations that another leader has got from this host ended with the claim. */
+    .earlier_grants_until_ms =
+        MAX (leader->claim_sent_ms, former_leaders_until_ms (&leader->former, leader->epoch)),
     .stop_ms = settings->stop_ms,
   };
   struct scheduler_ops ops = {
--- a/lib/jobs/command_message.c
+++ b/lib/jobs/command_message.c
@@ -38,12 +38,13 @@
 }
 
 void
-command_batch_finish (GByteArray *batch, uint64_t sequence, uint64_t epoch)
+command_batch_finish (GByteArray *batch, uint64_t sequence, uint64_t epoch, bool takes_records)
 {
   Sp__CommandBatch part = SP__COMMAND_BATCH__INIT;
 
   part.sequence = sequence;
   part.epoch = epoch;
+  part.takes_records = takes_records;
   append_message (batch, &part.base);
 }
 
@@ -137,13 +138,15 @@
 }
 
 void
-result_batch_finish (GByteArray *batch, uint64_t acked_sequence, uint64_t epoch, bool stopping)
+result_batch_finish (GByteArray *batch, uint64_t acked_sequence, uint64_t epoch, bool stopping,
+                     bool confirms_epoch)
 {
   Sp__ResultBatch part = SP__RESULT_BATCH__INIT;
 
   part.acked_sequence = acked_sequence;
   part.stopping = stopping;
   part.epoch = epoch;
+  part.confirms_epoch = confirms_epoch;
   append_message (batch, &part.base);
 }
 
--- a/lib/jobs/endpoint_heartbeats.c
+++ b/lib/jobs/endpoint_heartbeats.c
@@ -139,24 +139,41 @@
 
 /* Returns the time, on this process's clock, at which a lease granted now has certainly expired. */
 static int64_t
-scheduler_lease_expiry_ms (const struct scheduler *scheduler)
+scheduler_lease_expiry_ms (const struct scheduler *scheduler, int64_t lease_ms)
 {
-  return scheduler->now_ms +
-         scheduler->config.lease_ms * (PERMILLE + SLOW_CLOCK_PERMILLE) / PERMILLE +
+  return scheduler->now_ms + lease_ms * (PERMILLE + SLOW_CLOCK_PERMILLE) / PERMILLE +
          LEASE_EXPIRY_MARGIN_MS;
 }
 
+/* Returns the length of a lease granted now, 0 or less if none may be granted: a leader that can't
+ * know whether it has been replaced grants leases up to a common end. */
+static int64_t
+scheduler_lease_ms (const struct scheduler *scheduler)
+{
+  return MIN (scheduler->config.lease_ms, scheduler->leases_end_ms - scheduler->now_ms);
+}
+
+/* Returns whether tasks may be started: a task is not started under a lease that would soon end
+ * it. */
+bool
+scheduler_may_start_tasks (const struct scheduler *scheduler)
+{
+  return scheduler_lease_ms (scheduler) >= scheduler->config.lease_ms / 2;
+}
+
 /* Grants a lease from now on, stores when it has certainly expired and returns its end on the
- * endpoint's clock. */
+ * endpoint's clock. Returns 0 if no lease may be granted. */
 int64_t
 endpoint_extend_lease (struct scheduler *scheduler, struct endpoint *endpoint)
 {
-  int64_t lease_end_ms =
-      endpoint_clock_at (endpoint, scheduler->now_ms) + scheduler->config.lease_ms;
+  int64_t lease_ms = scheduler_lease_ms (scheduler);
+  int64_t lease_end_ms = endpoint_clock_at (endpoint, scheduler->now_ms) + lease_ms;
 
+  if (lease_ms <= 0)
+    return 0;
   endpoint->lease_end_ms = MAX (endpoint->lease_end_ms, lease_end_ms);
   endpoint->lease_expiry_ms =
-      MAX (endpoint->lease_expiry_ms, scheduler_lease_expiry_ms (scheduler));
+      MAX (endpoint->lease_expiry_ms, scheduler_lease_expiry_ms (scheduler, lease_ms));
   return lease_end_ms;
 }
 
@@ -382,7 +399,7 @@
   endpoint->completions_acked = MAX (endpoint->completions_acked, acked);
   /* An earlier leader may have granted a lease until just now. */
   if (!was_accepted)
-    endpoint->lease_expiry_ms = scheduler_lease_expiry_ms (scheduler);
+    endpoint->lease_expiry_ms = scheduler_lease_expiry_ms (scheduler, scheduler->config.lease_ms);
   endpoint_handle_completions (scheduler, endpoint, report);
   endpoint->n_unknown_attempts = 0;
   for (size_t i = 0; i < report->n_attempts; i++)
--- a/lib/jobs/job_table.c
+++ b/lib/jobs/job_table.c
@@ -96,6 +96,7 @@
     return;
   table->leader_epoch = leadership->epoch;
   table->leader_resigned = leadership->resigned;
+  table->earlier_leases_ended = leadership->earlier_leases_ended;
   g_free (table->leader_node);
   table->leader_node = g_strdup (leadership->node);
   if (table->on_leadership)
--- a/lib/jobs/placement.c
+++ b/lib/jobs/placement.c
@@ -384,8 +384,11 @@
 void
 scheduler_place (struct scheduler *scheduler)
 {
-  unsigned left = scheduler_place_share (scheduler, scheduler->starts_per_pass);
+  unsigned left;
 
+  if (!scheduler_may_start_tasks (scheduler))
+    return;
+  left = scheduler_place_share (scheduler, scheduler->starts_per_pass);
   if (left > 0)
     scheduler_place_share (scheduler, left);
 }
--- a/lib/jobs/relay_set.c
+++ b/lib/jobs/relay_set.c
@@ -74,7 +74,34 @@
 {
   if (relay->unacked_since_ms == 0)
     relay->unacked_since_ms = now_ms;
-  return ++relay->sent_sequence;
+  relay->sent_sequence++;
+  if (relay->probe_sequence == 0)
+    {
+      relay->probe_sequence = relay->sent_sequence;
+      relay->probe_sent_ms = now_ms;
+    }
+  return relay->sent_sequence;
+}
+
+void
+relay_batch_confirmed (struct relay *relay, uint64_t sequence, bool confirms_epoch)
+{
+  if (relay->probe_sequence == 0 || sequence < relay->probe_sequence)
+    return;
+  relay->probe_sequence = 0;
+  if (confirms_epoch)
+    relay->confirmed_ms = relay->probe_sent_ms;
+}
+
+int64_t
+relay_set_confirmed_ms (const struct relay_set *set, int64_t now_ms)
+{
+  const struct relay *relay;
+  int64_t confirmed_ms = now_ms;
+
+  TAILQ_FOREACH (relay, &set->relays, link)
+    confirmed_ms = MIN (confirmed_ms, relay->confirmed_ms);
+  return confirmed_ms;
 }
 
 /* An acknowledgement of an older batch shows that the relay responds, so the time for the newer
--- a/lib/jobs/scheduler.c
+++ b/lib/jobs/scheduler.c
@@ -86,6 +86,7 @@
   scheduler->now_ms = now_ms;
   scheduler->wall_ms = wall_ms;
   scheduler->leading_since_ms = now_ms;
+  scheduler->leases_end_ms = INT64_MAX;
   scheduler->highest_fence = config->epoch * INCARNATIONS_PER_EPOCH;
   scheduler->host_commands_allowed = true;
   scheduler->starts_per_pass = STARTS_PER_PASS_DIRECT;
@@ -216,6 +217,21 @@
   scheduler->host_commands_allowed = allowed;
 }
 
+void
+scheduler_set_leases_end (struct scheduler *scheduler, int64_t leases_end_ms)
+{
+  scheduler->leases_end_ms = leases_end_ms;
+}
+
+bool
+scheduler_earlier_leases_ended (const struct scheduler *scheduler, int64_t now_ms)
+{
+  int64_t longest_ms = scheduler->config.lease_ms * (PERMILLE + SLOW_CLOCK_PERMILLE) / PERMILLE +
+                       TAKEOVER_COMMAND_MARGIN_MS;
+
+  return now_ms >= scheduler->config.earlier_grants_until_ms + longest_ms;
+}
+
 /* Returns whether each endpoint of a pool that may run tasks of an earlier leader has responded.
  * Tasks that a host ran in another pool ended when it was moved. */
 static bool
@@ -254,16 +270,14 @@
 }
 
 /* Ends a pool's takeover once no task of an earlier leader can run unnoticed there: all its
- * endpoints have responded, or every lease that the earlier leader granted has expired. */
+ * endpoints have responded, or every lease that an earlier leader granted has expired. */
 static void
 pool_check_takeover (struct scheduler *scheduler, struct pool *pool)
 {
-  int64_t longest_ms = scheduler->config.lease_ms * (PERMILLE + SLOW_CLOCK_PERMILLE) / PERMILLE +
-                       TAKEOVER_COMMAND_MARGIN_MS;
   int64_t elapsed_ms = scheduler->now_ms - scheduler->leading_since_ms;
 
-  if (pool->takeover_complete ||
-      (!pool_endpoints_have_reported (scheduler, pool) && elapsed_ms < longest_ms))
+  if (pool->takeover_complete || (!pool_endpoints_have_reported (scheduler, pool) &&
+                                  !scheduler_earlier_leases_ended (scheduler, scheduler->now_ms)))
     return;
   pool->takeover_complete = true;
   pool->changed = true;
--- a/lib/jobs/scheduler_state.h
+++ b/lib/jobs/scheduler_state.h
@@ -66,6 +66,8 @@
   int64_t now_ms;
   int64_t wall_ms;
   int64_t leading_since_ms;
+  /* When the leases that this leader grants must have ended. */
+  int64_t leases_end_ms;
   /* Id to struct endpoint. */
   GHashTable *endpoints;
   /* Highest fence of any endpoint, also of those that are no longer known. */
@@ -132,6 +134,7 @@
 bool task_may_be_stopped (const struct scheduler *scheduler, const struct task *task);
 
 /* endpoint_heartbeats.c */
+bool scheduler_may_start_tasks (const struct scheduler *scheduler);
 int64_t endpoint_extend_lease (struct scheduler *scheduler, struct endpoint *endpoint);
 void endpoint_command_fenced (struct scheduler *scheduler, struct endpoint *endpoint,
                               uint64_t fence, const char *why);
--- a/lib/jobs/task_attempt.c
+++ b/lib/jobs/task_attempt.c
@@ -373,6 +373,8 @@
 static void
 task_continue_start (struct scheduler *scheduler, struct task *task)
 {
+  if (task->starts_unanswered < START_SENDS_MAX && !scheduler_may_start_tasks (scheduler))
+    return;
   if (task->starts_unanswered < START_SENDS_MAX)
     {
       task_send_start (scheduler, task);
--- a/protocols/command.pb-c.c
+++ b/protocols/command.pb-c.c
@@ -1081,7 +1081,7 @@
   (ProtobufCMessageInit) sp__appended_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sp__command_batch__field_descriptors[4] =
+static const ProtobufCFieldDescriptor sp__command_batch__field_descriptors[5] =
 {
   {
     "sequence",
@@ -1131,17 +1131,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "takes_records",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Sp__CommandBatch, takes_records),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sp__command_batch__field_indices_by_name[] = {
   3,   /* field[3] = appended */
   2,   /* field[2] = commands */
   1,   /* field[1] = epoch */
   0,   /* field[0] = sequence */
+  4,   /* field[4] = takes_records */
 };
 static const ProtobufCIntRange sp__command_batch__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor sp__command_batch__descriptor =
 {
@@ -1151,14 +1164,14 @@
   "Sp__CommandBatch",
   "sp",
   sizeof(Sp__CommandBatch),
-  4,
+  5,
   sp__command_batch__field_descriptors,
   sp__command_batch__field_indices_by_name,
   1,  sp__command_batch__number_ranges,
   (ProtobufCMessageInit) sp__command_batch__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sp__result_batch__field_descriptors[5] =
+static const ProtobufCFieldDescriptor sp__result_batch__field_descriptors[6] =
 {
   {
     "acked_sequence",
@@ -1220,9 +1233,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "confirms_epoch",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Sp__ResultBatch, confirms_epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sp__result_batch__field_indices_by_name[] = {
   0,   /* field[0] = acked_sequence */
+  5,   /* field[5] = confirms_epoch */
   1,   /* field[1] = epoch */
   3,   /* field[3] = records */
   2,   /* field[2] = results */
@@ -1231,7 +1257,7 @@
 static const ProtobufCIntRange sp__result_batch__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor sp__result_batch__descriptor =
 {
@@ -1241,7 +1267,7 @@
   "Sp__ResultBatch",
   "sp",
   sizeof(Sp__ResultBatch),
-  5,
+  6,
   sp__result_batch__field_descriptors,
   sp__result_batch__field_indices_by_name,
   1,  sp__result_batch__number_ranges,
--- a/protocols/command.pb-c.h
+++ b/protocols/command.pb-c.h
@@ -213,10 +213,14 @@
   Sp__EndpointCommand **commands;
   size_t n_appended;
   Sp__AppendedRecord **appended;
+  /*
+   * Hosts may hand records to the leader.
+   */
+  protobuf_c_boolean takes_records;
 };
 #define SP__COMMAND_BATCH__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sp__command_batch__descriptor) \
-    , 0, 0, 0,NULL, 0,NULL }
+    , 0, 0, 0,NULL, 0,NULL, 0 }
 
 
 /*
@@ -238,10 +242,14 @@
    * The host is about to stop; it finishes the calls in progress.
    */
   protobuf_c_boolean stopping;
+  /*
+   * The host knows of no later epoch than that of the batches, and has claimed none.
+   */
+  protobuf_c_boolean confirms_epoch;
 };
 #define SP__RESULT_BATCH__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sp__result_batch__descriptor) \
-    , 0, 0, 0,NULL, 0,NULL, 0 }
+    , 0, 0, 0,NULL, 0,NULL, 0, 0 }
 
 
 /* Sp__EndpointCommand methods */
--- a/protocols/job.pb-c.c
+++ b/protocols/job.pb-c.c
@@ -1128,7 +1128,7 @@
   (ProtobufCMessageInit) sp__job_cancel__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sp__leadership__field_descriptors[3] =
+static const ProtobufCFieldDescriptor sp__leadership__field_descriptors[4] =
 {
   {
     "epoch",
@@ -1166,8 +1166,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "earlier_leases_ended",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Sp__Leadership, earlier_leases_ended),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sp__leadership__field_indices_by_name[] = {
+  3,   /* field[3] = earlier_leases_ended */
   0,   /* field[0] = epoch */
   1,   /* field[1] = node */
   2,   /* field[2] = resigned */
@@ -1175,7 +1188,7 @@
 static const ProtobufCIntRange sp__leadership__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor sp__leadership__descriptor =
 {
@@ -1185,7 +1198,7 @@
   "Sp__Leadership",
   "sp",
   sizeof(Sp__Leadership),
-  3,
+  4,
   sp__leadership__field_descriptors,
   sp__leadership__field_indices_by_name,
   1,  sp__leadership__number_ranges,
--- a/protocols/job.pb-c.h
+++ b/protocols/job.pb-c.h
@@ -194,10 +194,14 @@
    * The leader has resigned.
    */
   protobuf_c_boolean resigned;
+  /*
+   * All leases that earlier leaders granted have ended.
+   */
+  protobuf_c_boolean earlier_leases_ended;
 };
 #define SP__LEADERSHIP__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sp__leadership__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0 }
+    , 0, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 /*
--- a/tests/jobd/test_handed_records.c
+++ b/tests/jobd/test_handed_records.c
@@ -80,6 +80,14 @@
   g_ptr_array_add (leader_appends, append);
 }
 
+/* Stands in for the leadership: the hosts of this test have claimed nothing. */
+uint64_t
+leader_claimed_epoch (const struct leader *of)
+{
+  (void) of;
+  return 0;
+}
+
 static void
 stored_append_free (gpointer data)
 {
@@ -125,7 +133,7 @@
 {
   (void) timer;
   (void) events;
-  command_sender_tick (sender, 1);
+  command_sender_tick (sender, 1, false);
   ev_break (tick_loop, EVBREAK_ONE);
 }
 
--- a/tests/jobs/simulation.c
+++ b/tests/jobs/simulation.c
@@ -123,6 +123,7 @@
     .claim_offset = simulation->journal->len,
     .read_offset = simulation->journal->len,
     .lease_ms = LEASE_MS,
+    .earlier_grants_until_ms = simulation->now_ms,
     .stop_ms = STOP_MS,
   };
 
--- a/tests/jobs/test_command_message.c
+++ b/tests/jobs/test_command_message.c
@@ -12,7 +12,7 @@
   enum command_result result;
 
   result_batch_add (bytes, 1, (enum command_result) value, 0, NULL);
-  result_batch_finish (bytes, 1, 1, false);
+  result_batch_finish (bytes, 1, 1, false, false);
   batch = sp__result_batch__unpack (NULL, bytes->len, bytes->data);
   SUITE_REQUIRE (batch != NULL && batch->n_results == 1);
   result = command_result_decode (batch->results[0]->result);
