Count a lease as expired only while this host is the only leader

A leader that has lost the store and an endpoint counted that endpoint's lease as expired and started its tasks on an endpoint that it still reached, while a successor renewed the lease and went on with the tasks where they ran.

The new test of the scheduler, 'lease renewed by a successor', fails without this change (starts 2 for 1).

Why it works: an attempt counts as ended by its lease only if the leader's last durable record was sent, or all other hosts confirmed that none had claimed, after the lease had expired by the leader's count.

--- a/include/lib/jobs/scheduler.h
+++ b/include/lib/jobs/scheduler.h
@@ -193,9 +193,10 @@
                         void (*add) (void *ctx, const Sp__JobRecord *record), void *ctx);
 void scheduler_flushed (struct scheduler *scheduler, bool durable, int64_t now_ms);
 
-/* Sets when the leases that this leader grants must have ended, in case it has been replaced. Not
+/* Sets what is known of the leadership: sole_ms, a time until which no other host had replaced this
+ * leader, and leases_end_ms, when the leases that it grants must have ended in case one has. Not
  * limited at first. */
-void scheduler_set_leases_end (struct scheduler *scheduler, int64_t leases_end_ms);
+void scheduler_set_leadership (struct scheduler *scheduler, int64_t sole_ms, int64_t leases_end_ms);
 /* Returns whether all leases that earlier leaders granted have certainly expired. */
 bool scheduler_earlier_leases_ended (const struct scheduler *scheduler, int64_t now_ms);
 
--- a/jobd/leader.c
+++ b/jobd/leader.c
@@ -504,8 +504,8 @@
 leader_limit_leases (struct leader *leader, int64_t now_ms)
 {
   int64_t lease_ms = leader->jobd->settings->lease_ms;
-  int64_t end_ms = leadership_leases_end_ms (
-      leader->heartbeat_durable_ms, command_sender_confirmed_ms (leader->sender), lease_ms);
+  int64_t confirmed_ms = command_sender_confirmed_ms (leader->sender);
+  int64_t end_ms = leadership_leases_end_ms (leader->heartbeat_durable_ms, confirmed_ms, lease_ms);
   bool limited;
 
   if (leader->resignation_sent_ms > 0)
@@ -519,7 +519,8 @@
                          : "tasks are started again",
                  leader->epoch, now_ms - leader->heartbeat_durable_ms, end_ms - now_ms);
   leader->leases_limited = limited;
-  scheduler_set_leases_end (leader->scheduler, end_ms);
+  scheduler_set_leadership (leader->scheduler, MAX (leader->heartbeat_durable_ms, confirmed_ms),
+                            end_ms);
 }
 
 /* Runs one scheduling pass, unless scheduling is paused after a stall of the event loop. */
--- a/lib/jobs/endpoint_heartbeats.c
+++ b/lib/jobs/endpoint_heartbeats.c
@@ -233,6 +233,15 @@
     }
 }
 
+/* Returns whether the last lease of an unresponsive endpoint has certainly expired. A successor may
+ * have renewed it, unless this host was still the only leader by then. */
+static bool
+endpoint_lease_has_expired (const struct scheduler *scheduler, const struct endpoint *endpoint)
+{
+  return scheduler->now_ms > endpoint->lease_expiry_ms &&
+         scheduler->sole_ms >= endpoint->lease_expiry_ms;
+}
+
 /* Checks one endpoint: releases its tasks if they can't run any longer, stops stalled tasks and
  * sends a heartbeat that is due. */
 void
@@ -241,7 +250,7 @@
   bool drained_out = !endpoint->listed && endpoint->draining && endpoint->unresponsive_since_ms > 0;
 
   if (endpoint->n_tasks > 0 && endpoint->unresponsive_since_ms > 0 &&
-      (drained_out || scheduler->now_ms > endpoint->lease_expiry_ms))
+      (drained_out || endpoint_lease_has_expired (scheduler, endpoint)))
     endpoint_release_tasks (scheduler, endpoint,
                             drained_out ? "drained and left the registry" : "lease expired");
   if (endpoint->n_tasks > 0)
--- a/lib/jobs/scheduler.c
+++ b/lib/jobs/scheduler.c
@@ -86,6 +86,7 @@
   scheduler->now_ms = now_ms;
   scheduler->wall_ms = wall_ms;
   scheduler->leading_since_ms = now_ms;
+  scheduler->sole_ms = INT64_MAX;
   scheduler->leases_end_ms = INT64_MAX;
   scheduler->highest_fence = config->epoch * INCARNATIONS_PER_EPOCH;
   scheduler->host_commands_allowed = true;
@@ -218,8 +219,9 @@
 }
 
 void
-scheduler_set_leases_end (struct scheduler *scheduler, int64_t leases_end_ms)
+scheduler_set_leadership (struct scheduler *scheduler, int64_t sole_ms, int64_t leases_end_ms)
 {
+  scheduler->sole_ms = sole_ms;
   scheduler->leases_end_ms = leases_end_ms;
 }
 
--- a/lib/jobs/scheduler_state.h
+++ b/lib/jobs/scheduler_state.h
@@ -66,7 +66,9 @@
   int64_t now_ms;
   int64_t wall_ms;
   int64_t leading_since_ms;
-  /* When the leases that this leader grants must have ended. */
+  /* A time until which no other host had replaced this leader, and when the leases that it grants
+   * must have ended. */
+  int64_t sole_ms;
   int64_t leases_end_ms;
   /* Id to struct endpoint. */
   GHashTable *endpoints;
--- a/tests/jobs/test_scheduler.c
+++ b/tests/jobs/test_scheduler.c
@@ -361,6 +361,64 @@
   simulation_destroy (simulation);
 }
 
+/* A leader that has lost the store can't reach an endpoint, and its successor can and renews the
+ * endpoint's lease. The former leader must not count the lease as expired and start the endpoint's
+ * task elsewhere. */
+static void
+test_lease_renewed_by_successor (void)
+{
+  enum
+  {
+    /* As in test_unreachable_endpoint. */
+    RESTART_MS = 3500 + 70 + 300 + 300,
+    UNLIMITED_MS = 1000000,
+  };
+  struct simulation *simulation = simulation_with_pool (2);
+  Sp__JobStep step = make_step (1);
+  struct simulated_endpoint *cut_off;
+
+  simulation->work_ms = 60000;
+  simulation_submit (simulation, "job", "pool", &step, 1, 3);
+  simulation_run (simulation, 1000);
+  cut_off = simulation_find_attempt (simulation, "job.0.0.0", NULL);
+  SUITE_REQUIRE (cut_off != NULL);
+  cut_off->unreachable = true;
+  simulation_run (simulation, 1500);
+  scheduler_set_leadership (simulation->scheduler, simulation->now_ms, UNLIMITED_MS);
+  simulation_run (simulation, RESTART_MS);
+  CU_ASSERT_EQUAL (simulation->starts, 1);
+  /* No other host has led meanwhile. */
+  scheduler_set_leadership (simulation->scheduler, simulation->now_ms, UNLIMITED_MS);
+  simulation_run (simulation, 300);
+  CU_ASSERT_EQUAL (simulation->starts, 2);
+  simulation_destroy (simulation);
+}
+
+/* Near the end of its leases a leader starts nothing and renews leases up to that end only. */
+static void
+test_leases_end (void)
+{
+  struct simulation *simulation = simulation_with_pool (1);
+  Sp__JobStep step = make_step (1);
+
+  simulation->work_ms = 60000;
+  simulation_submit (simulation, "running", "pool", &step, 1, 3);
+  simulation_run (simulation, 1000);
+  CU_ASSERT_EQUAL (simulation->starts, 1);
+  scheduler_set_leadership (simulation->scheduler, simulation->now_ms, simulation->now_ms + 1000);
+  simulation_submit (simulation, "waiting", "pool", &step, 1, 3);
+  simulation_run (simulation, 900);
+  CU_ASSERT_EQUAL (simulation->starts, 1);
+  CU_ASSERT_PTR_NOT_NULL (simulation_find_attempt (simulation, "running.0.0.0", NULL));
+  /* The lease that was granted before the limit has expired too. */
+  simulation_run (simulation, 3500);
+  CU_ASSERT_PTR_NULL (simulation_find_attempt (simulation, "running.0.0.0", NULL));
+  scheduler_set_leadership (simulation->scheduler, simulation->now_ms, simulation->now_ms + 100000);
+  simulation_run (simulation, 300);
+  CU_ASSERT_EQUAL (simulation->starts, 3);
+  simulation_destroy (simulation);
+}
+
 /* A new leader adopts what runs and starts none of it again. */
 static void
 test_takeover (void)
@@ -696,6 +754,8 @@
   { "start errors", test_start_errors },
   { "start errors of a limited step", test_start_errors_of_a_limited_step },
   { "unreachable endpoint", test_unreachable_endpoint },
+  { "lease renewed by a successor", test_lease_renewed_by_successor },
+  { "leases end", test_leases_end },
   { "takeover", test_takeover },
   { "takeover with an unreachable endpoint", test_takeover_with_unreachable_endpoint },
   { "takeover with a former incarnation", test_takeover_with_former_incarnation },
