--- a/lib/jobs/hosts.c
+++ b/lib/jobs/hosts.c
@@ -175,7 +175,8 @@
         host->listed = true;
       else
         {
-          if (host->state != entries[i].state)
+          if (host->state != entries[i].state ||
+              g_strcmp0 (host->endpoint_id, entries[i].endpoint) != 0)
             scheduler_log (scheduler, "host changed: host=%s state=%d was=%d pool=%s endpoint=%s",
                            entries[i].id, entries[i].state, host->state, entries[i].pool,
                            entries[i].endpoint ? entries[i].endpoint : "none");
@@ -190,6 +191,8 @@
       next = TAILQ_NEXT (host, link);
       if (host->listed || host->command_in_flight)
         continue;
+      scheduler_log (scheduler, "host left the machine list: host=%s state=%d endpoint=%s", host->id,
+                     host->state, host->endpoint_id ? host->endpoint_id : "none");
       scheduler_remove_host (scheduler, host);
     }
   scheduler_release_unhosted (scheduler, sent_ms);
