Let a draining endpoint's attempts run for their lease

Cause: one lost response of a draining endpoint whose registry entry was gone released its tasks at once. An entry also expires after three heartbeat intervals of silence, all entries may expire while the store is down, and a draining endpoint runs on for seconds.

Evidence: the new test on the code before: Test: draining endpoint unregistered ...FAILED 1. test_scheduler.c:389 - CU_ASSERT_EQUAL(simulation_violations (simulation),0)

Why it works: the registry no longer counts as proof of an attempt's end. Tasks of a draining endpoint are released like those of any other: by its own reports, by the machine list, or when their lease has expired.

--- a/lib/jobs/endpoint_heartbeats.c
+++ b/lib/jobs/endpoint_heartbeats.c
@@ -221,12 +221,9 @@
 void
 endpoint_tick (struct scheduler *scheduler, struct endpoint *endpoint)
 {
-  bool drained_out = !endpoint->listed && endpoint->draining && endpoint->unresponsive_since_ms > 0;
-
   if (endpoint->n_tasks > 0 && endpoint->unresponsive_since_ms > 0 &&
-      (drained_out || scheduler->now_ms > endpoint->lease_expiry_ms))
-    endpoint_release_tasks (scheduler, endpoint,
-                            drained_out ? "drained and left the registry" : "lease expired");
+      scheduler->now_ms > endpoint->lease_expiry_ms)
+    endpoint_release_tasks (scheduler, endpoint, "lease expired");
   if (endpoint->n_tasks > 0)
     endpoint_stop_stalled (scheduler, endpoint);
   if (!endpoint->heartbeat_in_flight && scheduler->now_ms >= endpoint->next_heartbeat_ms &&
--- a/lib/jobs/hosts.c
+++ b/lib/jobs/hosts.c
@@ -191,8 +191,8 @@
       next = TAILQ_NEXT (host, link);
       if (host->listed || host->command_in_flight)
         continue;
-      scheduler_log (scheduler, "host left the machine list: host=%s state=%d endpoint=%s", host->id,
-                     host->state, host->endpoint_id ? host->endpoint_id : "none");
+      scheduler_log (scheduler, "host left the machine list: host=%s state=%d endpoint=%s",
+                     host->id, host->state, host->endpoint_id ? host->endpoint_id : "none");
       scheduler_remove_host (scheduler, host);
     }
   scheduler_release_unhosted (scheduler, sent_ms);
--- a/tests/jobs/test_scheduler.c
+++ b/tests/jobs/test_scheduler.c
@@ -361,6 +361,35 @@
   simulation_destroy (simulation);
 }
 
+/* A draining endpoint's registration expires while it is cut off. It runs on for its lease, so that
+ * its task must not start elsewhere before. */
+static void
+test_draining_endpoint_unregistered (void)
+{
+  enum
+  {
+    /* As in test_unreachable_endpoint. */
+    RESTART_MS = 3500 + 70 + 300 + 300,
+  };
+  struct simulation *simulation = simulation_with_pool (2);
+  Sp__JobStep step = make_step (1);
+  struct simulated_endpoint *cut_off;
+
+  simulation->work_ms = 60000;
+  simulation_submit (simulation, "job", "pool", &step, 1, 3);
+  simulation_run (simulation, 1000);
+  cut_off = simulation_find_attempt (simulation, "job.0.0.0", NULL);
+  SUITE_REQUIRE (cut_off != NULL);
+  cut_off->draining = true;
+  simulation_run (simulation, 500);
+  cut_off->unreachable = true;
+  cut_off->listed = false;
+  simulation_run (simulation, RESTART_MS);
+  CU_ASSERT_EQUAL (simulation->starts, 2);
+  CU_ASSERT_EQUAL (simulation_violations (simulation), 0);
+  simulation_destroy (simulation);
+}
+
 /* A new leader adopts what runs and starts none of it again. */
 static void
 test_takeover (void)
@@ -696,6 +725,7 @@
   { "start errors", test_start_errors },
   { "start errors of a limited step", test_start_errors_of_a_limited_step },
   { "unreachable endpoint", test_unreachable_endpoint },
+  { "draining endpoint unregistered", test_draining_endpoint_unregistered },
   { "takeover", test_takeover },
   { "takeover with an unreachable endpoint", test_takeover_with_unreachable_endpoint },
   { "takeover with a former incarnation", test_takeover_with_former_incarnation },
