Ignore a host's end in a machine list that is older than its endpoint

A host flaps and is back under the same endpoint id, its new incarnation runs tasks, and a machine list that was requested before arrives late (a slow list, several pages, a leader that stood still) and shows the host as down: the tasks were released and started elsewhere beside those that run.

Cause: a list that shows a host as down released everything on its endpoint, whatever the endpoint had said since the list was requested. The mark for an endpoint whose host is down also outlived a new incarnation and a confirmed start.

Evidence: the new test on the code before: Test: outdated list shows a host down ...FAILED 1. test_scheduler.c:459 - CU_ASSERT_EQUAL(simulation->starts,2) 2. test_scheduler.c:460 - CU_ASSERT_EQUAL(simulation_violations (simulation),0) 3. test_scheduler.c:467 - CU_ASSERT_EQUAL(simulation_violations (simulation),0)

Why it works: each endpoint keeps when it was last known to begin or to run: a first or new entry of the registry, a report, a confirmed start. A list that was requested no later than that says nothing of the end of that incarnation, and its entry for the host is ignored; the next list decides. The mark is removed with each sign of life.

--- a/include/lib/jobs/endpoint.h
+++ b/include/lib/jobs/endpoint.h
@@ -53,8 +53,8 @@
   struct resources used;
   bool listed;
   bool draining;
-  /* The machine list shows its host as down. */
-  bool down;
+  /* A machine list shows that this incarnation has ended. */
+  bool gone;
   int64_t remaining_ms;
   int64_t born_ms;
   /* Fence that commands carry. It rises with the leader's epoch and with each incarnation of the
@@ -96,6 +96,10 @@
   int64_t next_heartbeat_ms;
   /* Since when calls have failed; 0 while they succeed. */
   int64_t unresponsive_since_ms;
+  /* When this process last learned that the incarnation had begun or was running: a first or new
+   * entry of the registry, a report or a confirmed start. A machine list that was requested earlier
+   * may show what was before. */
+  int64_t alive_ms;
   /* Gets no new tasks before this time, after a rejected start, a stalled task or failures. */
   int64_t avoid_until_ms;
   /* The endpoint's clock, and when it was read on this process's clock. */
--- a/lib/jobs/endpoint_heartbeats.c
+++ b/lib/jobs/endpoint_heartbeats.c
@@ -60,6 +60,14 @@
          endpoint->n_unknown_attempts == 0 && scheduler->now_ms >= endpoint->avoid_until_ms;
 }
 
+/* Records that an endpoint's present incarnation has begun or is running. */
+void
+endpoint_set_alive (struct scheduler *scheduler, struct endpoint *endpoint)
+{
+  endpoint->alive_ms = scheduler->now_ms;
+  endpoint->gone = false;
+}
+
 /* Resets what is known from the reports of an endpoint's former incarnation. */
 static void
 endpoint_reset_incarnation (struct scheduler *scheduler, struct endpoint *endpoint)
@@ -96,6 +104,7 @@
                    "endpoint has a new incarnation: endpoint=%s tasks=%u born_ms=%" G_GINT64_FORMAT,
                    endpoint->id, endpoint->n_tasks, born_ms);
   endpoint->born_ms = born_ms;
+  endpoint_set_alive (scheduler, endpoint);
   endpoint_raise_fence (scheduler, endpoint);
   endpoint_reset_incarnation (scheduler, endpoint);
 }
@@ -372,7 +381,7 @@
     scheduler_log (scheduler, "endpoint responds again: endpoint=%s silent_ms=%" G_GINT64_FORMAT,
                    endpoint->id, scheduler->now_ms - endpoint->unresponsive_since_ms);
   endpoint->unresponsive_since_ms = 0;
-  endpoint->down = false;
+  endpoint_set_alive (scheduler, endpoint);
   endpoint->fence_accepted = true;
   endpoint->clock_ms = report->clock_ms;
   endpoint->clock_read_ms = scheduler->now_ms;
--- a/lib/jobs/hosts.c
+++ b/lib/jobs/hosts.c
@@ -69,15 +69,27 @@
   return false;
 }
 
-/* Handles a host that the platform reports as down: its tasks no longer run. */
+/* Returns whether an entry of a machine list shows the end of a host's endpoint that was alive
+ * after the list was requested. The list is then older than the endpoint's present incarnation. */
+static bool
+host_entry_is_outdated (const struct scheduler *scheduler, const struct host *host,
+                        const struct host_entry *entry, int64_t sent_ms)
+{
+  const struct endpoint *endpoint = host_endpoint (scheduler, host);
+
+  return endpoint && sent_ms <= endpoint->alive_ms &&
+         (entry->state != HOST_UP || g_strcmp0 (entry->endpoint, endpoint->id) != 0);
+}
+
+/* Handles a host that a list which is not outdated shows as down: its attempts have ended. */
 static void
 host_handle_down (struct scheduler *scheduler, const struct host *host)
 {
   struct endpoint *endpoint = host_endpoint (scheduler, host);
 
-  if (!endpoint || endpoint->down)
+  if (!endpoint)
     return;
-  endpoint->down = true;
+  endpoint->gone = true;
   if (endpoint->n_tasks > 0)
     endpoint_release_tasks (scheduler, endpoint, "its host is down");
 }
@@ -171,7 +183,8 @@
           g_hash_table_insert (scheduler->hosts_by_id, host->id, host);
         }
       /* The list may predate a command that is in flight or was completed since. */
-      if (host->command_in_flight || host->command_done_ms > sent_ms)
+      if (host->command_in_flight || host->command_done_ms > sent_ms ||
+          host_entry_is_outdated (scheduler, host, &entries[i], sent_ms))
         host->listed = true;
       else
         {
--- a/lib/jobs/scheduler.c
+++ b/lib/jobs/scheduler.c
@@ -179,6 +179,8 @@
     }
   if (entry->born_ms > endpoint->born_ms)
     endpoint_begin_incarnation (scheduler, endpoint, entry->born_ms);
+  if (!endpoint->listed)
+    endpoint_set_alive (scheduler, endpoint);
   was_draining = endpoint->draining;
   endpoint_update (endpoint, entry);
   pool_add_endpoint (pool, endpoint);
@@ -228,7 +230,7 @@
     return false;
   TAILQ_FOREACH (endpoint, &pool->endpoints, pool_link)
     {
-      if (!endpoint->fence_accepted && !endpoint->down &&
+      if (!endpoint->fence_accepted && !endpoint->gone &&
           scheduler_endpoint_has_host (scheduler, endpoint->id))
         return false;
     }
--- a/lib/jobs/scheduler_state.h
+++ b/lib/jobs/scheduler_state.h
@@ -141,6 +141,7 @@
 void endpoint_release_tasks (struct scheduler *scheduler, struct endpoint *endpoint,
                              const char *why);
 void endpoint_tick (struct scheduler *scheduler, struct endpoint *endpoint);
+void endpoint_set_alive (struct scheduler *scheduler, struct endpoint *endpoint);
 void endpoint_set_unresponsive (struct scheduler *scheduler, struct endpoint *endpoint);
 bool endpoint_is_usable (const struct scheduler *scheduler, const struct endpoint *endpoint);
 
--- a/lib/jobs/task_attempt.c
+++ b/lib/jobs/task_attempt.c
@@ -457,6 +457,7 @@
       task->confirmed_ms = now_ms;
       task->progress_ms = now_ms;
       endpoint->unresponsive_since_ms = 0;
+      endpoint_set_alive (scheduler, endpoint);
       endpoint->starts_invalidated = 0;
       break;
     case COMMAND_UNKNOWN:
--- a/tests/jobs/test_scheduler.c
+++ b/tests/jobs/test_scheduler.c
@@ -390,6 +390,83 @@
   simulation_destroy (simulation);
 }
 
+/* Passes a machine list that was requested at sent_ms and shows one host in a state, with its
+ * present endpoint if it is up; the other hosts are as they are. */
+static void
+list_host_as (struct simulation *simulation, unsigned number, enum host_state state,
+              int64_t sent_ms)
+{
+  static const char *const labels[] = { "a", "r-0", NULL };
+  g_autofree struct host_entry *entries = g_new0 (struct host_entry, simulation->n_hosts);
+
+  for (unsigned i = 0; i < simulation->n_hosts; i++)
+    {
+      const struct simulated_host *host = &simulation->hosts[i];
+
+      entries[i] = (struct host_entry){
+        .id = host->id,
+        .pool = host->pool,
+        .state = i == number ? state : host->state,
+        .labels = labels,
+        .capacity = { .cpu_milli = 10000, .memory_mb = 100000 },
+      };
+      if (host->endpoint >= 0 && entries[i].state == HOST_UP)
+        entries[i].endpoint = ((struct simulated_endpoint *) g_ptr_array_index (
+                                   simulation->endpoints, host->endpoint))
+                                  ->id;
+    }
+  scheduler_hosts_listed (simulation->scheduler, entries, simulation->n_hosts, sent_ms,
+                          simulation->now_ms);
+}
+
+/* Returns the number of the host on which a simulated endpoint runs. */
+static unsigned
+host_number (const struct simulation *simulation, const struct simulated_endpoint *endpoint)
+{
+  unsigned number = 0;
+
+  while (strcmp (simulation->hosts[number].id, endpoint->host) != 0)
+    number++;
+  return number;
+}
+
+/* A host flaps: it is down for a moment and back with a new incarnation of its endpoint, which runs
+ * the task again. A machine list that was requested before arrives only then and shows the host as
+ * down. The task must not start elsewhere beside the new incarnation's attempt. */
+static void
+test_outdated_list_shows_host_down (void)
+{
+  struct simulation *simulation = simulation_with_pool (2);
+  Sp__JobStep step = make_step (1);
+  struct simulated_endpoint *endpoint;
+  int64_t sent_ms;
+
+  simulation->work_ms = 60000;
+  simulation_submit (simulation, "job", "pool", &step, 1, 3);
+  simulation_run (simulation, 1000);
+  endpoint = simulation_find_attempt (simulation, "job.0.0.0", NULL);
+  SUITE_REQUIRE (endpoint != NULL);
+  simulation->machine_list_unreadable = true;
+  sent_ms = simulation->now_ms;
+  simulation_run (simulation, 20);
+  simulation_crash_endpoint (simulation, endpoint, true);
+  simulation_run (simulation, 2000);
+  endpoint = simulation_find_attempt (simulation, "job.0.0.0", NULL);
+  SUITE_REQUIRE (endpoint != NULL);
+  list_host_as (simulation, host_number (simulation, endpoint), HOST_DOWN, sent_ms);
+  simulation_run (simulation, 500);
+  CU_ASSERT_EQUAL (simulation->starts, 2);
+  CU_ASSERT_EQUAL (simulation_violations (simulation), 0);
+  /* A list that was requested since proves the end. */
+  simulation_crash_endpoint (simulation, endpoint, false);
+  simulation_run (simulation, 100);
+  list_host_as (simulation, host_number (simulation, endpoint), HOST_DOWN, simulation->now_ms);
+  simulation_run (simulation, 100);
+  CU_ASSERT_EQUAL (simulation->starts, 3);
+  CU_ASSERT_EQUAL (simulation_violations (simulation), 0);
+  simulation_destroy (simulation);
+}
+
 /* A new leader adopts what runs and starts none of it again. */
 static void
 test_takeover (void)
@@ -726,6 +803,7 @@
   { "start errors of a limited step", test_start_errors_of_a_limited_step },
   { "unreachable endpoint", test_unreachable_endpoint },
   { "draining endpoint unregistered", test_draining_endpoint_unregistered },
+  { "outdated list shows a host down", test_outdated_list_shows_host_down },
   { "takeover", test_takeover },
   { "takeover with an unreachable endpoint", test_takeover_with_unreachable_endpoint },
   { "takeover with a former incarnation", test_takeover_with_former_incarnation },
