Keep a task whose start may arrive late when its host is down

A start gets no response, its endpoint crashes, the machine list shows the host as down and the task starts elsewhere; the endpoint restarts under its id, has seen no fence yet, and carries out the first start late.

Cause: a machine list that shows the end of an endpoint released all its tasks. It proves that attempts that ran have ended, but not that a start in transit won't reach the next incarnation under the same id.

Why it works: tasks with a start in flight or without a response are kept until a report of the new incarnation shows what runs, under a raised fence, or the lease that the start carries has expired. Nothing is sent again to an endpoint that has ended, so that the lease isn't extended meanwhile. A start that is carried out after its lease is not covered by this (hypothesis H1).

--- a/lib/jobs/endpoint_heartbeats.c
+++ b/lib/jobs/endpoint_heartbeats.c
@@ -146,6 +146,46 @@
   endpoint_reset_incarnation (scheduler, endpoint);
 }
 
+/* Returns whether a start of a task may still be carried out: one is in flight or got no response.
+ */
+static bool
+task_may_start_late (const struct task *task)
+{
+  return task->starts_unanswered > 0 || (task->phase == TASK_STARTING && task->command_in_flight);
+}
+
+/* Releases the tasks of an endpoint whose end the machine list shows. A start that may be carried
+ * out late may reach a new incarnation under the same id, so its task is kept until a report shows
+ * what runs there or the lease that it carries has expired. */
+void
+endpoint_release_ended (struct scheduler *scheduler, struct endpoint *endpoint, const char *why)
+{
+  struct task *task;
+  struct task *next;
+  unsigned n_late = 0;
+
+  endpoint->gone = true;
+  TAILQ_FOREACH (task, &endpoint->tasks, endpoint_link)
+    n_late += task_may_start_late (task);
+  if (n_late == 0 && endpoint->n_tasks > 0)
+    endpoint_release_tasks (scheduler, endpoint, why);
+  if (n_late == endpoint->n_tasks)
+    return;
+  scheduler_log (scheduler,
+                 "endpoint lost, confirmed tasks released: endpoint=%s born_ms=%" G_GINT64_FORMAT
+                 " tasks=%u kept=%u lease_left_ms=%" G_GINT64_FORMAT " reason=\"%s\"",
+                 endpoint->id, endpoint->born_ms, endpoint->n_tasks, n_late,
+                 endpoint->lease_expiry_ms - scheduler->now_ms, why);
+  for (task = TAILQ_FIRST (&endpoint->tasks); task; task = next)
+    {
+      next = TAILQ_NEXT (task, endpoint_link);
+      if (task_may_start_late (task))
+        continue;
+      scheduler->counts.lapses++;
+      task_release (scheduler, task);
+    }
+}
+
 /* Returns the time, on this process's clock, at which a lease granted now has certainly expired. */
 static int64_t
 scheduler_lease_expiry_ms (const struct scheduler *scheduler)
--- a/lib/jobs/hosts.c
+++ b/lib/jobs/hosts.c
@@ -87,11 +87,8 @@
 {
   struct endpoint *endpoint = host_endpoint (scheduler, host);
 
-  if (!endpoint)
-    return;
-  endpoint->gone = true;
-  if (endpoint->n_tasks > 0)
-    endpoint_release_tasks (scheduler, endpoint, "its host is down");
+  if (endpoint)
+    endpoint_release_ended (scheduler, endpoint, "its host is down");
 }
 
 /* Stores one entry of the machine list. */
@@ -153,7 +150,7 @@
       if (endpoint->n_tasks > 0 && endpoint->unresponsive_since_ms > 0 &&
           endpoint->unresponsive_since_ms < sent_ms &&
           !scheduler_endpoint_has_host (scheduler, endpoint->id))
-        endpoint_release_tasks (scheduler, endpoint, "the machine list names no host that runs it");
+        endpoint_release_ended (scheduler, endpoint, "the machine list names no host that runs it");
     }
 }
 
--- a/lib/jobs/scheduler_state.h
+++ b/lib/jobs/scheduler_state.h
@@ -140,6 +140,8 @@
                                  int64_t born_ms);
 void endpoint_release_tasks (struct scheduler *scheduler, struct endpoint *endpoint,
                              const char *why);
+void endpoint_release_ended (struct scheduler *scheduler, struct endpoint *endpoint,
+                             const char *why);
 void endpoint_tick (struct scheduler *scheduler, struct endpoint *endpoint);
 void endpoint_set_alive (struct scheduler *scheduler, struct endpoint *endpoint);
 void endpoint_set_unresponsive (struct scheduler *scheduler, struct endpoint *endpoint);
--- a/lib/jobs/task_attempt.c
+++ b/lib/jobs/task_attempt.c
@@ -385,11 +385,13 @@
   task->confirmed_ms = 0;
 }
 
-/* Sends a task's command again if it is due: a start without a response, or a stop. */
+/* Sends a task's command again if it is due: a start without a response, or a stop. An endpoint
+ * that has ended gets none: another start would only extend the lease. */
 void
 task_send_commands (struct scheduler *scheduler, struct task *task)
 {
-  if (task->command_in_flight || scheduler->now_ms < task->next_command_ms)
+  if (task->command_in_flight || scheduler->now_ms < task->next_command_ms ||
+      (task->endpoint && task->endpoint->gone))
     return;
   if (task->phase == TASK_STARTING)
     task_continue_start (scheduler, task);
--- a/tests/jobs/test_scheduler.c
+++ b/tests/jobs/test_scheduler.c
@@ -467,6 +467,57 @@
   simulation_destroy (simulation);
 }
 
+/* A start gets no response, and its endpoint crashes before it arrives. The machine list shows the
+ * host as down. The endpoint restarts under its id and the start arrives late: its task must not
+ * have been started elsewhere meanwhile. */
+static void
+test_late_start_after_host_down (void)
+{
+  enum
+  {
+    SEEDS = 40,
+    TIMEOUT_MS = 700,
+  };
+  unsigned carried_out = 0;
+
+  for (guint32 seed = 1; seed <= SEEDS; seed++)
+    {
+      struct simulation *simulation = simulation_create (seed);
+      Sp__JobStep step = make_step (1);
+
+      simulation_add_hosts (simulation, "pool", 2);
+      simulation_start_new_leader (simulation);
+      simulation_run (simulation, 100);
+      simulation->work_ms = 60000;
+      simulation->late_permille = 1000;
+      simulation_submit (simulation, "job", "pool", &step, 1, 3);
+      simulation_run (simulation, 20);
+      simulation->late_permille = 0;
+      for (guint i = 0; i < simulation->endpoints->len; i++)
+        {
+          struct simulated_endpoint *endpoint = g_ptr_array_index (simulation->endpoints, i);
+
+          if (endpoint->start_commands == 0)
+            continue;
+          simulation_crash_endpoint (simulation, endpoint, false);
+          simulation_run (simulation, 20);
+          simulation->hosts[i].state = HOST_DOWN;
+          simulation_run (simulation, TIMEOUT_MS);
+          simulation->hosts[i].state = HOST_UP;
+          simulation_crash_endpoint (simulation, endpoint, true);
+          /* The leader learns nothing of the new incarnation before the late start arrives. */
+          endpoint->listed = false;
+          simulation->lost_permille = 1000;
+          break;
+        }
+      simulation_run (simulation, 3500);
+      carried_out += simulation->starts > 0;
+      CU_ASSERT_EQUAL (simulation_violations (simulation), 0);
+      simulation_destroy (simulation);
+    }
+  CU_ASSERT (carried_out > 0);
+}
+
 /* A new leader adopts what runs and starts none of it again. */
 static void
 test_takeover (void)
@@ -804,6 +855,7 @@
   { "unreachable endpoint", test_unreachable_endpoint },
   { "draining endpoint unregistered", test_draining_endpoint_unregistered },
   { "outdated list shows a host down", test_outdated_list_shows_host_down },
+  { "late start after its host was down", test_late_start_after_host_down },
   { "takeover", test_takeover },
   { "takeover with an unreachable endpoint", test_takeover_with_unreachable_endpoint },
   { "takeover with a former incarnation", test_takeover_with_former_incarnation },
