Don't take a host for gone because one list of several pages lacks it

Cause: the tasks of an unresponsive endpoint were released when a complete list named no host that runs it. When a host leaves between two pages, the list may lack another one, whose endpoint may be cut off and run on. Signs of life other than a report or a confirmed start, such as a new incarnation in the registry, were not looked at.

Why it works: a host that a list of several pages lacks is kept, with its endpoint, until the next list lacks it too, and so are the tasks of an endpoint that no list has named; a list in one page counts at once. A list also counts only if it was requested after the endpoint's last sign of life.

--- a/include/lib/jobs/host.h
+++ b/include/lib/jobs/host.h
@@ -65,6 +65,8 @@
   enum host_state state;
   struct resources capacity;
   bool listed;
+  /* The last list lacked it. */
+  bool missing;
   bool command_in_flight;
   /* A command got no response: it may have been carried out, or may be later. Rejections of later
    * commands don't change that. */
--- a/include/lib/jobs/scheduler.h
+++ b/include/lib/jobs/scheduler.h
@@ -156,9 +156,11 @@
 void scheduler_pace_done (struct scheduler *scheduler, struct endpoint *endpoint, struct task *task,
                           int percent, uint64_t fence, enum command_result result);
 
-/* The machine list, results of commands to hosts, and maintenance waves. */
+/* A complete machine list, which was requested at sent_ms. in_one_page says whether it was read at
+ * once: a list that was read in several pages may lack a host because another left meanwhile. */
 void scheduler_hosts_listed (struct scheduler *scheduler, const struct host_entry *entries,
-                             size_t n, int64_t sent_ms, int64_t now_ms);
+                             size_t n, bool in_one_page, int64_t sent_ms, int64_t now_ms);
+/* Results of commands to hosts, and maintenance waves. */
 void scheduler_move_done (struct scheduler *scheduler, struct host *host,
                           enum host_command_result result, int64_t now_ms);
 void scheduler_maintain_done (struct scheduler *scheduler, struct host *host, uint32_t wave,
--- a/lib/jobs/hosts.c
+++ b/lib/jobs/hosts.c
@@ -134,8 +134,22 @@
   return g_hash_table_contains (scheduler->hosts_by_endpoint, id);
 }
 
+/* Returns whether a host is no longer in the machine list. A list that was read in several pages
+ * may lack a host because another left meanwhile, so it is kept until the next list lacks it too.
+ */
+static bool
+host_has_left (struct host *host, bool in_one_page)
+{
+  bool missing_before = host->missing;
+
+  host->missing = !host->listed;
+  return host->missing && !host->command_in_flight && (in_one_page || missing_before);
+}
+
 /* Releases the tasks of unresponsive endpoints that no host runs. Only endpoints that were already
- * unresponsive when the list was requested count. */
+ * unresponsive when the list was requested and have shown no sign of life since count. Of lists in
+ * several pages, two in a row must lack the endpoint; sent_ms is then when the first was requested.
+ */
 static void
 scheduler_release_unhosted (struct scheduler *scheduler, int64_t sent_ms)
 {
@@ -148,7 +162,7 @@
       struct endpoint *endpoint = value;
 
       if (endpoint->n_tasks > 0 && endpoint->unresponsive_since_ms > 0 &&
-          endpoint->unresponsive_since_ms < sent_ms &&
+          endpoint->unresponsive_since_ms < sent_ms && endpoint->alive_ms < sent_ms &&
           !scheduler_endpoint_has_host (scheduler, endpoint->id))
         endpoint_release_ended (scheduler, endpoint, "the machine list names no host that runs it");
     }
@@ -157,7 +171,7 @@
 /* Handles a complete machine list. sent_ms is when it was requested. */
 void
 scheduler_hosts_listed (struct scheduler *scheduler, const struct host_entry *entries, size_t n,
-                        int64_t sent_ms, int64_t now_ms)
+                        bool in_one_page, int64_t sent_ms, int64_t now_ms)
 {
   struct host *host;
   struct host *next;
@@ -199,13 +213,14 @@
   for (host = TAILQ_FIRST (&scheduler->hosts); host; host = next)
     {
       next = TAILQ_NEXT (host, link);
-      if (host->listed || host->command_in_flight)
+      if (!host_has_left (host, in_one_page))
         continue;
       scheduler_log (scheduler, "host left the machine list: host=%s state=%d endpoint=%s",
                      host->id, host->state, host->endpoint_id ? host->endpoint_id : "none");
       scheduler_remove_host (scheduler, host);
     }
-  scheduler_release_unhosted (scheduler, sent_ms);
+  scheduler_release_unhosted (scheduler, in_one_page ? sent_ms : scheduler->hosts_sent_ms);
+  scheduler->hosts_sent_ms = sent_ms;
 }
 
 /* Handles a completed move or maintenance command, which ended everything on the host's
--- a/lib/jobs/scheduler_state.h
+++ b/lib/jobs/scheduler_state.h
@@ -77,6 +77,8 @@
   GHashTable *hosts_by_id;
   GHashTable *hosts_by_endpoint;
   bool hosts_loaded;
+  /* When the last complete machine list was requested. */
+  int64_t hosts_sent_ms;
   /* A pool needs more hosts than it has. */
   bool hosts_are_short;
   struct wave_list waves;
--- a/tests/jobs/simulation_hosts.c
+++ b/tests/jobs/simulation_hosts.c
@@ -136,8 +136,8 @@
         .capacity = { .cpu_milli = 10000, .memory_mb = 100000 },
       };
     }
-  scheduler_hosts_listed (simulation->scheduler, entries, simulation->n_hosts, simulation->now_ms,
-                          simulation->now_ms);
+  scheduler_hosts_listed (simulation->scheduler, entries, simulation->n_hosts, true,
+                          simulation->now_ms, simulation->now_ms);
 }
 
 /* Passes the registry and the machine list to the scheduler, in random order. */
--- a/tests/jobs/test_backlog.c
+++ b/tests/jobs/test_backlog.c
@@ -124,8 +124,8 @@
       scheduler_endpoint_listed (backlog->scheduler, &entry, backlog->now_ms);
     }
   scheduler_registry_read (backlog->scheduler);
-  scheduler_hosts_listed (backlog->scheduler, hosts, POOLS * ENDPOINTS_PER_POOL, backlog->now_ms,
-                          backlog->now_ms);
+  scheduler_hosts_listed (backlog->scheduler, hosts, POOLS * ENDPOINTS_PER_POOL, true,
+                          backlog->now_ms, backlog->now_ms);
 }
 
 /* Submits n jobs, spread evenly over the first n_pools pools. */
--- a/tests/jobs/test_scheduler.c
+++ b/tests/jobs/test_scheduler.c
@@ -415,7 +415,7 @@
                                    simulation->endpoints, host->endpoint))
                                   ->id;
     }
-  scheduler_hosts_listed (simulation->scheduler, entries, simulation->n_hosts, sent_ms,
+  scheduler_hosts_listed (simulation->scheduler, entries, simulation->n_hosts, true, sent_ms,
                           simulation->now_ms);
 }
 
@@ -467,6 +467,46 @@
   simulation_destroy (simulation);
 }
 
+/* A machine list that was read in several pages lacks the host of an endpoint that is cut off,
+ * because another host left between two pages. The endpoint runs on for its lease, so that its task
+ * must not start elsewhere before. */
+static void
+test_host_missing_from_pages (void)
+{
+  enum
+  {
+    /* As in test_unreachable_endpoint. */
+    RESTART_MS = 3500 + 70 + 300 + 300,
+  };
+  struct simulation *simulation = simulation_with_pool (2);
+  Sp__JobStep step = make_step (1);
+  struct simulated_endpoint *cut_off;
+  struct host_entry entry = { 0 };
+  const struct simulated_host *other;
+
+  simulation->work_ms = 60000;
+  simulation_submit (simulation, "job", "pool", &step, 1, 3);
+  simulation_run (simulation, 1000);
+  cut_off = simulation_find_attempt (simulation, "job.0.0.0", NULL);
+  SUITE_REQUIRE (cut_off != NULL);
+  simulation->machine_list_unreadable = true;
+  cut_off->unreachable = true;
+  simulation_run (simulation, 1800);
+  other = &simulation->hosts[1 - host_number (simulation, cut_off)];
+  entry.id = other->id;
+  entry.pool = other->pool;
+  entry.endpoint =
+      ((struct simulated_endpoint *) g_ptr_array_index (simulation->endpoints, other->endpoint))
+          ->id;
+  scheduler_hosts_listed (simulation->scheduler, &entry, 1, false, simulation->now_ms,
+                          simulation->now_ms);
+  simulation->machine_list_unreadable = false;
+  simulation_run (simulation, RESTART_MS - 1800);
+  CU_ASSERT_EQUAL (simulation->starts, 2);
+  CU_ASSERT_EQUAL (simulation_violations (simulation), 0);
+  simulation_destroy (simulation);
+}
+
 /* A start gets no response, and its endpoint crashes before it arrives. The machine list shows the
  * host as down. The endpoint restarts under its id and the start arrives late: its task must not
  * have been started elsewhere meanwhile. */
@@ -855,6 +895,7 @@
   { "unreachable endpoint", test_unreachable_endpoint },
   { "draining endpoint unregistered", test_draining_endpoint_unregistered },
   { "outdated list shows a host down", test_outdated_list_shows_host_down },
+  { "host missing from pages", test_host_missing_from_pages },
   { "late start after its host was down", test_late_start_after_host_down },
   { "takeover", test_takeover },
   { "takeover with an unreachable endpoint", test_takeover_with_unreachable_endpoint },
