Wait in a takeover for endpoints that the machine list is too old to name

Cause: an endpoint in the registry counted as reported if no host of the machine list ran it, also if the list was requested before the endpoint began: one whose host was just back from a move, or had crashed and returned under its endpoint's id. What the former leader had started there was started again elsewhere.

Evidence: the new test on the code before, for both cases: Test: takeover with an outdated list ...FAILED 1. test_scheduler.c:668 - CU_ASSERT_EQUAL(simulation->starts,1) 2. test_scheduler.c:672 - CU_ASSERT_EQUAL(simulation->starts,1) 3. test_scheduler.c:673 - CU_ASSERT_EQUAL(simulation_violations (simulation),0) (the same for the second case)

Why it works: an endpoint that has not responded counts as ended only by a list that was requested after its entry was first read, or after its new incarnation was. A new leader requests its first list after the registry, at least a ms later, so that former incarnations, which the registry keeps for seconds, don't delay a takeover.

--- a/include/platform/command_client.h
+++ b/include/platform/command_client.h
@@ -58,8 +58,8 @@
                                    uint64_t token);
 /* Ends the host commands in progress. The scheduler is told that they may have been carried out. */
 void command_client_abort_host_commands (struct command_client *client);
-/* Reads the whole machine list and passes it to the scheduler. Does nothing while a read is in
- * progress. */
-void command_client_list_hosts (struct command_client *client);
+/* Reads the whole machine list and passes it to the scheduler. Returns false and does nothing while
+ * a read is in progress. */
+bool command_client_list_hosts (struct command_client *client);
 
 #endif
--- a/jobd/leader.c
+++ b/jobd/leader.c
@@ -455,13 +455,10 @@
   topic_reader_set_min_interval (leader->registry, now_ms < leader->hosts_busy_until_ms
                                                        ? REGISTRY_BUSY_INTERVAL_MS
                                                        : REGISTRY_INTERVAL_MS);
-  if (now_ms >= leader->next_host_list_ms)
-    {
-      leader->next_host_list_ms =
-          now_ms + (now_ms < leader->hosts_busy_until_ms ? HOST_LIST_BUSY_INTERVAL_MS
-                                                         : HOST_LIST_INTERVAL_MS);
-      command_client_list_hosts (leader->commands);
-    }
+  if (now_ms >= leader->next_host_list_ms && command_client_list_hosts (leader->commands))
+    leader->next_host_list_ms =
+        now_ms +
+        (now_ms < leader->hosts_busy_until_ms ? HOST_LIST_BUSY_INTERVAL_MS : HOST_LIST_INTERVAL_MS);
   scheduler_tick (leader->scheduler, now_ms, jobd->clock.wall_ms);
   if (leader->host_commands)
     host_command_queue_flush (leader->host_commands);
--- a/jobd/leader_state.h
+++ b/jobd/leader_state.h
@@ -14,6 +14,8 @@
   FIRST_SEQUENCE_MAX = 1 << 30,
   /* Minimum time between two reads of the registry, unless there was a host command lately. */
   REGISTRY_INTERVAL_MS = 300,
+  /* How long a new leader waits for the registry before it reads the machine list. */
+  REGISTRY_LOAD_WAIT_MS = 400,
 };
 
 enum leader_phase
--- a/jobd/scheduling.c
+++ b/jobd/scheduling.c
@@ -186,12 +186,15 @@
   decoded_endpoint_clear (&decoded);
 }
 
-/* Tells the scheduler that the whole registry has been read. */
+/* Tells the scheduler that the whole registry has been read. The machine list is requested from the
+ * next ms on, because only a list that is later than the registry shows which endpoints of the
+ * registry have ended. */
 static void
 leader_on_registry_loaded (void *ctx)
 {
   struct leader *leader = ctx;
 
+  leader->next_host_list_ms = leader_now_ms (leader) + 1;
   if (leader->scheduler)
     scheduler_registry_read (leader->scheduler);
 }
@@ -377,7 +380,7 @@
   leader_load_waves (leader);
   leader->registry_store = store_create (jobd->client, settings->store);
   leader->registry = topic_reader_create (jobd->loop, leader->registry_store, &registry);
-  leader->next_host_list_ms = 0;
+  leader->next_host_list_ms = leader_now_ms (leader) + REGISTRY_LOAD_WAIT_MS;
   log_info ("leader", "leading: epoch=%" G_GUINT64_FORMAT " jobs=%u", leader->epoch,
             g_hash_table_size (jobd->jobs.jobs));
 }
--- a/lib/jobs/hosts.c
+++ b/lib/jobs/hosts.c
@@ -91,11 +91,13 @@
     endpoint_release_ended (scheduler, endpoint, "its host is down");
 }
 
-/* Stores one entry of the machine list. */
+/* Stores one entry of the machine list. An endpoint that it shows again, as after a crash, may run.
+ */
 static void
 host_update (struct scheduler *scheduler, struct host *host, const struct host_entry *entry)
 {
   size_t n = entry->labels ? g_strv_length ((char **) entry->labels) : 0;
+  struct endpoint *endpoint;
 
   host->listed = true;
   host->state = entry->state;
@@ -106,6 +108,9 @@
       host->pool = g_strdup (entry->pool);
     }
   host_set_endpoint (scheduler, host, entry->endpoint);
+  endpoint = host_endpoint (scheduler, host);
+  if (endpoint && host->state == HOST_UP)
+    endpoint->gone = false;
   g_free (host->rack);
   host->rack = n > 0 ? g_strdup (entry->labels[n - 1]) : NULL;
 }
--- a/lib/jobs/scheduler.c
+++ b/lib/jobs/scheduler.c
@@ -218,6 +218,17 @@
   scheduler->host_commands_allowed = allowed;
 }
 
+/* Returns whether an endpoint may run tasks of an earlier leader that this one doesn't know: it has
+ * not responded, and no machine list that was requested after it began shows that it has ended. */
+static bool
+endpoint_is_unreported (const struct scheduler *scheduler, const struct endpoint *endpoint)
+{
+  if (endpoint->fence_accepted || endpoint->gone)
+    return false;
+  return scheduler_endpoint_has_host (scheduler, endpoint->id) ||
+         scheduler->hosts_sent_ms <= endpoint->alive_ms;
+}
+
 /* Returns whether each endpoint of a pool that may run tasks of an earlier leader has responded.
  * Tasks that a host ran in another pool ended when it was moved. */
 static bool
@@ -230,8 +241,7 @@
     return false;
   TAILQ_FOREACH (endpoint, &pool->endpoints, pool_link)
     {
-      if (!endpoint->fence_accepted && !endpoint->gone &&
-          scheduler_endpoint_has_host (scheduler, endpoint->id))
+      if (endpoint_is_unreported (scheduler, endpoint))
         return false;
     }
   TAILQ_FOREACH (host, &scheduler->hosts, link)
@@ -243,7 +253,7 @@
   return true;
 }
 
-/* Counts a pool's endpoints that a host runs and that have not responded to this leader. */
+/* Counts a pool's endpoints that may run and have not responded to this leader. */
 static unsigned
 pool_count_unreported (const struct scheduler *scheduler, const struct pool *pool)
 {
@@ -251,7 +261,7 @@
   unsigned n = 0;
 
   TAILQ_FOREACH (endpoint, &pool->endpoints, pool_link)
-    n += !endpoint->fence_accepted && scheduler_endpoint_has_host (scheduler, endpoint->id);
+    n += endpoint_is_unreported (scheduler, endpoint);
   return n;
 }
 
--- a/tests/jobs/test_scheduler.c
+++ b/tests/jobs/test_scheduler.c
@@ -629,6 +629,52 @@
     }
 }
 
+/* A host returns from a move, or from a crash under its endpoint's id, and the former leader starts
+ * a task on its endpoint before it is superseded. The new leader's machine list was requested
+ * before and shows no endpoint there; the registry does, and the endpoint is unreachable at first.
+ * The takeover must wait for it; otherwise the task runs twice. */
+static void
+test_takeover_with_outdated_list (void)
+{
+  for (int crashed = 0; crashed <= 1; crashed++)
+    {
+      struct simulation *simulation = simulation_with_pool (2);
+      Sp__JobStep step = make_step (1);
+      struct simulated_endpoint *endpoint;
+      struct simulated_endpoint *other;
+      unsigned number;
+
+      simulation->work_ms = 60000;
+      simulation_submit (simulation, "job", "pool", &step, 1, 3);
+      simulation_run (simulation, 1000);
+      endpoint = simulation_find_attempt (simulation, "job.0.0.0", NULL);
+      SUITE_REQUIRE (endpoint != NULL);
+      number = host_number (simulation, endpoint);
+      other = g_ptr_array_index (simulation->endpoints, 1 - number);
+      simulation->machine_list_unreadable = true;
+      endpoint->unreachable = true;
+      other->unreachable = true;
+      endpoint->listed = crashed;
+      endpoint->born_ms -= crashed ? 500 : 0;
+      simulation_start_new_leader (simulation);
+      simulation_run (simulation, 100);
+      list_host_as (simulation, number, HOST_UP, simulation->now_ms);
+      list_host_as (simulation, number, crashed ? HOST_DOWN : HOST_MOVING, simulation->now_ms);
+      endpoint->listed = true;
+      endpoint->born_ms += crashed ? 500 : 0;
+      simulation_run (simulation, 500);
+      other->unreachable = false;
+      simulation_run (simulation, 1500);
+      CU_ASSERT_EQUAL (simulation->starts, 1);
+      simulation->machine_list_unreadable = false;
+      endpoint->unreachable = false;
+      simulation_run (simulation, 2000);
+      CU_ASSERT_EQUAL (simulation->starts, 1);
+      CU_ASSERT_EQUAL (simulation_violations (simulation), 0);
+      simulation_destroy (simulation);
+    }
+}
+
 /* A host claims, and before it has read the journal up to there, it applies a job that it appended
  * itself. Another host's claim may lie between the two, and that host may have started the job: the
  * job waits for the takeover, like those from before the claim. */
@@ -900,6 +946,7 @@
   { "takeover", test_takeover },
   { "takeover with an unreachable endpoint", test_takeover_with_unreachable_endpoint },
   { "takeover with a former incarnation", test_takeover_with_former_incarnation },
+  { "takeover with an outdated list", test_takeover_with_outdated_list },
   { "takeover with own append", test_takeover_with_own_append },
   { "takeover with missing lists", test_takeover_with_missing_lists },
   { "cancel", test_cancel },
