Place no tasks on an endpoint whose end the machine list shows

What callers see: tasks wait for up to 3.9 s.

Cause: a release of all tasks also makes an endpoint unusable, a release of only the confirmed ones did not.

Evidence: the new test on the code before: Test: no starts on an ended endpoint ...FAILED 1. test_scheduler.c:660 - CU_ASSERT_EQUAL(endpoint->start_commands,1) 2. test_scheduler.c:661 - CU_ASSERT_EQUAL(simulation->starts,10)

Why it works: an endpoint that a list shows as ended isn't usable until it shows a sign of life or a later list names it again, and no heartbeat extends its lease meanwhile.

--- a/lib/jobs/endpoint_heartbeats.c
+++ b/lib/jobs/endpoint_heartbeats.c
@@ -55,7 +55,7 @@
 bool
 endpoint_is_usable (const struct scheduler *scheduler, const struct endpoint *endpoint)
 {
-  return endpoint->listed && endpoint->fence_accepted && !endpoint->draining &&
+  return endpoint->listed && endpoint->fence_accepted && !endpoint->gone && !endpoint->draining &&
          !endpoint->cordoned && !endpoint->being_released && endpoint->unresponsive_since_ms == 0 &&
          endpoint->n_unknown_attempts == 0 && scheduler->now_ms >= endpoint->avoid_until_ms;
 }
@@ -218,8 +218,10 @@
   int64_t wait_ms = 0;
 
   /* A heartbeat that got no response may still arrive. One to an unresponsive endpoint would
-   * postpone the time at which its tasks have certainly ended, so it doesn't renew the lease. */
-  if (endpoint->fence_accepted && endpoint->n_tasks > 0 && endpoint->unresponsive_since_ms == 0)
+   * postpone the time at which its tasks have certainly ended, so it doesn't renew the lease; nor
+   * does one to an endpoint that has ended. */
+  if (endpoint->fence_accepted && endpoint->n_tasks > 0 && endpoint->unresponsive_since_ms == 0 &&
+      !endpoint->gone)
     {
       lease_end_ms = endpoint_extend_lease (scheduler, endpoint);
       if (endpoint->completions_seen == endpoint->completions_durable)
--- a/tests/jobs/test_scheduler.c
+++ b/tests/jobs/test_scheduler.c
@@ -629,6 +629,40 @@
     }
 }
 
+/* A host is down and its endpoint keeps one task, whose start got no response. It gets no further
+ * tasks; each would wait for its lease there. */
+static void
+test_no_starts_on_ended_endpoint (void)
+{
+  struct simulation *simulation = simulation_with_pool (2);
+  Sp__JobStep step = make_step (1);
+  struct simulated_endpoint *endpoint;
+  unsigned number = 0;
+
+  simulation->work_ms = 60000;
+  simulation->late_permille = 1000;
+  simulation_submit (simulation, "late", "pool", &step, 1, 3);
+  simulation_run (simulation, 20);
+  simulation->late_permille = 0;
+  while (((struct simulated_endpoint *) g_ptr_array_index (simulation->endpoints, number))
+             ->start_commands == 0)
+    number++;
+  endpoint = g_ptr_array_index (simulation->endpoints, number);
+  simulation_crash_endpoint (simulation, endpoint, false);
+  /* Commands to it get no response. */
+  endpoint->unreachable = true;
+  simulation->machine_list_unreadable = true;
+  simulation_run (simulation, 20);
+  list_host_as (simulation, number, HOST_DOWN, simulation->now_ms);
+  step.n_tasks = 10;
+  simulation_submit (simulation, "next", "pool", &step, 1, 3);
+  simulation_run (simulation, 200);
+  CU_ASSERT_EQUAL (endpoint->start_commands, 1);
+  CU_ASSERT_EQUAL (simulation->starts, 10);
+  CU_ASSERT_EQUAL (simulation_violations (simulation), 0);
+  simulation_destroy (simulation);
+}
+
 /* A host returns from a move, or from a crash under its endpoint's id, and the former leader starts
  * a task on its endpoint before it is superseded. The new leader's machine list was requested
  * before and shows no endpoint there; the registry does, and the endpoint is unreachable at first.
@@ -946,6 +980,7 @@
   { "takeover", test_takeover },
   { "takeover with an unreachable endpoint", test_takeover_with_unreachable_endpoint },
   { "takeover with a former incarnation", test_takeover_with_former_incarnation },
+  { "no starts on an ended endpoint", test_no_starts_on_ended_endpoint },
   { "takeover with an outdated list", test_takeover_with_outdated_list },
   { "takeover with own append", test_takeover_with_own_append },
   { "takeover with missing lists", test_takeover_with_missing_lists },
