--- a/tests/jobs/test_ends_random.c
+++ b/tests/jobs/test_ends_random.c
@@ -8,7 +8,8 @@
 /* Runs random simulations of what a leader infers the end of an endpoint from: registry entries
  * that expire while their endpoints run or drain, hosts that are down for a moment and return under
  * their endpoint's id, endpoints that are cut off, machine lists that arrive late, and changes of
- * leader. The simulation counts violations. For long runs: test-ends_random --seed N --rounds M. */
+ * leader. The simulation counts violations. For long runs: test-ends_random --seed N --rounds M
+ * --late P, with P thousandths of the commands carried out seconds late. */
 
 enum
 {
@@ -26,6 +27,7 @@
 
 static guint32 first_seed = 1;
 static unsigned rounds = 20;
+static int late_permille;
 
 /* A machine list that is on its way to the leader. */
 struct list_in_transit
@@ -203,6 +205,7 @@
   simulation_add_hosts (simulation, "pool", HOSTS);
   simulation->work_ms = 3000;
   simulation->lost_permille = 30;
+  simulation->late_permille = late_permille;
   simulation->machine_list_unreadable = true;
   simulation_start_new_leader (simulation);
   for (int64_t elapsed_ms = 0; elapsed_ms < ROUND_MS; elapsed_ms += STEP_MS)
@@ -216,6 +219,7 @@
     }
   round_end_faults (&round, true);
   simulation->lost_permille = 0;
+  simulation->late_permille = 0;
   for (int64_t elapsed_ms = 0; elapsed_ms < SETTLE_MS; elapsed_ms += STEP_MS)
     {
       round_list_hosts (&round);
@@ -260,6 +264,8 @@
         first_seed = (guint32) strtoul (argv[i + 1], NULL, 10);
       if (strcmp (argv[i], "--rounds") == 0)
         rounds = (unsigned) strtoul (argv[i + 1], NULL, 10);
+      if (strcmp (argv[i], "--late") == 0)
+        late_permille = atoi (argv[i + 1]);
     }
   printf ("seeds %u to %u\n", first_seed, first_seed + rounds - 1);
   return suite_run ("ends_random", tests, sizeof tests / sizeof tests[0]);
