--- a/lib/jobs/endpoint_heartbeats.c
+++ b/lib/jobs/endpoint_heartbeats.c
@@ -55,11 +55,19 @@
 bool
 endpoint_is_usable (const struct scheduler *scheduler, const struct endpoint *endpoint)
 {
-  return endpoint->listed && endpoint->fence_accepted && !endpoint->draining &&
+  return endpoint->listed && endpoint->fence_accepted && !endpoint->gone && !endpoint->draining &&
          !endpoint->cordoned && !endpoint->being_released && endpoint->unresponsive_since_ms == 0 &&
          endpoint->n_unknown_attempts == 0 && scheduler->now_ms >= endpoint->avoid_until_ms;
 }
 
+/* Records that an endpoint's present incarnation has begun or is running. */
+void
+endpoint_set_alive (struct scheduler *scheduler, struct endpoint *endpoint)
+{
+  endpoint->alive_ms = scheduler->now_ms;
+  endpoint->gone = false;
+}
+
 /* Resets what is known from the reports of an endpoint's former incarnation. */
 static void
 endpoint_reset_incarnation (struct scheduler *scheduler, struct endpoint *endpoint)
@@ -96,6 +104,7 @@
                    "endpoint has a new incarnation: endpoint=%s tasks=%u born_ms=%" G_GINT64_FORMAT,
                    endpoint->id, endpoint->n_tasks, born_ms);
   endpoint->born_ms = born_ms;
+  endpoint_set_alive (scheduler, endpoint);
   endpoint_raise_fence (scheduler, endpoint);
   endpoint_reset_incarnation (scheduler, endpoint);
 }
@@ -137,6 +146,46 @@
   endpoint_reset_incarnation (scheduler, endpoint);
 }
 
+/* Returns whether a start of a task may still be carried out: one is in flight or got no response.
+ */
+static bool
+task_may_start_late (const struct task *task)
+{
+  return task->starts_unanswered > 0 || (task->phase == TASK_STARTING && task->command_in_flight);
+}
+
+/* Releases the tasks of an endpoint whose end the machine list shows. A start that may be carried
+ * out late may reach a new incarnation under the same id, so its task is kept until a report shows
+ * what runs there or the lease that it carries has expired. */
+void
+endpoint_release_ended (struct scheduler *scheduler, struct endpoint *endpoint, const char *why)
+{
+  struct task *task;
+  struct task *next;
+  unsigned n_late = 0;
+
+  endpoint->gone = true;
+  TAILQ_FOREACH (task, &endpoint->tasks, endpoint_link)
+    n_late += task_may_start_late (task);
+  if (n_late == 0 && endpoint->n_tasks > 0)
+    endpoint_release_tasks (scheduler, endpoint, why);
+  if (n_late == endpoint->n_tasks)
+    return;
+  scheduler_log (scheduler,
+                 "endpoint lost, confirmed tasks released: endpoint=%s born_ms=%" G_GINT64_FORMAT
+                 " tasks=%u kept=%u lease_left_ms=%" G_GINT64_FORMAT " reason=\"%s\"",
+                 endpoint->id, endpoint->born_ms, endpoint->n_tasks, n_late,
+                 endpoint->lease_expiry_ms - scheduler->now_ms, why);
+  for (task = TAILQ_FIRST (&endpoint->tasks); task; task = next)
+    {
+      next = TAILQ_NEXT (task, endpoint_link);
+      if (task_may_start_late (task))
+        continue;
+      scheduler->counts.lapses++;
+      task_release (scheduler, task);
+    }
+}
+
 /* Returns the time, on this process's clock, at which a lease granted now has certainly expired. */
 static int64_t
 scheduler_lease_expiry_ms (const struct scheduler *scheduler, int64_t lease_ms)
@@ -186,8 +235,10 @@
   int64_t wait_ms = 0;
 
   /* A heartbeat that got no response may still arrive. One to an unresponsive endpoint would
-   * postpone the time at which its tasks have certainly ended, so it doesn't renew the lease. */
-  if (endpoint->fence_accepted && endpoint->n_tasks > 0 && endpoint->unresponsive_since_ms == 0)
+   * postpone the time at which its tasks have certainly ended, so it doesn't renew the lease; nor
+   * does one to an endpoint that has ended. */
+  if (endpoint->fence_accepted && endpoint->n_tasks > 0 && endpoint->unresponsive_since_ms == 0 &&
+      !endpoint->gone)
     {
       lease_end_ms = endpoint_extend_lease (scheduler, endpoint);
       if (endpoint->completions_seen == endpoint->completions_durable)
@@ -247,12 +298,9 @@
 void
 endpoint_tick (struct scheduler *scheduler, struct endpoint *endpoint)
 {
-  bool drained_out = !endpoint->listed && endpoint->draining && endpoint->unresponsive_since_ms > 0;
-
   if (endpoint->n_tasks > 0 && endpoint->unresponsive_since_ms > 0 &&
-      (drained_out || endpoint_lease_has_expired (scheduler, endpoint)))
-    endpoint_release_tasks (scheduler, endpoint,
-                            drained_out ? "drained and left the registry" : "lease expired");
+      endpoint_lease_has_expired (scheduler, endpoint))
+    endpoint_release_tasks (scheduler, endpoint, "lease expired");
   if (endpoint->n_tasks > 0)
     endpoint_stop_stalled (scheduler, endpoint);
   if (!endpoint->heartbeat_in_flight && scheduler->now_ms >= endpoint->next_heartbeat_ms &&
@@ -401,7 +449,7 @@
     scheduler_log (scheduler, "endpoint responds again: endpoint=%s silent_ms=%" G_GINT64_FORMAT,
                    endpoint->id, scheduler->now_ms - endpoint->unresponsive_since_ms);
   endpoint->unresponsive_since_ms = 0;
-  endpoint->down = false;
+  endpoint_set_alive (scheduler, endpoint);
   endpoint->fence_accepted = true;
   endpoint->clock_ms = report->clock_ms;
   endpoint->clock_read_ms = scheduler->now_ms;
--- a/lib/jobs/hosts.c
+++ b/lib/jobs/hosts.c
@@ -69,24 +69,35 @@
   return false;
 }
 
-/* Handles a host that the platform reports as down: its tasks no longer run. */
+/* Returns whether an entry of a machine list shows the end of a host's endpoint that was alive
+ * after the list was requested. The list is then older than the endpoint's present incarnation. */
+static bool
+host_entry_is_outdated (const struct scheduler *scheduler, const struct host *host,
+                        const struct host_entry *entry, int64_t sent_ms)
+{
+  const struct endpoint *endpoint = host_endpoint (scheduler, host);
+
+  return endpoint && sent_ms <= endpoint->alive_ms &&
+         (entry->state != HOST_UP || g_strcmp0 (entry->endpoint, endpoint->id) != 0);
+}
+
+/* Handles a host that a list which is not outdated shows as down: its attempts have ended. */
 static void
 host_handle_down (struct scheduler *scheduler, const struct host *host)
 {
   struct endpoint *endpoint = host_endpoint (scheduler, host);
 
-  if (!endpoint || endpoint->down)
-    return;
-  endpoint->down = true;
-  if (endpoint->n_tasks > 0)
-    endpoint_release_tasks (scheduler, endpoint, "its host is down");
+  if (endpoint)
+    endpoint_release_ended (scheduler, endpoint, "its host is down");
 }
 
-/* Stores one entry of the machine list. */
+/* Stores one entry of the machine list. An endpoint that it shows again, as after a crash, may run.
+ */
 static void
 host_update (struct scheduler *scheduler, struct host *host, const struct host_entry *entry)
 {
   size_t n = entry->labels ? g_strv_length ((char **) entry->labels) : 0;
+  struct endpoint *endpoint;
 
   host->listed = true;
   host->state = entry->state;
@@ -97,6 +108,9 @@
       host->pool = g_strdup (entry->pool);
     }
   host_set_endpoint (scheduler, host, entry->endpoint);
+  endpoint = host_endpoint (scheduler, host);
+  if (endpoint && host->state == HOST_UP)
+    endpoint->gone = false;
   g_free (host->rack);
   host->rack = n > 0 ? g_strdup (entry->labels[n - 1]) : NULL;
 }
@@ -125,8 +139,22 @@
   return g_hash_table_contains (scheduler->hosts_by_endpoint, id);
 }
 
+/* Returns whether a host is no longer in the machine list. A list that was read in several pages
+ * may lack a host because another left meanwhile, so it is kept until the next list lacks it too.
+ */
+static bool
+host_has_left (struct host *host, bool in_one_page)
+{
+  bool missing_before = host->missing;
+
+  host->missing = !host->listed;
+  return host->missing && !host->command_in_flight && (in_one_page || missing_before);
+}
+
 /* Releases the tasks of unresponsive endpoints that no host runs. Only endpoints that were already
- * unresponsive when the list was requested count. */
+ * unresponsive when the list was requested and have shown no sign of life since count. Of lists in
+ * several pages, two in a row must lack the endpoint; sent_ms is then when the first was requested.
+ */
 static void
 scheduler_release_unhosted (struct scheduler *scheduler, int64_t sent_ms)
 {
@@ -139,16 +167,16 @@
       struct endpoint *endpoint = value;
 
       if (endpoint->n_tasks > 0 && endpoint->unresponsive_since_ms > 0 &&
-          endpoint->unresponsive_since_ms < sent_ms &&
+          endpoint->unresponsive_since_ms < sent_ms && endpoint->alive_ms < sent_ms &&
           !scheduler_endpoint_has_host (scheduler, endpoint->id))
-        endpoint_release_tasks (scheduler, endpoint, "the machine list names no host that runs it");
+        endpoint_release_ended (scheduler, endpoint, "the machine list names no host that runs it");
     }
 }
 
 /* Handles a complete machine list. sent_ms is when it was requested. */
 void
 scheduler_hosts_listed (struct scheduler *scheduler, const struct host_entry *entries, size_t n,
-                        int64_t sent_ms, int64_t now_ms)
+                        bool in_one_page, int64_t sent_ms, int64_t now_ms)
 {
   struct host *host;
   struct host *next;
@@ -171,11 +199,13 @@
           g_hash_table_insert (scheduler->hosts_by_id, host->id, host);
         }
       /* The list may predate a command that is in flight or was completed since. */
-      if (host->command_in_flight || host->command_done_ms > sent_ms)
+      if (host->command_in_flight || host->command_done_ms > sent_ms ||
+          host_entry_is_outdated (scheduler, host, &entries[i], sent_ms))
         host->listed = true;
       else
         {
-          if (host->state != entries[i].state)
+          if (host->state != entries[i].state ||
+              g_strcmp0 (host->endpoint_id, entries[i].endpoint) != 0)
             scheduler_log (scheduler, "host changed: host=%s state=%d was=%d pool=%s endpoint=%s",
                            entries[i].id, entries[i].state, host->state, entries[i].pool,
                            entries[i].endpoint ? entries[i].endpoint : "none");
@@ -188,11 +218,14 @@
   for (host = TAILQ_FIRST (&scheduler->hosts); host; host = next)
     {
       next = TAILQ_NEXT (host, link);
-      if (host->listed || host->command_in_flight)
+      if (!host_has_left (host, in_one_page))
         continue;
+      scheduler_log (scheduler, "host left the machine list: host=%s state=%d endpoint=%s",
+                     host->id, host->state, host->endpoint_id ? host->endpoint_id : "none");
       scheduler_remove_host (scheduler, host);
     }
-  scheduler_release_unhosted (scheduler, sent_ms);
+  scheduler_release_unhosted (scheduler, in_one_page ? sent_ms : scheduler->hosts_sent_ms);
+  scheduler->hosts_sent_ms = sent_ms;
 }
 
 /* Handles a completed move or maintenance command, which ended everything on the host's
--- a/lib/jobs/scheduler.c
+++ b/lib/jobs/scheduler.c
@@ -181,6 +181,8 @@
     }
   if (entry->born_ms > endpoint->born_ms)
     endpoint_begin_incarnation (scheduler, endpoint, entry->born_ms);
+  if (!endpoint->listed)
+    endpoint_set_alive (scheduler, endpoint);
   was_draining = endpoint->draining;
   endpoint_update (endpoint, entry);
   pool_add_endpoint (pool, endpoint);
@@ -234,6 +236,17 @@
   return now_ms >= scheduler->config.earlier_grants_until_ms + longest_ms;
 }
 
+/* Returns whether an endpoint may run tasks of an earlier leader that this one doesn't know: it has
+ * not responded, and no machine list that was requested after it began shows that it has ended. */
+static bool
+endpoint_is_unreported (const struct scheduler *scheduler, const struct endpoint *endpoint)
+{
+  if (endpoint->fence_accepted || endpoint->gone)
+    return false;
+  return scheduler_endpoint_has_host (scheduler, endpoint->id) ||
+         scheduler->hosts_sent_ms <= endpoint->alive_ms;
+}
+
 /* Returns whether each endpoint of a pool that may run tasks of an earlier leader has responded.
  * Tasks that a host ran in another pool ended when it was moved. */
 static bool
@@ -246,8 +259,7 @@
     return false;
   TAILQ_FOREACH (endpoint, &pool->endpoints, pool_link)
     {
-      if (!endpoint->fence_accepted && !endpoint->down &&
-          scheduler_endpoint_has_host (scheduler, endpoint->id))
+      if (endpoint_is_unreported (scheduler, endpoint))
         return false;
     }
   TAILQ_FOREACH (host, &scheduler->hosts, link)
@@ -259,7 +271,7 @@
   return true;
 }
 
-/* Counts a pool's endpoints that a host runs and that have not responded to this leader. */
+/* Counts a pool's endpoints that may run and have not responded to this leader. */
 static unsigned
 pool_count_unreported (const struct scheduler *scheduler, const struct pool *pool)
 {
@@ -267,7 +279,7 @@
   unsigned n = 0;
 
   TAILQ_FOREACH (endpoint, &pool->endpoints, pool_link)
-    n += !endpoint->fence_accepted && scheduler_endpoint_has_host (scheduler, endpoint->id);
+    n += endpoint_is_unreported (scheduler, endpoint);
   return n;
 }
 
--- a/lib/jobs/scheduler_state.h
+++ b/lib/jobs/scheduler_state.h
@@ -81,6 +81,8 @@
   GHashTable *hosts_by_id;
   GHashTable *hosts_by_endpoint;
   bool hosts_loaded;
+  /* When the last complete machine list was requested. */
+  int64_t hosts_sent_ms;
   /* A pool needs more hosts than it has. */
   bool hosts_are_short;
   struct wave_list waves;
@@ -145,7 +147,10 @@
                                  int64_t born_ms);
 void endpoint_release_tasks (struct scheduler *scheduler, struct endpoint *endpoint,
                              const char *why);
+void endpoint_release_ended (struct scheduler *scheduler, struct endpoint *endpoint,
+                             const char *why);
 void endpoint_tick (struct scheduler *scheduler, struct endpoint *endpoint);
+void endpoint_set_alive (struct scheduler *scheduler, struct endpoint *endpoint);
 void endpoint_set_unresponsive (struct scheduler *scheduler, struct endpoint *endpoint);
 bool endpoint_is_usable (const struct scheduler *scheduler, const struct endpoint *endpoint);
 
--- a/lib/jobs/task_attempt.c
+++ b/lib/jobs/task_attempt.c
@@ -387,11 +387,13 @@
   task->confirmed_ms = 0;
 }
 
-/* Sends a task's command again if it is due: a start without a response, or a stop. */
+/* Sends a task's command again if it is due: a start without a response, or a stop. An endpoint
+ * that has ended gets none: another start would only extend the lease. */
 void
 task_send_commands (struct scheduler *scheduler, struct task *task)
 {
-  if (task->command_in_flight || scheduler->now_ms < task->next_command_ms)
+  if (task->command_in_flight || scheduler->now_ms < task->next_command_ms ||
+      (task->endpoint && task->endpoint->gone))
     return;
   if (task->phase == TASK_STARTING)
     task_continue_start (scheduler, task);
@@ -459,6 +461,7 @@
       task->confirmed_ms = now_ms;
       task->progress_ms = now_ms;
       endpoint->unresponsive_since_ms = 0;
+      endpoint_set_alive (scheduler, endpoint);
       endpoint->starts_invalidated = 0;
       break;
     case COMMAND_UNKNOWN:
--- a/tests/jobs/test_scheduler.c
+++ b/tests/jobs/test_scheduler.c
@@ -361,6 +361,203 @@
   simulation_destroy (simulation);
 }
 
+/* A draining endpoint's registration expires while it is cut off. It runs on for its lease, so that
+ * its task must not start elsewhere before. */
+static void
+test_draining_endpoint_unregistered (void)
+{
+  enum
+  {
+    /* As in test_unreachable_endpoint. */
+    RESTART_MS = 3500 + 70 + 300 + 300,
+  };
+  struct simulation *simulation = simulation_with_pool (2);
+  Sp__JobStep step = make_step (1);
+  struct simulated_endpoint *cut_off;
+
+  simulation->work_ms = 60000;
+  simulation_submit (simulation, "job", "pool", &step, 1, 3);
+  simulation_run (simulation, 1000);
+  cut_off = simulation_find_attempt (simulation, "job.0.0.0", NULL);
+  SUITE_REQUIRE (cut_off != NULL);
+  cut_off->draining = true;
+  simulation_run (simulation, 500);
+  cut_off->unreachable = true;
+  cut_off->listed = false;
+  simulation_run (simulation, RESTART_MS);
+  CU_ASSERT_EQUAL (simulation->starts, 2);
+  CU_ASSERT_EQUAL (simulation_violations (simulation), 0);
+  simulation_destroy (simulation);
+}
+
+/* Passes a machine list that was requested at sent_ms and shows one host in a state, with its
+ * present endpoint if it is up; the other hosts are as they are. */
+static void
+list_host_as (struct simulation *simulation, unsigned number, enum host_state state,
+              int64_t sent_ms)
+{
+  static const char *const labels[] = { "a", "r-0", NULL };
+  g_autofree struct host_entry *entries = g_new0 (struct host_entry, simulation->n_hosts);
+
+  for (unsigned i = 0; i < simulation->n_hosts; i++)
+    {
+      const struct simulated_host *host = &simulation->hosts[i];
+
+      entries[i] = (struct host_entry){
+        .id = host->id,
+        .pool = host->pool,
+        .state = i == number ? state : host->state,
+        .labels = labels,
+        .capacity = { .cpu_milli = 10000, .memory_mb = 100000 },
+      };
+      if (host->endpoint >= 0 && entries[i].state == HOST_UP)
+        entries[i].endpoint = ((struct simulated_endpoint *) g_ptr_array_index (
+                                   simulation->endpoints, host->endpoint))
+                                  ->id;
+    }
+  scheduler_hosts_listed (simulation->scheduler, entries, simulation->n_hosts, true, sent_ms,
+                          simulation->now_ms);
+}
+
+/* Returns the number of the host on which a simulated endpoint runs. */
+static unsigned
+host_number (const struct simulation *simulation, const struct simulated_endpoint *endpoint)
+{
+  unsigned number = 0;
+
+  while (strcmp (simulation->hosts[number].id, endpoint->host) != 0)
+    number++;
+  return number;
+}
+
+/* A host flaps: it is down for a moment and back with a new incarnation of its endpoint, which runs
+ * the task again. A machine list that was requested before arrives only then and shows the host as
+ * down. The task must not start elsewhere beside the new incarnation's attempt. */
+static void
+test_outdated_list_shows_host_down (void)
+{
+  struct simulation *simulation = simulation_with_pool (2);
+  Sp__JobStep step = make_step (1);
+  struct simulated_endpoint *endpoint;
+  int64_t sent_ms;
+
+  simulation->work_ms = 60000;
+  simulation_submit (simulation, "job", "pool", &step, 1, 3);
+  simulation_run (simulation, 1000);
+  endpoint = simulation_find_attempt (simulation, "job.0.0.0", NULL);
+  SUITE_REQUIRE (endpoint != NULL);
+  simulation->machine_list_unreadable = true;
+  sent_ms = simulation->now_ms;
+  simulation_run (simulation, 20);
+  simulation_crash_endpoint (simulation, endpoint, true);
+  simulation_run (simulation, 2000);
+  endpoint = simulation_find_attempt (simulation, "job.0.0.0", NULL);
+  SUITE_REQUIRE (endpoint != NULL);
+  list_host_as (simulation, host_number (simulation, endpoint), HOST_DOWN, sent_ms);
+  simulation_run (simulation, 500);
+  CU_ASSERT_EQUAL (simulation->starts, 2);
+  CU_ASSERT_EQUAL (simulation_violations (simulation), 0);
+  /* A list that was requested since proves the end. */
+  simulation_crash_endpoint (simulation, endpoint, false);
+  simulation_run (simulation, 100);
+  list_host_as (simulation, host_number (simulation, endpoint), HOST_DOWN, simulation->now_ms);
+  simulation_run (simulation, 100);
+  CU_ASSERT_EQUAL (simulation->starts, 3);
+  CU_ASSERT_EQUAL (simulation_violations (simulation), 0);
+  simulation_destroy (simulation);
+}
+
+/* A machine list that was read in several pages lacks the host of an endpoint that is cut off,
+ * because another host left between two pages. The endpoint runs on for its lease, so that its task
+ * must not start elsewhere before. */
+static void
+test_host_missing_from_pages (void)
+{
+  enum
+  {
+    /* As in test_unreachable_endpoint. */
+    RESTART_MS = 3500 + 70 + 300 + 300,
+  };
+  struct simulation *simulation = simulation_with_pool (2);
+  Sp__JobStep step = make_step (1);
+  struct simulated_endpoint *cut_off;
+  struct host_entry entry = { 0 };
+  const struct simulated_host *other;
+
+  simulation->work_ms = 60000;
+  simulation_submit (simulation, "job", "pool", &step, 1, 3);
+  simulation_run (simulation, 1000);
+  cut_off = simulation_find_attempt (simulation, "job.0.0.0", NULL);
+  SUITE_REQUIRE (cut_off != NULL);
+  simulation->machine_list_unreadable = true;
+  cut_off->unreachable = true;
+  simulation_run (simulation, 1800);
+  other = &simulation->hosts[1 - host_number (simulation, cut_off)];
+  entry.id = other->id;
+  entry.pool = other->pool;
+  entry.endpoint =
+      ((struct simulated_endpoint *) g_ptr_array_index (simulation->endpoints, other->endpoint))
+          ->id;
+  scheduler_hosts_listed (simulation->scheduler, &entry, 1, false, simulation->now_ms,
+                          simulation->now_ms);
+  simulation->machine_list_unreadable = false;
+  simulation_run (simulation, RESTART_MS - 1800);
+  CU_ASSERT_EQUAL (simulation->starts, 2);
+  CU_ASSERT_EQUAL (simulation_violations (simulation), 0);
+  simulation_destroy (simulation);
+}
+
+/* A start gets no response, and its endpoint crashes before it arrives. The machine list shows the
+ * host as down. The endpoint restarts under its id and the start arrives late: its task must not
+ * have been started elsewhere meanwhile. */
+static void
+test_late_start_after_host_down (void)
+{
+  enum
+  {
+    SEEDS = 40,
+    TIMEOUT_MS = 700,
+  };
+  unsigned carried_out = 0;
+
+  for (guint32 seed = 1; seed <= SEEDS; seed++)
+    {
+      struct simulation *simulation = simulation_create (seed);
+      Sp__JobStep step = make_step (1);
+
+      simulation_add_hosts (simulation, "pool", 2);
+      simulation_start_new_leader (simulation);
+      simulation_run (simulation, 100);
+      simulation->work_ms = 60000;
+      simulation->late_permille = 1000;
+      simulation_submit (simulation, "job", "pool", &step, 1, 3);
+      simulation_run (simulation, 20);
+      simulation->late_permille = 0;
+      for (guint i = 0; i < simulation->endpoints->len; i++)
+        {
+          struct simulated_endpoint *endpoint = g_ptr_array_index (simulation->endpoints, i);
+
+          if (endpoint->start_commands == 0)
+            continue;
+          simulation_crash_endpoint (simulation, endpoint, false);
+          simulation_run (simulation, 20);
+          simulation->hosts[i].state = HOST_DOWN;
+          simulation_run (simulation, TIMEOUT_MS);
+          simulation->hosts[i].state = HOST_UP;
+          simulation_crash_endpoint (simulation, endpoint, true);
+          /* The leader learns nothing of the new incarnation before the late start arrives. */
+          endpoint->listed = false;
+          simulation->lost_permille = 1000;
+          break;
+        }
+      simulation_run (simulation, 3500);
+      carried_out += simulation->starts > 0;
+      CU_ASSERT_EQUAL (simulation_violations (simulation), 0);
+      simulation_destroy (simulation);
+    }
+  CU_ASSERT (carried_out > 0);
+}
+
 /* A leader that has lost the store can't reach an endpoint, and its successor can and renews the
  * endpoint's lease. The former leader must not count the lease as expired and start the endpoint's
  * task elsewhere. */
@@ -490,6 +687,86 @@
     }
 }
 
+/* A host is down and its endpoint keeps one task, whose start got no response. It gets no further
+ * tasks; each would wait for its lease there. */
+static void
+test_no_starts_on_ended_endpoint (void)
+{
+  struct simulation *simulation = simulation_with_pool (2);
+  Sp__JobStep step = make_step (1);
+  struct simulated_endpoint *endpoint;
+  unsigned number = 0;
+
+  simulation->work_ms = 60000;
+  simulation->late_permille = 1000;
+  simulation_submit (simulation, "late", "pool", &step, 1, 3);
+  simulation_run (simulation, 20);
+  simulation->late_permille = 0;
+  while (((struct simulated_endpoint *) g_ptr_array_index (simulation->endpoints, number))
+             ->start_commands == 0)
+    number++;
+  endpoint = g_ptr_array_index (simulation->endpoints, number);
+  simulation_crash_endpoint (simulation, endpoint, false);
+  /* Commands to it get no response. */
+  endpoint->unreachable = true;
+  simulation->machine_list_unreadable = true;
+  simulation_run (simulation, 20);
+  list_host_as (simulation, number, HOST_DOWN, simulation->now_ms);
+  step.n_tasks = 10;
+  simulation_submit (simulation, "next", "pool", &step, 1, 3);
+  simulation_run (simulation, 200);
+  CU_ASSERT_EQUAL (endpoint->start_commands, 1);
+  CU_ASSERT_EQUAL (simulation->starts, 10);
+  CU_ASSERT_EQUAL (simulation_violations (simulation), 0);
+  simulation_destroy (simulation);
+}
+
+/* A host returns from a move, or from a crash under its endpoint's id, and the former leader starts
+ * a task on its endpoint before it is superseded. The new leader's machine list was requested
+ * before and shows no endpoint there; the registry does, and the endpoint is unreachable at first.
+ * The takeover must wait for it; otherwise the task runs twice. */
+static void
+test_takeover_with_outdated_list (void)
+{
+  for (int crashed = 0; crashed <= 1; crashed++)
+    {
+      struct simulation *simulation = simulation_with_pool (2);
+      Sp__JobStep step = make_step (1);
+      struct simulated_endpoint *endpoint;
+      struct simulated_endpoint *other;
+      unsigned number;
+
+      simulation->work_ms = 60000;
+      simulation_submit (simulation, "job", "pool", &step, 1, 3);
+      simulation_run (simulation, 1000);
+      endpoint = simulation_find_attempt (simulation, "job.0.0.0", NULL);
+      SUITE_REQUIRE (endpoint != NULL);
+      number = host_number (simulation, endpoint);
+      other = g_ptr_array_index (simulation->endpoints, 1 - number);
+      simulation->machine_list_unreadable = true;
+      endpoint->unreachable = true;
+      other->unreachable = true;
+      endpoint->listed = crashed;
+      endpoint->born_ms -= crashed ? 500 : 0;
+      simulation_start_new_leader (simulation);
+      simulation_run (simulation, 100);
+      list_host_as (simulation, number, HOST_UP, simulation->now_ms);
+      list_host_as (simulation, number, crashed ? HOST_DOWN : HOST_MOVING, simulation->now_ms);
+      endpoint->listed = true;
+      endpoint->born_ms += crashed ? 500 : 0;
+      simulation_run (simulation, 500);
+      other->unreachable = false;
+      simulation_run (simulation, 1500);
+      CU_ASSERT_EQUAL (simulation->starts, 1);
+      simulation->machine_list_unreadable = false;
+      endpoint->unreachable = false;
+      simulation_run (simulation, 2000);
+      CU_ASSERT_EQUAL (simulation->starts, 1);
+      CU_ASSERT_EQUAL (simulation_violations (simulation), 0);
+      simulation_destroy (simulation);
+    }
+}
+
 /* A host claims, and before it has read the journal up to there, it applies a job that it appended
  * itself. Another host's claim may lie between the two, and that host may have started the job: the
  * job waits for the takeover, like those from before the claim. */
@@ -754,11 +1031,17 @@
   { "start errors", test_start_errors },
   { "start errors of a limited step", test_start_errors_of_a_limited_step },
   { "unreachable endpoint", test_unreachable_endpoint },
+  { "draining endpoint unregistered", test_draining_endpoint_unregistered },
+  { "outdated list shows a host down", test_outdated_list_shows_host_down },
+  { "host missing from pages", test_host_missing_from_pages },
+  { "late start after its host was down", test_late_start_after_host_down },
   { "lease renewed by a successor", test_lease_renewed_by_successor },
   { "leases end", test_leases_end },
   { "takeover", test_takeover },
   { "takeover with an unreachable endpoint", test_takeover_with_unreachable_endpoint },
   { "takeover with a former incarnation", test_takeover_with_former_incarnation },
+  { "no starts on an ended endpoint", test_no_starts_on_ended_endpoint },
+  { "takeover with an outdated list", test_takeover_with_outdated_list },
   { "takeover with own append", test_takeover_with_own_append },
   { "takeover with missing lists", test_takeover_with_missing_lists },
   { "cancel", test_cancel },
