tests: clocks, lease limits and restarts behind a cut in the job simulation

The simulated endpoints shared the leader's clock, took leases of any length and restarted only while they were reachable, so no error in a lease could show.

- Each incarnation has a clock of its own that starts near 0 and is exact, 1% or 2% slow.
Leases are measured on it and are shortened to 10 s, as endpoints do.
- An endpoint may restart under its id while it is unreachable.
The registry shows the new incarnation at once or, where the endpoint is cut off from it too, when it is reachable again.
- Late commands take 2 to 12 s (was 2 to 6).
One that was sent before the endpoint became unreachable is carried out all the same in half of the cases.
- A heartbeat renews a lease only if its fence is accepted.
It renewed it before the fence was checked.
- A heartbeat whose endpoint restarts before it responds gets no response.
The new incarnation answered it before, and so was shown a fence that it had never been sent.
- A third of the random runs have attempts of 5 s, longer than a lease.

No check is removed or weakened.

--- a/tests/jobs/simulation.h
+++ b/tests/jobs/simulation.h
@@ -43,8 +43,10 @@
   char *rack;
   /* Runs and responds; false once its host was moved, was put into maintenance or crashed. */
   bool up;
-  /* Runs, but no command reaches it. */
+  /* Runs, but no command reaches it, except late ones that were sent before. */
   bool unreachable;
+  /* Its reports don't reach the registry either, which keeps the last one. */
+  bool cut_off_from_registry;
   /* Every attempt that it starts fails after a short time. */
   bool fails_all;
   /* Answers every start with an unknown status, such as 500, and carries out none, or all. */
@@ -60,7 +62,13 @@
   bool listed;
   bool draining;
   int64_t born_ms;
+  /* Start of the incarnation that the registry shows. */
+  int64_t listed_born_ms;
+  /* Its clock starts near 0 with each incarnation and runs slow by these thousandths. */
+  int64_t clock_start_ms;
+  int clock_slow_permille;
   uint64_t fence;
+  /* On its clock. */
   int64_t lease_end_ms;
   uint64_t last_completion;
   GPtrArray *attempts;
@@ -168,8 +176,11 @@
  * is NULL. */
 struct simulated_endpoint *simulation_find_attempt (struct simulation *simulation, const char *task,
                                                     struct simulated_attempt **found);
+/* Returns what an endpoint's clock shows. */
+int64_t simulated_endpoint_clock_ms (const struct simulation *simulation,
+                                     const struct simulated_endpoint *endpoint);
 /* Ends everything that an endpoint runs or knows. If restarts is true, it is up again at once as a
- * new incarnation. */
+ * new incarnation under the same id. */
 void simulation_crash_endpoint (struct simulation *simulation, struct simulated_endpoint *endpoint,
                                 bool restarts);
 /* Returns a job's state according to the journal. */
--- a/tests/jobs/simulation_commands.c
+++ b/tests/jobs/simulation_commands.c
@@ -58,6 +58,16 @@
   g_ptr_array_add (simulation->events, unknown);
 }
 
+/* Makes a command late. If its endpoint becomes unreachable meanwhile, it is carried out all the
+ * same in half of the cases. */
+static void
+simulation_delay_command (struct simulation *simulation, struct event *event)
+{
+  event->due_ms =
+      simulation->now_ms + g_rand_int_range (simulation->random, LATE_MIN_MS, LATE_MAX_MS);
+  event->passes_cut = !event->target->unreachable && g_rand_boolean (simulation->random);
+}
+
 /* Sends a command whose connection closes at once. It is carried out all the same in half of the
  * cases, late in a quarter and not at all in a quarter; what follows is rejected for a while. */
 static void
@@ -71,8 +81,7 @@
   event->target->unhealthy_until_ms =
       event->target->unhealthy_from_ms + g_rand_int_range (simulation->random, 0, UNHEALTHY_MAX_MS);
   if (fate == 0)
-    event->due_ms =
-        simulation->now_ms + g_rand_int_range (simulation->random, LATE_MIN_MS, LATE_MAX_MS);
+    simulation_delay_command (simulation, event);
   else if (fate == 1)
     event->lost = true;
 }
@@ -93,8 +102,7 @@
   event->no_response = late || simulation_chance (simulation, simulation->lost_permille) ||
                        event->target->unreachable;
   if (late)
-    event->due_ms =
-        simulation->now_ms + g_rand_int_range (simulation->random, LATE_MIN_MS, LATE_MAX_MS);
+    simulation_delay_command (simulation, event);
   if (event->no_response)
     simulation_post_unknown (simulation, event,
                              MAX (event->wait_until_ms, simulation->now_ms) + TIMEOUT_MS);
@@ -247,13 +255,14 @@
   g_autofree struct endpoint_completion *completions =
       g_new0 (struct endpoint_completion, endpoint->completions->len + 1);
   struct endpoint_report report = {
-    .clock_ms = simulation->now_ms,
+    .clock_ms = event->clock_ms,
     .born_ms = endpoint->born_ms,
     .attempts = attempts,
     .n_attempts = endpoint->attempts->len,
     .completions = completions,
     .n_completions = endpoint->completions->len,
   };
+  enum command_result result = event->result;
 
   for (guint i = 0; i < endpoint->attempts->len; i++)
     {
@@ -278,9 +287,12 @@
         .outcome = completion->outcome,
       };
     }
-  scheduler_heartbeat_done (simulation->scheduler, event->endpoint, event->fence, event->result,
-                            event->result == COMMAND_DONE ? &report : NULL, event->acked,
-                            event->sent_ms, simulation->now_ms);
+  /* The connection of a response under way closes when the endpoint restarts. */
+  if (event->result == COMMAND_DONE && event->born_ms != endpoint->born_ms)
+    result = COMMAND_UNKNOWN;
+  scheduler_heartbeat_done (simulation->scheduler, event->endpoint, event->fence, result,
+                            result == COMMAND_DONE ? &report : NULL, event->acked, event->sent_ms,
+                            simulation->now_ms);
 }
 
 /* Passes a response to the scheduler. Responses to a former leader are dropped. */
@@ -294,7 +306,7 @@
     case EVENT_START:
       scheduler_start_done (simulation->scheduler, event->endpoint, event->task, event->attempt,
                             event->fence, event->result,
-                            event->result == COMMAND_UNKNOWN ? 0 : simulation->now_ms,
+                            event->result == COMMAND_UNKNOWN ? 0 : event->clock_ms,
                             simulation->now_ms);
       break;
     case EVENT_STOP:
@@ -360,8 +372,18 @@
     }
   if (event->lost)
     return;
+  if (event->kind == EVENT_HEARTBEAT && event->born_ms > 0 &&
+      event->born_ms != event->target->born_ms)
+    {
+      /* The endpoint has restarted while it waited with its response. */
+      event->result = COMMAND_UNKNOWN;
+      event->response = true;
+      if (!event->no_response)
+        simulation_deliver_response (simulation, event);
+      return;
+    }
   if (event->kind == EVENT_HEARTBEAT && event->wait_until_ms > simulation->now_ms &&
-      event->target->up && !event->target->unreachable && event->target->completions->len == 0)
+      endpoint_receive_heartbeat (simulation, event))
     {
       /* The lease is renewed on arrival. The command is checked again later, until there is a
        * completion or its wait is over. */
@@ -377,6 +399,8 @@
                               .wait_until_ms = event->wait_until_ms,
                               .sent_ms = event->sent_ms,
                               .acked = event->acked,
+                              .born_ms = event->target->born_ms,
+                              .passes_cut = event->passes_cut,
                               .no_response = event->no_response };
       return;
     }
--- a/tests/jobs/simulation_endpoints.c
+++ b/tests/jobs/simulation_endpoints.c
@@ -67,6 +67,16 @@
   g_ptr_array_remove_index (endpoint->attempts, position);
 }
 
+/* Renews an endpoint's lease, which never becomes shorter. */
+static void
+endpoint_renew_lease (const struct simulation *simulation, struct simulated_endpoint *endpoint,
+                      int64_t lease_end_ms)
+{
+  int64_t limit_ms = simulated_endpoint_clock_ms (simulation, endpoint) + LEASE_LIMIT_MS;
+
+  endpoint->lease_end_ms = MAX (endpoint->lease_end_ms, MIN (lease_end_ms, limit_ms));
+}
+
 /* Ends the attempts of an endpoint whose lease has expired, and those whose duration is over. */
 void
 endpoint_advance_attempts (struct simulation *simulation, struct simulated_endpoint *endpoint)
@@ -77,7 +87,7 @@
     {
       const struct simulated_attempt *attempt = g_ptr_array_index (endpoint->attempts, position);
 
-      if (simulation->now_ms > endpoint->lease_end_ms)
+      if (simulated_endpoint_clock_ms (simulation, endpoint) > endpoint->lease_end_ms)
         endpoint_complete_attempt (simulation, endpoint, position, ATTEMPT_LAPSED);
       else if (simulation->now_ms >= attempt->end_ms)
         endpoint_complete_attempt (
@@ -148,8 +158,11 @@
         return COMMAND_DONE;
     }
   if (event->attempt <= ended)
-    return COMMAND_STALE_ATTEMPT;
-  if (event->lease_end_ms <= simulation->now_ms)
+    {
+      endpoint_renew_lease (simulation, endpoint, event->lease_end_ms);
+      return COMMAND_STALE_ATTEMPT;
+    }
+  if (event->lease_end_ms <= simulated_endpoint_clock_ms (simulation, endpoint))
     return COMMAND_LEASE_EXPIRED;
   simulation_check_start (simulation, endpoint, event);
   attempt = g_new0 (struct simulated_attempt, 1);
@@ -166,7 +179,7 @@
   attempt->long_running = event->long_running;
   attempt->request = event->request;
   g_ptr_array_add (endpoint->attempts, attempt);
-  endpoint->lease_end_ms = MAX (endpoint->lease_end_ms, event->lease_end_ms);
+  endpoint_renew_lease (simulation, endpoint, event->lease_end_ms);
   return COMMAND_DONE;
 }
 
@@ -233,13 +246,13 @@
   return COMMAND_DONE;
 }
 
-/* Carries out a command at its endpoint. */
-enum command_result
-endpoint_execute (struct simulation *simulation, struct event *event)
+/* Checks whether an endpoint takes a command that has arrived. */
+static enum command_result
+endpoint_receive (struct simulation *simulation, const struct event *event)
 {
   struct simulated_endpoint *endpoint = event->target;
 
-  if (!endpoint->up || endpoint->unreachable)
+  if (!endpoint->up || (endpoint->unreachable && !event->passes_cut))
     return COMMAND_NOT_SENT;
   if (simulation->now_ms >= endpoint->unhealthy_from_ms &&
       simulation->now_ms < endpoint->unhealthy_until_ms)
@@ -248,6 +261,32 @@
   if (event->fence < endpoint->fence)
     return COMMAND_FENCED;
   endpoint->fence = event->fence;
+  return COMMAND_DONE;
+}
+
+/* Renews the lease when a heartbeat arrives. Returns true if the endpoint takes the heartbeat and
+ * has no completion to report yet. */
+bool
+endpoint_receive_heartbeat (struct simulation *simulation, const struct event *event)
+{
+  if (endpoint_receive (simulation, event) != COMMAND_DONE)
+    return false;
+  endpoint_renew_lease (simulation, event->target, event->lease_end_ms);
+  return event->target->completions->len == 0;
+}
+
+/* Carries out a command at its endpoint. */
+enum command_result
+endpoint_execute (struct simulation *simulation, struct event *event)
+{
+  struct simulated_endpoint *endpoint = event->target;
+  enum command_result result = endpoint_receive (simulation, event);
+
+  event->born_ms = endpoint->born_ms;
+  event->clock_ms =
+      result == COMMAND_NOT_SENT ? 0 : simulated_endpoint_clock_ms (simulation, endpoint);
+  if (result != COMMAND_DONE)
+    return result;
   if (event->kind == EVENT_START && endpoint->start_errors)
     {
       if (endpoint->start_errors_carried_out)
@@ -262,7 +301,7 @@
     return endpoint_stop (simulation, endpoint, event);
   if (event->kind != EVENT_HEARTBEAT)
     return COMMAND_DONE;
-  endpoint->lease_end_ms = MAX (endpoint->lease_end_ms, event->lease_end_ms);
+  endpoint_renew_lease (simulation, endpoint, event->lease_end_ms);
   while (endpoint->completions->len > 0 &&
          ((struct simulated_completion *) g_ptr_array_index (endpoint->completions, 0))->number <=
              event->acked)
--- a/tests/jobs/simulation_hosts.c
+++ b/tests/jobs/simulation_hosts.c
@@ -19,6 +19,26 @@
   g_free (endpoint);
 }
 
+/* Returns what an endpoint's clock shows, which belongs to its incarnation. */
+int64_t
+simulated_endpoint_clock_ms (const struct simulation *simulation,
+                             const struct simulated_endpoint *endpoint)
+{
+  return CLOCK_FIRST_MS + (simulation->now_ms - endpoint->clock_start_ms) *
+                              (PERMILLE - endpoint->clock_slow_permille) / PERMILLE;
+}
+
+/* Starts an incarnation of an endpoint with a clock of its own, which is exact, 1% or 2% slow. */
+void
+simulated_endpoint_begin_incarnation (struct simulation *simulation,
+                                      struct simulated_endpoint *endpoint)
+{
+  endpoint->born_ms = BORN_OFFSET_MS + simulation->now_ms;
+  endpoint->clock_start_ms = simulation->now_ms;
+  endpoint->clock_slow_permille = 10 * g_rand_int_range (simulation->random, 0, 3);
+  endpoint->lease_end_ms = 0;
+}
+
 /* Adds an endpoint to a host's pool: the host's new incarnation. */
 static void
 simulation_add_endpoint (struct simulation *simulation, struct simulated_host *host)
@@ -31,7 +51,7 @@
   endpoint->rack = g_strdup (host->rack);
   endpoint->up = true;
   endpoint->listed = true;
-  endpoint->born_ms = BORN_OFFSET_MS + simulation->now_ms;
+  simulated_endpoint_begin_incarnation (simulation, endpoint);
   endpoint->capacity = (struct resources){ .cpu_milli = 10000, .memory_mb = 100000 };
   endpoint->attempts = g_ptr_array_new_with_free_func (attempt_destroy);
   endpoint->completions = g_ptr_array_new_with_free_func (completion_destroy);
@@ -83,7 +103,7 @@
     .labels = labels,
     .draining = endpoint->draining,
     .remaining_ms = -1,
-    .born_ms = endpoint->born_ms,
+    .born_ms = endpoint->listed_born_ms,
     .capacity = endpoint->capacity,
   };
 
@@ -96,8 +116,10 @@
 {
   for (unsigned i = 0; i < simulation->endpoints->len; i++)
     {
-      const struct simulated_endpoint *endpoint = g_ptr_array_index (simulation->endpoints, i);
+      struct simulated_endpoint *endpoint = g_ptr_array_index (simulation->endpoints, i);
 
+      if (!endpoint->unreachable || !endpoint->cut_off_from_registry)
+        endpoint->listed_born_ms = endpoint->born_ms;
       if (endpoint->listed)
         simulation_list_endpoint (simulation, endpoint);
       else
@@ -289,8 +311,7 @@
   g_hash_table_remove_all (endpoint->ended_attempts);
   endpoint->last_completion = 0;
   endpoint->fence = 0;
-  endpoint->lease_end_ms = 0;
   endpoint->up = restarts;
   if (restarts)
-    endpoint->born_ms = BORN_OFFSET_MS + simulation->now_ms;
+    simulated_endpoint_begin_incarnation (simulation, endpoint);
 }
--- a/tests/jobs/simulation_state.h
+++ b/tests/jobs/simulation_state.h
@@ -16,7 +16,7 @@
   TIMEOUT_MS = 700,
   /* Delay of commands that arrive late. */
   LATE_MIN_MS = 2000,
-  LATE_MAX_MS = 6000,
+  LATE_MAX_MS = 12000,
   /* Delay of commands to hosts that are carried out late. */
   HOST_LATE_MIN_MS = 100,
   HOST_LATE_MAX_MS = 900,
@@ -32,6 +32,10 @@
   /* How long a stopped attempt continues to run. */
   STOP_MS = 400,
   LEASE_MS = 3500,
+  /* Endpoints shorten longer leases to this. */
+  LEASE_LIMIT_MS = 10000,
+  /* What an endpoint's clock shows when the endpoint starts. */
+  CLOCK_FIRST_MS = 20,
   /* Duration of attempts on an endpoint that fails everything. */
   FAILING_ATTEMPT_MS = 50,
   PERMILLE = 1000,
@@ -63,6 +67,8 @@
   bool no_response;
   /* The command never reaches its endpoint or host. */
   bool lost;
+  /* It was sent before its endpoint became unreachable and is carried out all the same. */
+  bool passes_cut;
   /* The command to a host is rejected as one too many. */
   bool rejected;
   unsigned leader_generation;
@@ -81,6 +87,8 @@
   int64_t wait_until_ms;
   int64_t sent_ms;
   uint64_t acked;
+  /* The incarnation that received the command. */
+  int64_t born_ms;
   /* Fencing token of a command to a host. */
   uint64_t token;
   int percent;
@@ -89,6 +97,7 @@
   struct resources request;
   bool long_running;
   uint32_t spread_limit;
+  /* The endpoint's clock when it responded. */
   int64_t clock_ms;
 };
 
@@ -109,12 +118,15 @@
 enum host_command_result simulation_maintain_host (struct simulation *simulation,
                                                    const struct event *event);
 void simulation_return_hosts (struct simulation *simulation);
+void simulated_endpoint_begin_incarnation (struct simulation *simulation,
+                                           struct simulated_endpoint *endpoint);
 
 /* simulation_endpoints.c */
 void attempt_destroy (gpointer data);
 void completion_destroy (gpointer data);
 void endpoint_advance_attempts (struct simulation *simulation, struct simulated_endpoint *endpoint);
 enum command_result endpoint_execute (struct simulation *simulation, struct event *event);
+bool endpoint_receive_heartbeat (struct simulation *simulation, const struct event *event);
 
 /* simulation_commands.c */
 void event_destroy (gpointer data);
--- a/tests/jobs/test_jobs_random.c
+++ b/tests/jobs/test_jobs_random.c
@@ -6,7 +6,8 @@
 #include "simulation.h"
 
 /* Runs random simulations: jobs of all kinds, lost and late responses, connections that close
- * before the response, unreachable and restarted endpoints, changes of leader and cancellations.
+ * before the response, unreachable and restarted endpoints, also such that restart while they are
+ * unreachable, changes of leader and cancellations.
  * The simulation counts violations. For long runs: test-jobs_random --seed N --rounds M. */
 
 enum
@@ -15,6 +16,9 @@
   JOBS = 30,
   ROUND_MS = 20000,
   SETTLE_MS = 25000,
+  /* Duration of attempts in a third of the runs, longer than a lease, and the time to finish. */
+  LONG_WORK_MS = 5000,
+  LONG_SETTLE_MS = 60000,
   STEP_MS = 200,
   PERCENT = 100,
 };
@@ -52,6 +56,24 @@
   simulation_submit (simulation, id, g_rand_boolean (random) ? "one" : "two", steps, n_steps, 4);
 }
 
+/* Returns a random endpoint that is up and unreachable, or NULL. */
+static struct simulated_endpoint *
+find_unreachable_endpoint (struct simulation *simulation)
+{
+  guint first =
+      (guint) g_rand_int_range (simulation->random, 0, (gint32) simulation->endpoints->len);
+
+  for (guint i = 0; i < simulation->endpoints->len; i++)
+    {
+      struct simulated_endpoint *endpoint =
+          g_ptr_array_index (simulation->endpoints, (first + i) % simulation->endpoints->len);
+
+      if (endpoint->up && endpoint->unreachable)
+        return endpoint;
+    }
+  return NULL;
+}
+
 /* Causes a random fault, or none, and makes some unreachable endpoints reachable again. */
 static void
 inject_random_fault (struct simulation *simulation)
@@ -63,8 +85,10 @@
   switch (g_rand_int_range (random, 0, 40))
     {
     case 0:
-      if (endpoint->up)
-        endpoint->unreachable = true;
+      if (!endpoint->up)
+        break;
+      endpoint->unreachable = true;
+      endpoint->cut_off_from_registry = g_rand_boolean (random);
       break;
     case 1:
       if (endpoint->up && !endpoint->unreachable)
@@ -79,6 +103,12 @@
     case 3:
       simulation->store_down = !simulation->store_down;
       break;
+    case 5:
+    case 6:
+      endpoint = find_unreachable_endpoint (simulation);
+      if (endpoint)
+        simulation_crash_endpoint (simulation, endpoint, true);
+      break;
     default:
       break;
     }
@@ -105,7 +135,7 @@
   for (guint i = 0; i < simulation->endpoints->len; i++)
     ((struct simulated_endpoint *) g_ptr_array_index (simulation->endpoints, i))->unreachable =
         false;
-  simulation_run (simulation, SETTLE_MS);
+  simulation_run (simulation, simulation->work_ms == LONG_WORK_MS ? LONG_SETTLE_MS : SETTLE_MS);
 }
 
 /* Runs one simulation. */
@@ -128,6 +158,8 @@
       simulation->host_rejected_permille = 50;
     }
   simulation->fail_permille = 30;
+  if (seed % 3 == 0)
+    simulation->work_ms = LONG_WORK_MS;
   simulation_start_new_leader (simulation);
   simulation_run (simulation, 200);
   for (int64_t elapsed_ms = 0; elapsed_ms < ROUND_MS; elapsed_ms += STEP_MS)
