Leases of endpoints that were idle end when the leader assumes

Callers see a task run twice at once: an endpoint that was idle for a minute gets a task and is cut off right after. The task starts elsewhere 3.9 s later while the first attempt runs on.

Cause: the end of a lease is a time on the endpoint's clock, estimated as the last reading plus the time since. A clock may be 2% slow, and an idle endpoint's clock isn't read, so that after 15 s the estimate is ahead by more than the 300 ms that lease_expiry_ms has to spare.

Evidence, before: test-leases Test: slow clock of an idle endpoint ...FAILED 1. ../tests/jobs/test_leases.c:54 - CU_ASSERT_EQUAL(simulation_violations (simulation),0)

The estimate advances by 98% of the elapsed time, so that it never exceeds the endpoint's clock. It falls behind an exact clock instead, and with that change alone the lease of a start after 10 minutes has expired on arrival: Test: exact clock of an idle endpoint ...FAILED 1. ../tests/jobs/test_leases.c:69 - CU_ASSERT_EQUAL(simulation->starts,1) So an idle endpoint's clock is read again after 20 to 30 s, which keeps a lease at 2.9 s or more. It costs one call in that time. Both tests pass.

--- a/lib/jobs/endpoint.c
+++ b/lib/jobs/endpoint.c
@@ -2,6 +2,13 @@
 
 #include <string.h>
 
+enum
+{
+  PERMILLE = 1000,
+  /* Endpoint clocks may run 2% slow. */
+  SLOW_CLOCK_PERMILLE = 20,
+};
+
 /* Creates an endpoint of which only the id is known. */
 struct endpoint *
 endpoint_create (const char *id, int64_t now_ms)
@@ -145,9 +152,13 @@
   return n;
 }
 
-/* Estimates what the endpoint's clock shows at a time of this process's monotonic clock. */
+/* Estimates what the endpoint's clock shows at a time of this process's monotonic clock. The
+ * estimate never exceeds a clock that is 2% slow, so that a lease computed from it never ends later
+ * than assumed. */
 int64_t
 endpoint_clock_at (const struct endpoint *endpoint, int64_t now_ms)
 {
-  return endpoint->clock_ms + (now_ms - endpoint->clock_read_ms);
+  int64_t elapsed_ms = now_ms - endpoint->clock_read_ms;
+
+  return endpoint->clock_ms + elapsed_ms * (PERMILLE - SLOW_CLOCK_PERMILLE) / PERMILLE;
 }
--- a/lib/jobs/endpoint_heartbeats.c
+++ b/lib/jobs/endpoint_heartbeats.c
@@ -23,6 +23,11 @@
   HEARTBEAT_RETRY_MS = 200,
   /* Interval between heartbeats while completions are not durable. */
   HEARTBEAT_UNFLUSHED_MS = 250,
+  /* Age of the reading of an idle endpoint's clock at which it is read again. The estimate is then
+   * at most 0.6 s behind, and a lease as much shorter. Endpoints differ by up to the spread, so
+   * that they aren't all called at once. */
+  CLOCK_AGE_MAX_MS = 30000,
+  CLOCK_AGE_SPREAD_MS = 10000,
   /* A task whose progress doesn't change for this long is stalled. A task that usually takes about
    * 4 s advances by a percent every 300 ms even when it takes seven times its usual time. */
   STALL_MS = 2500,
@@ -182,17 +187,28 @@
   scheduler->ops.heartbeat (scheduler->ops.ctx, endpoint, lease_end_ms, wait_ms);
 }
 
+/* Returns whether the last reading of an endpoint's clock is so old that leases would become much
+ * shorter. */
+static bool
+endpoint_clock_is_old (const struct scheduler *scheduler, const struct endpoint *endpoint)
+{
+  int64_t limit_ms = CLOCK_AGE_MAX_MS - (int64_t) (g_str_hash (endpoint->id) % CLOCK_AGE_SPREAD_MS);
+
+  return scheduler->now_ms - endpoint->clock_read_ms > limit_ms;
+}
+
 /* Returns whether an endpoint needs a heartbeat. An idle one with nothing to report or acknowledge
- * doesn't. */
+ * needs one only to read its clock. */
 static bool
-endpoint_needs_heartbeat (const struct endpoint *endpoint)
+endpoint_needs_heartbeat (const struct scheduler *scheduler, const struct endpoint *endpoint)
 {
   if (!endpoint->address)
     return false;
   if (!endpoint->fence_accepted || endpoint->n_tasks > 0 || endpoint->unresponsive_since_ms > 0)
     return endpoint->listed || endpoint->n_tasks > 0;
   return endpoint->completions_acked < endpoint->completions_durable ||
-         endpoint->n_unknown_attempts > 0;
+         endpoint->n_unknown_attempts > 0 ||
+         (endpoint->listed && endpoint_clock_is_old (scheduler, endpoint));
 }
 
 /* Stops stalled tasks, so that they run on another endpoint. Long-running tasks and gangs are left
@@ -230,7 +246,7 @@
   if (endpoint->n_tasks > 0)
     endpoint_stop_stalled (scheduler, endpoint);
   if (!endpoint->heartbeat_in_flight && scheduler->now_ms >= endpoint->next_heartbeat_ms &&
-      endpoint_needs_heartbeat (endpoint))
+      endpoint_needs_heartbeat (scheduler, endpoint))
     endpoint_send_heartbeat (scheduler, endpoint);
 }
 
--- /dev/null
+++ b/tests/jobs/test_leases.c
@@ -0,0 +1,83 @@
+#include <string.h>
+
+#include "simulation.h"
+#include "suite.h"
+
+/* Leases on the clocks of endpoints, which start near 0 with each incarnation and may be 2% slow,
+ * and starts that reach a new incarnation. */
+
+/* Creates a simulation with one pool and a leader. All clocks are slow by slow_permille. */
+static struct simulation *
+simulation_with_clocks (unsigned n_hosts, int slow_permille)
+{
+  struct simulation *simulation = simulation_create (1);
+
+  simulation_add_hosts (simulation, "pool", n_hosts);
+  for (guint i = 0; i < simulation->endpoints->len; i++)
+    ((struct simulated_endpoint *) g_ptr_array_index (simulation->endpoints, i))
+        ->clock_slow_permille = slow_permille;
+  simulation_start_new_leader (simulation);
+  simulation_run (simulation, 100);
+  return simulation;
+}
+
+/* Submits a job of one task that takes a minute. */
+static void
+submit_long_task (struct simulation *simulation)
+{
+  Sp__JobStep step = SP__JOB_STEP__INIT;
+
+  step.n_tasks = 1;
+  step.cpu_milli = 1000;
+  step.memory_mb = 1000;
+  step.estimate_ms = 60000;
+  simulation->work_ms = 60000;
+  simulation_submit (simulation, "job", "pool", &step, 1, 3);
+}
+
+/* Guards against a lease that outlasts the leader's wait because the estimate of an idle endpoint's
+ * slow clock runs ahead: the task would start elsewhere while it still runs. */
+static void
+test_slow_clock_of_idle_endpoint (void)
+{
+  struct simulation *simulation = simulation_with_clocks (2, 20);
+  struct simulated_endpoint *cut_off;
+
+  simulation_run (simulation, 60000);
+  submit_long_task (simulation);
+  simulation_run (simulation, 40);
+  cut_off = simulation_find_attempt (simulation, "job.0.0.0", NULL);
+  SUITE_REQUIRE (cut_off != NULL);
+  cut_off->unreachable = true;
+  simulation_run (simulation, 6000);
+  CU_ASSERT_EQUAL (simulation->starts, 2);
+  CU_ASSERT_EQUAL (simulation_violations (simulation), 0);
+  simulation_destroy (simulation);
+}
+
+/* Guards against an estimate that falls so far behind an idle endpoint's clock that the lease of a
+ * start has expired on arrival: the start would be rejected and sent again. */
+static void
+test_exact_clock_of_idle_endpoint (void)
+{
+  struct simulation *simulation = simulation_with_clocks (1, 0);
+  struct simulated_endpoint *endpoint = g_ptr_array_index (simulation->endpoints, 0);
+
+  simulation_run (simulation, 600000);
+  submit_long_task (simulation);
+  simulation_run (simulation, 40);
+  CU_ASSERT_EQUAL (simulation->starts, 1);
+  CU_ASSERT_EQUAL (endpoint->start_commands, 1);
+  simulation_destroy (simulation);
+}
+
+static const struct suite_test tests[] = {
+  { "slow clock of an idle endpoint", test_slow_clock_of_idle_endpoint },
+  { "exact clock of an idle endpoint", test_exact_clock_of_idle_endpoint },
+};
+
+int
+main (void)
+{
+  return suite_run ("leases", tests, sizeof tests / sizeof tests[0]);
+}
