A new incarnation gets no start before its first report

Callers see a task run twice at once: an endpoint restarts under its id while a start to it is without a response, takes the next send of that start and is cut off. The task starts elsewhere 3.9 s later, and the first attempt runs for up to 10 s.

Cause: the start was sent again before the new incarnation had reported. Its clock had been set to 0 but the time of the last reading had been kept, which lies before the restart, so that the lease was longer by the time between the two, up to the endpoint's limit of 10 s.

Evidence, before: test-leases Test: start before the clock is known ...FAILED 1. ../tests/jobs/test_leases.c:125 - CU_ASSERT_EQUAL(simulation_violations (simulation),0) with, in its notes: 20802 start: task=job.0.0.0 attempt=2 endpoint=e1 fence=1048576 sent=20800 DUPLICATE of an attempt on e0

A start is sent again only to an endpoint that has accepted the leader's fence, which it has when it has sent a report with its clock. Heartbeats renew leases under the same condition already. The report is requested at once when the incarnation is known, so that the start waits for one round trip.

--- a/lib/jobs/task_attempt.c
+++ b/lib/jobs/task_attempt.c
@@ -369,13 +369,15 @@
 }
 
 /* Continues a start without a response: sends it again, or invalidates it by a stop, after which it
- * can't be carried out any more. */
+ * can't be carried out any more. A new incarnation gets no start before its first report: its clock
+ * is not known, so the end of the lease isn't either. */
 static void
 task_continue_start (struct scheduler *scheduler, struct task *task)
 {
   if (task->starts_unanswered < START_SENDS_MAX)
     {
-      task_send_start (scheduler, task);
+      if (task->endpoint->fence_accepted)
+        task_send_start (scheduler, task);
       return;
     }
   if (!task_start_may_be_invalidated (scheduler, task))
--- a/tests/jobs/test_leases.c
+++ b/tests/jobs/test_leases.c
@@ -71,9 +71,68 @@
   simulation_destroy (simulation);
 }
 
+/* Makes all endpoints of a simulation unreachable, or reachable again. */
+static void
+set_all_unreachable (struct simulation *simulation, bool unreachable)
+{
+  for (guint i = 0; i < simulation->endpoints->len; i++)
+    ((struct simulated_endpoint *) g_ptr_array_index (simulation->endpoints, i))->unreachable =
+        unreachable;
+}
+
+/* Submits a job of one task while no endpoint is reachable. Returns the endpoint to which its start
+ * is sent without a response, and makes the others reachable again. */
+static struct simulated_endpoint *
+submit_unanswered_task (struct simulation *simulation)
+{
+  struct simulated_endpoint *chosen = NULL;
+
+  set_all_unreachable (simulation, true);
+  submit_long_task (simulation);
+  simulation_run (simulation, 20);
+  for (guint i = 0; i < simulation->endpoints->len; i++)
+    {
+      struct simulated_endpoint *endpoint = g_ptr_array_index (simulation->endpoints, i);
+
+      if (endpoint->start_commands > 0)
+        chosen = endpoint;
+      else
+        endpoint->unreachable = false;
+    }
+  return chosen;
+}
+
+/* Guards against a start that is sent again before the endpoint's new incarnation has reported:
+ * its lease would be computed from the former incarnation's clock, last up to 10 s, and outlast the
+ * leader's wait. */
+static void
+test_start_before_the_clock_is_known (void)
+{
+  struct simulation *simulation = simulation_with_clocks (2, 0);
+  struct simulated_endpoint *endpoint;
+
+  simulation_run (simulation, 15000);
+  endpoint = submit_unanswered_task (simulation);
+  SUITE_REQUIRE (endpoint != NULL);
+  simulation_crash_endpoint (simulation, endpoint, true);
+  /* Until the first send has timed out. A heartbeat to the new incarnation is in flight. */
+  simulation_run (simulation, 700);
+  CU_ASSERT_EQUAL (endpoint->start_commands, 1);
+  endpoint->unreachable = false;
+  simulation_run (simulation, 140);
+  endpoint->unreachable = true;
+  simulation_run (simulation, 8000);
+  CU_ASSERT_EQUAL (simulation_violations (simulation), 0);
+  endpoint->unreachable = false;
+  simulation_run (simulation, 2000);
+  CU_ASSERT_PTR_NOT_NULL (simulation_find_attempt (simulation, "job.0.0.0", NULL));
+  simulation_destroy (simulation);
+}
+
 static const struct suite_test tests[] = {
   { "slow clock of an idle endpoint", test_slow_clock_of_idle_endpoint },
   { "exact clock of an idle endpoint", test_exact_clock_of_idle_endpoint },
+  { "start before the clock is known", test_start_before_the_clock_is_known },
 };
 
 int
