A former incarnation's response doesn't set the endpoint's clock

Callers see a task run twice at once: an endpoint restarts while its response to a start is under way, gets a task and is cut off. The task starts elsewhere 3.9 s later, and the first attempt runs for up to 10 s.

Cause: the clock in a response to a start was stored whatever incarnation the command was meant for. A response that the new incarnation's first report had overtaken replaced its clock by the former one's, which is further on.

Evidence, before: test-leases Test: response of a former incarnation ...FAILED 1. ../tests/jobs/test_leases.c:159 - CU_ASSERT_EQUAL(simulation_violations (simulation),0) with, in its notes: 21042 start: task=after.0.0.0 attempt=2 endpoint=e1 fence=1048576 sent=21040 DUPLICATE of an attempt on e0

Each new incarnation raises the endpoint's fence, so a response to a command with a lower one may be the former incarnation's, and its clock is not stored. The simulation delays the responses to starts for this, also at random in a fifth of the random runs.

--- a/lib/jobs/task_attempt.c
+++ b/lib/jobs/task_attempt.c
@@ -439,7 +439,8 @@
   endpoint->calls--;
   if (task->attempt == attempt)
     task->command_in_flight = false;
-  if (clock_ms > 0)
+  /* A lower fence means that the response may be of a former incarnation, with another clock. */
+  if (clock_ms > 0 && fence >= endpoint->fence)
     {
       endpoint->clock_ms = clock_ms;
       endpoint->clock_read_ms = now_ms;
--- a/tests/jobs/simulation.h
+++ b/tests/jobs/simulation.h
@@ -131,6 +131,8 @@
    * carried out late or not at all, and the endpoint rejects what follows for a while as unhealthy.
    */
   int closed_permille;
+  /* Share of responses to starts, in thousandths, that are slow: others overtake them. */
+  int slow_response_permille;
   /* The same for commands to hosts: the connection closes at once, and the command is carried out,
    * carried out late or not at all. And the share of those that are rejected as too many. */
   int host_closed_permille;
--- a/tests/jobs/simulation_commands.c
+++ b/tests/jobs/simulation_commands.c
@@ -408,6 +408,9 @@
   if (event->no_response)
     return;
   next = simulation_post (simulation, event->kind, RESPONSE_MS / 2);
+  if (event->kind == EVENT_START &&
+      simulation_chance (simulation, simulation->slow_response_permille))
+    next->due_ms += SLOW_RESPONSE_MS;
   {
     int64_t due_ms = next->due_ms;
 
--- a/tests/jobs/simulation_state.h
+++ b/tests/jobs/simulation_state.h
@@ -14,6 +14,7 @@
   /* Time from a command to its response, and to the sender's timeout if there is none. */
   RESPONSE_MS = 4,
   TIMEOUT_MS = 700,
+  SLOW_RESPONSE_MS = 600,
   /* Delay of commands that arrive late. */
   LATE_MIN_MS = 2000,
   LATE_MAX_MS = 12000,
--- a/tests/jobs/test_jobs_random.c
+++ b/tests/jobs/test_jobs_random.c
@@ -128,6 +128,7 @@
   simulation->store_down = false;
   simulation->lost_permille = 0;
   simulation->late_permille = 0;
+  simulation->slow_response_permille = 0;
   simulation->closed_permille = 0;
   simulation->host_closed_permille = 0;
   simulation->host_rejected_permille = 0;
@@ -151,6 +152,7 @@
   simulation_add_hosts (simulation, "spare", 2);
   simulation->lost_permille = 30;
   simulation->late_permille = seed % 2 == 0 ? 10 : 0;
+  simulation->slow_response_permille = seed % 5 == 0 ? 50 : 0;
   if (seed % 4 == 1 || seed % 4 == 2)
     {
       simulation->closed_permille = 30;
--- a/tests/jobs/test_leases.c
+++ b/tests/jobs/test_leases.c
@@ -21,18 +21,18 @@
   return simulation;
 }
 
-/* Submits a job of one task that takes a minute. */
+/* Submits a job of tasks that take a minute and one core each. */
 static void
-submit_long_task (struct simulation *simulation)
+submit_long_tasks (struct simulation *simulation, const char *id, uint32_t n_tasks)
 {
   Sp__JobStep step = SP__JOB_STEP__INIT;
 
-  step.n_tasks = 1;
+  step.n_tasks = n_tasks;
   step.cpu_milli = 1000;
   step.memory_mb = 1000;
   step.estimate_ms = 60000;
   simulation->work_ms = 60000;
-  simulation_submit (simulation, "job", "pool", &step, 1, 3);
+  simulation_submit (simulation, id, "pool", &step, 1, 3);
 }
 
 /* Guards against a lease that outlasts the leader's wait because the estimate of an idle endpoint's
@@ -44,7 +44,7 @@
   struct simulated_endpoint *cut_off;
 
   simulation_run (simulation, 60000);
-  submit_long_task (simulation);
+  submit_long_tasks (simulation, "job", 1);
   simulation_run (simulation, 40);
   cut_off = simulation_find_attempt (simulation, "job.0.0.0", NULL);
   SUITE_REQUIRE (cut_off != NULL);
@@ -64,7 +64,7 @@
   struct simulated_endpoint *endpoint = g_ptr_array_index (simulation->endpoints, 0);
 
   simulation_run (simulation, 600000);
-  submit_long_task (simulation);
+  submit_long_tasks (simulation, "job", 1);
   simulation_run (simulation, 40);
   CU_ASSERT_EQUAL (simulation->starts, 1);
   CU_ASSERT_EQUAL (endpoint->start_commands, 1);
@@ -88,7 +88,7 @@
   struct simulated_endpoint *chosen = NULL;
 
   set_all_unreachable (simulation, true);
-  submit_long_task (simulation);
+  submit_long_tasks (simulation, "job", 1);
   simulation_run (simulation, 20);
   for (guint i = 0; i < simulation->endpoints->len; i++)
     {
@@ -129,10 +129,42 @@
   simulation_destroy (simulation);
 }
 
+/* Guards against a clock that is taken from the former incarnation's response to a start, which
+ * arrives after the new incarnation's first report: leases last up to 10 s and outlast the leader's
+ * wait. */
+static void
+test_response_of_former_incarnation (void)
+{
+  struct simulation *simulation = simulation_with_clocks (2, 0);
+  struct simulated_endpoint *endpoint = g_ptr_array_index (simulation->endpoints, 0);
+  struct simulated_endpoint *other = g_ptr_array_index (simulation->endpoints, 1);
+
+  simulation_run (simulation, 15000);
+  /* The other endpoint takes no task until this one is cut off. */
+  other->draining = true;
+  simulation_run (simulation, 400);
+  simulation->slow_response_permille = 1000;
+  submit_long_tasks (simulation, "before", 5);
+  simulation_run (simulation, 100);
+  CU_ASSERT_EQUAL (endpoint->attempts->len, 5);
+  simulation_crash_endpoint (simulation, endpoint, true);
+  simulation_run (simulation, 540);
+  simulation->slow_response_permille = 0;
+  submit_long_tasks (simulation, "after", 1);
+  simulation_run (simulation, 40);
+  CU_ASSERT_EQUAL (endpoint->attempts->len, 1);
+  endpoint->unreachable = true;
+  other->draining = false;
+  simulation_run (simulation, 8000);
+  CU_ASSERT_EQUAL (simulation_violations (simulation), 0);
+  simulation_destroy (simulation);
+}
+
 static const struct suite_test tests[] = {
   { "slow clock of an idle endpoint", test_slow_clock_of_idle_endpoint },
   { "exact clock of an idle endpoint", test_exact_clock_of_idle_endpoint },
   { "start before the clock is known", test_start_before_the_clock_is_known },
+  { "response of a former incarnation", test_response_of_former_incarnation },
 };
 
 int
