An attempt number is sent to one endpoint only

Callers see nothing of it by itself: an endpoint or a report that names an attempt may mean another one of that number, so that a stop, a late start or a completion counts for the wrong attempt.

Cause: the number of the current attempt was also the highest one used. A new leader that adopted the former one's attempt 1 went on with 2, which the former one may have sent elsewhere. And each epoch had 100 numbers, while a task that lasts and fails at its start uses 126 in 11 s; the next leader sent the last of them again.

The highest number that may have been sent is kept apart from the current attempt and never becomes lower. An epoch has 100,000 numbers; with at most 10,000 epochs they stay below 2^31.

--- a/include/lib/jobs/job.h
+++ b/include/lib/jobs/job.h
@@ -42,7 +42,10 @@
   bool done;
 
   enum task_phase phase;
+  /* Number of the current attempt, or of the last one. */
   uint32_t attempt;
+  /* Highest number that this leader or an earlier one may have sent to an endpoint. */
+  uint32_t highest_attempt;
   /* Endpoint on which it runs or may run, or NULL. */
   struct endpoint *endpoint;
   TAILQ_ENTRY (task) endpoint_link;
--- a/lib/jobs/endpoint_heartbeats.c
+++ b/lib/jobs/endpoint_heartbeats.c
@@ -276,6 +276,8 @@
     }
   if (!task || task->endpoint != endpoint || task->attempt != running->attempt)
     {
+      if (task)
+        task->highest_attempt = MAX (task->highest_attempt, running->attempt);
       endpoint->n_unknown_attempts++;
       endpoint->calls++;
       scheduler->counts.stops++;
--- a/lib/jobs/job.c
+++ b/lib/jobs/job.c
@@ -188,6 +188,7 @@
     return;
   task->ended_attempt = progress->ended_attempt;
   task->attempt = MAX (task->attempt, progress->ended_attempt);
+  task->highest_attempt = MAX (task->highest_attempt, progress->ended_attempt);
   task_set_checkpoint (task, progress->checkpoint);
 }
 
--- a/lib/jobs/placement.c
+++ b/lib/jobs/placement.c
@@ -176,7 +176,7 @@
     {
       if (first[i].phase != TASK_READY)
         return;
-      attempt = MAX (attempt, first[i].attempt);
+      attempt = MAX (attempt, first[i].highest_attempt);
       checkpoint = first[i].checkpoint ? first[i].checkpoint : checkpoint;
     }
   if (!(step->same_rack && gang_choose_rack (scheduler, pool, first, step->n_tasks, chosen)) &&
@@ -253,7 +253,7 @@
       endpoint = pool_choose_endpoint (scheduler, pool, task, NULL);
       if (endpoint)
         {
-          task_start (scheduler, task, endpoint, task->attempt + 1);
+          task_start (scheduler, task, endpoint, task->highest_attempt + 1);
           pass->starts_left--;
           continue;
         }
--- a/lib/jobs/scheduled_jobs.c
+++ b/lib/jobs/scheduled_jobs.c
@@ -122,6 +122,7 @@
       task->endpoint = NULL;
       task->phase = task->done ? TASK_DONE : TASK_BLOCKED;
       task->attempt = task->ended_attempt;
+      task->highest_attempt = MAX (task->highest_attempt, task->ended_attempt);
       task->command_in_flight = false;
       task->pace_in_flight = false;
       task->pace_percent = 100;
@@ -132,20 +133,21 @@
 }
 
 /* Reserves the attempt numbers that earlier leaders may have used. The journal doesn't record
- * starts, so 100 are reserved for each epoch since the job was accepted, up to 10,000 epochs. */
+ * starts, so 100,000 are reserved for each epoch since the job was accepted, up to 10,000 epochs. A
+ * task that lasts and fails at its start uses more than a hundred in a minute. */
 static void
 job_reserve_attempts (const struct scheduler *scheduler, struct job *job)
 {
   enum
   {
-    ATTEMPTS_PER_EPOCH = 100,
+    ATTEMPTS_PER_EPOCH = 100000,
     EPOCHS_MAX = 10000,
   };
   uint64_t epochs = scheduler->config.epoch - MIN (job->definition->epoch, scheduler->config.epoch);
   uint32_t first_free = (uint32_t) MIN (epochs, EPOCHS_MAX) * ATTEMPTS_PER_EPOCH;
 
   for (uint32_t i = 0; i < job->n_tasks; i++)
-    job->tasks[i].attempt = MAX (job->tasks[i].attempt, first_free);
+    job->tasks[i].highest_attempt = MAX (job->tasks[i].highest_attempt, first_free);
 }
 
 /* Returns whether any task of a job has progress. Sets exhausted if a task has failed as often as
--- a/lib/jobs/task_attempt.c
+++ b/lib/jobs/task_attempt.c
@@ -103,7 +103,8 @@
   scheduler->ops.stop (scheduler->ops.ctx, task->endpoint, name, task->attempt, task);
 }
 
-/* Starts a ready task on an endpoint. attempt must be higher than the task's earlier attempts. */
+/* Starts a ready task on an endpoint. attempt must be higher than any number that may have been
+ * sent for the task. */
 void
 task_start (struct scheduler *scheduler, struct task *task, struct endpoint *endpoint,
             uint32_t attempt)
@@ -111,6 +112,7 @@
   struct job *job = task->job;
 
   task->attempt = attempt;
+  task->highest_attempt = attempt;
   task->starts_unanswered = 0;
   task->start_unlisted = false;
   task->command_in_flight = false;
@@ -136,6 +138,7 @@
             const struct endpoint_attempt *running, int64_t sent_ms)
 {
   task->attempt = running->attempt;
+  task->highest_attempt = MAX (task->highest_attempt, running->attempt);
   task->starts_unanswered = 0;
   task->command_in_flight = false;
   task->progress_ms = scheduler->now_ms;
@@ -293,6 +296,7 @@
     {
       task->ended_attempt = completion->attempt;
       task->attempt = MAX (task->attempt, completion->attempt);
+      task->highest_attempt = MAX (task->highest_attempt, completion->attempt);
       task_set_checkpoint (task, completion->checkpoint);
       job_mark_dirty (scheduler, task->job);
     }
--- a/tests/jobs/simulation.c
+++ b/tests/jobs/simulation.c
@@ -49,6 +49,7 @@
   simulation->journal = g_ptr_array_new_with_free_func ((GDestroyNotify) g_bytes_unref);
   simulation->events = g_ptr_array_new_with_free_func (event_destroy);
   simulation->endpoints = g_ptr_array_new_with_free_func (simulated_endpoint_destroy);
+  simulation->sent_attempts = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   simulation->work_ms = 1000;
   return simulation;
 }
@@ -64,6 +65,7 @@
       g_free (simulation->all_jobs);
     }
   g_ptr_array_free (simulation->endpoints, TRUE);
+  g_hash_table_destroy (simulation->sent_attempts);
   for (unsigned i = 0; i < simulation->n_hosts; i++)
     {
       g_free (simulation->hosts[i].id);
@@ -272,5 +274,6 @@
 {
   return simulation->duplicate_starts + simulation->started_after_done + simulation->over_capacity +
          simulation->over_spread + simulation->starts_out_of_order + simulation->over_attempts +
-         simulation->over_unavailable_limit + simulation->over_wave_limit;
+         simulation->over_unavailable_limit + simulation->over_wave_limit +
+         simulation->reused_attempts;
 }
--- a/tests/jobs/simulation.h
+++ b/tests/jobs/simulation.h
@@ -106,6 +106,8 @@
   GPtrArray *events;
   /* All incarnations of endpoints, as struct simulated_endpoint. */
   GPtrArray *endpoints;
+  /* Task name and attempt to the id of the endpoint to which they were sent. */
+  GHashTable *sent_attempts;
   struct simulated_host hosts[SIMULATION_HOSTS_MAX];
   unsigned n_hosts;
   /* Name of the standby pool, or NULL. */
@@ -151,6 +153,8 @@
   unsigned over_attempts;
   unsigned over_unavailable_limit;
   unsigned over_wave_limit;
+  /* Starts with a number that was sent to another endpoint before. */
+  unsigned reused_attempts;
   /* Counters. */
   unsigned starts;
   unsigned moves;
--- a/tests/jobs/simulation_commands.c
+++ b/tests/jobs/simulation_commands.c
@@ -127,6 +127,22 @@
   return true;
 }
 
+/* Counts a start whose number was sent to another endpoint before. */
+static void
+simulation_check_number (struct simulation *simulation, const struct event *event)
+{
+  char *key = g_strdup_printf ("%s/%u", event->name, event->attempt);
+  const char *endpoint = g_hash_table_lookup (simulation->sent_attempts, key);
+
+  if (endpoint && strcmp (endpoint, event->endpoint->id) != 0)
+    {
+      simulation->reused_attempts++;
+      simulation_log (simulation, "NUMBER SENT TO ANOTHER ENDPOINT: attempt=%s was=%s now=%s", key,
+                      endpoint, event->endpoint->id);
+    }
+  g_hash_table_replace (simulation->sent_attempts, key, g_strdup (event->endpoint->id));
+}
+
 void
 on_start (void *ctx, struct endpoint *endpoint, struct task *task, int64_t lease_end_ms)
 {
@@ -142,6 +158,7 @@
   event->long_running = step->long_running;
   event->spread_limit = step->spread_limit;
   event->target->start_commands++;
+  simulation_check_number (simulation, event);
   simulation->starts_out_of_order += !task_dependencies_are_done (task);
   if (!task_dependencies_are_done (task))
     simulation_log (simulation, "OUT OF ORDER: task=%s", event->name);
--- a/tests/jobs/test_jobs_random.c
+++ b/tests/jobs/test_jobs_random.c
@@ -181,11 +181,11 @@
   heal_and_finish (simulation);
   if (simulation_violations (simulation) > 0)
     printf ("seed %u: duplicate-starts %u after-done %u over-capacity %u spread %u dependencies %u "
-            "attempts %u unavailable %u wave %u\n",
+            "attempts %u unavailable %u wave %u numbers %u\n",
             seed, simulation->duplicate_starts, simulation->started_after_done,
             simulation->over_capacity, simulation->over_spread, simulation->starts_out_of_order,
             simulation->over_attempts, simulation->over_unavailable_limit,
-            simulation->over_wave_limit);
+            simulation->over_wave_limit, simulation->reused_attempts);
   CU_ASSERT_EQUAL (simulation_violations (simulation), 0);
   for (unsigned i = 0; i < submitted; i++)
     {
--- a/tests/jobs/test_scheduler.c
+++ b/tests/jobs/test_scheduler.c
@@ -109,6 +109,72 @@
     }
 }
 
+/* Guards against a number that is sent to two endpoints: a new leader adopts the former one's
+ * attempt and must not count on from there, since the former one may have sent higher numbers. */
+static void
+test_number_after_adoption (void)
+{
+  struct simulation *simulation = simulation_with_pool (3);
+  Sp__JobStep step = make_step (1);
+  struct simulated_endpoint *endpoint;
+
+  simulation->work_ms = 60000;
+  simulation_submit (simulation, "job", "pool", &step, 1, 3);
+  simulation_run (simulation, 1000);
+  simulation_start_new_leader (simulation);
+  simulation_run (simulation, 1000);
+  CU_ASSERT_EQUAL (simulation->starts, 1);
+  endpoint = simulation_find_attempt (simulation, "job.0.0.0", NULL);
+  SUITE_REQUIRE (endpoint != NULL);
+  simulation_crash_endpoint (simulation, endpoint, true);
+  simulation_run (simulation, 2000);
+  CU_ASSERT_EQUAL (simulation->starts, 2);
+  CU_ASSERT_FALSE (g_hash_table_contains (simulation->sent_attempts, "job.0.0.0/2"));
+  CU_ASSERT_EQUAL (simulation_violations (simulation), 0);
+  simulation_destroy (simulation);
+}
+
+/* Guards against a number that is sent to two endpoints: a task that lasts fails more than a
+ * hundred times under one leader, and its next start is not known to the next leader. */
+static void
+test_number_after_many_starts (void)
+{
+  enum
+  {
+    STARTS = 120,
+    SECONDS_MAX = 120,
+  };
+  struct simulation *simulation = simulation_with_pool (3);
+  Sp__JobStep step = make_step (1);
+
+  step.long_running = true;
+  for (guint i = 0; i < simulation->endpoints->len; i++)
+    ((struct simulated_endpoint *) g_ptr_array_index (simulation->endpoints, i))->fails_all = true;
+  simulation_submit (simulation, "job", "pool", &step, 1, 3);
+  for (int i = 0; i < SECONDS_MAX && simulation->starts < STARTS; i++)
+    simulation_run (simulation, 1000);
+  CU_ASSERT (simulation->starts >= STARTS);
+  /* The next start gets no response. */
+  for (guint i = 0; i < simulation->endpoints->len; i++)
+    ((struct simulated_endpoint *) g_ptr_array_index (simulation->endpoints, i))->start_errors =
+        true;
+  simulation_run (simulation, 1000);
+  for (guint i = 0; i < simulation->endpoints->len; i++)
+    {
+      struct simulated_endpoint *endpoint = g_ptr_array_index (simulation->endpoints, i);
+
+      endpoint->start_errors = false;
+      endpoint->fails_all = false;
+      endpoint->draining = endpoint->start_commands > 0;
+    }
+  simulation_add_hosts (simulation, "pool", 1);
+  simulation_start_new_leader (simulation);
+  simulation_run (simulation, 3000);
+  CU_ASSERT_PTR_NOT_NULL (simulation_find_attempt (simulation, "job.0.0.0", NULL));
+  CU_ASSERT_EQUAL (simulation_violations (simulation), 0);
+  simulation_destroy (simulation);
+}
+
 /* A process leads, learns of completions while the store is down, is replaced and leads again. What
  * it learned before must become durable before it is acknowledged, and the failures must still
  * count against the limit. */
@@ -688,6 +754,8 @@
   { "steps in order", test_steps_in_order },
   { "attempts", test_attempts },
   { "attempts over a takeover", test_attempts_over_a_takeover },
+  { "number after adoption", test_number_after_adoption },
+  { "number after many starts", test_number_after_many_starts },
   { "same process leads again", test_same_process_leads_again },
   { "failing endpoint", test_failing_endpoint },
   { "lost responses", test_lost_responses },
