--- a/lib/jobs/task_attempt.c
+++ b/lib/jobs/task_attempt.c
@@ -103,7 +103,8 @@
   scheduler->ops.stop (scheduler->ops.ctx, task->endpoint, name, task->attempt, task);
 }
 
-/* Starts a ready task on an endpoint. attempt must be higher than the task's earlier attempts. */
+/* Starts a ready task on an endpoint. attempt must be higher than any number that may have been
+ * sent for the task. */
 void
 task_start (struct scheduler *scheduler, struct task *task, struct endpoint *endpoint,
             uint32_t attempt)
@@ -111,6 +112,7 @@
   struct job *job = task->job;
 
   task->attempt = attempt;
+  task->highest_attempt = attempt;
   task->starts_unanswered = 0;
   task->start_unlisted = false;
   task->command_in_flight = false;
@@ -136,6 +138,7 @@
             const struct endpoint_attempt *running, int64_t sent_ms)
 {
   task->attempt = running->attempt;
+  task->highest_attempt = MAX (task->highest_attempt, running->attempt);
   task->starts_unanswered = 0;
   task->command_in_flight = false;
   task->progress_ms = scheduler->now_ms;
@@ -293,6 +296,7 @@
     {
       task->ended_attempt = completion->attempt;
       task->attempt = MAX (task->attempt, completion->attempt);
+      task->highest_attempt = MAX (task->highest_attempt, completion->attempt);
       task_set_checkpoint (task, completion->checkpoint);
       job_mark_dirty (scheduler, task->job);
     }
@@ -369,7 +373,8 @@
 }
 
 /* Continues a start without a response: sends it again, or invalidates it by a stop, after which it
- * can't be carried out any more. */
+ * can't be carried out any more. A new incarnation gets no start before its first report: its clock
+ * is not known, so the end of the lease isn't either. */
 static void
 task_continue_start (struct scheduler *scheduler, struct task *task)
 {
@@ -377,7 +382,8 @@
     return;
   if (task->starts_unanswered < START_SENDS_MAX)
     {
-      task_send_start (scheduler, task);
+      if (task->endpoint->fence_accepted)
+        task_send_start (scheduler, task);
       return;
     }
   if (!task_start_may_be_invalidated (scheduler, task))
@@ -441,7 +447,8 @@
   endpoint->calls--;
   if (task->attempt == attempt)
     task->command_in_flight = false;
-  if (clock_ms > 0)
+  /* A lower fence means that the response may be of a former incarnation, with another clock. */
+  if (clock_ms > 0 && fence >= endpoint->fence)
     {
       endpoint->clock_ms = clock_ms;
       endpoint->clock_read_ms = now_ms;
--- a/tests/jobs/simulation.h
+++ b/tests/jobs/simulation.h
@@ -43,8 +43,10 @@
   char *rack;
   /* Runs and responds; false once its host was moved, was put into maintenance or crashed. */
   bool up;
-  /* Runs, but no command reaches it. */
+  /* Runs, but no command reaches it, except late ones that were sent before. */
   bool unreachable;
+  /* Its reports don't reach the registry either, which keeps the last one. */
+  bool cut_off_from_registry;
   /* Every attempt that it starts fails after a short time. */
   bool fails_all;
   /* Answers every start with an unknown status, such as 500, and carries out none, or all. */
@@ -60,7 +62,13 @@
   bool listed;
   bool draining;
   int64_t born_ms;
+  /* Start of the incarnation that the registry shows. */
+  int64_t listed_born_ms;
+  /* Its clock starts near 0 with each incarnation and runs slow by these thousandths. */
+  int64_t clock_start_ms;
+  int clock_slow_permille;
   uint64_t fence;
+  /* On its clock. */
   int64_t lease_end_ms;
   uint64_t last_completion;
   GPtrArray *attempts;
@@ -98,6 +106,8 @@
   GPtrArray *events;
   /* All incarnations of endpoints, as struct simulated_endpoint. */
   GPtrArray *endpoints;
+  /* Task name and attempt to the id of the endpoint to which they were sent. */
+  GHashTable *sent_attempts;
   struct simulated_host hosts[SIMULATION_HOSTS_MAX];
   unsigned n_hosts;
   /* Name of the standby pool, or NULL. */
@@ -123,6 +133,8 @@
    * carried out late or not at all, and the endpoint rejects what follows for a while as unhealthy.
    */
   int closed_permille;
+  /* Share of responses to starts, in thousandths, that are slow: others overtake them. */
+  int slow_response_permille;
   /* The same for commands to hosts: the connection closes at once, and the command is carried out,
    * carried out late or not at all. And the share of those that are rejected as too many. */
   int host_closed_permille;
@@ -141,6 +153,8 @@
   unsigned over_attempts;
   unsigned over_unavailable_limit;
   unsigned over_wave_limit;
+  /* Starts with a number that was sent to another endpoint before. */
+  unsigned reused_attempts;
   /* Counters. */
   unsigned starts;
   unsigned moves;
@@ -168,8 +182,11 @@
  * is NULL. */
 struct simulated_endpoint *simulation_find_attempt (struct simulation *simulation, const char *task,
                                                     struct simulated_attempt **found);
+/* Returns what an endpoint's clock shows. */
+int64_t simulated_endpoint_clock_ms (const struct simulation *simulation,
+                                     const struct simulated_endpoint *endpoint);
 /* Ends everything that an endpoint runs or knows. If restarts is true, it is up again at once as a
- * new incarnation. */
+ * new incarnation under the same id. */
 void simulation_crash_endpoint (struct simulation *simulation, struct simulated_endpoint *endpoint,
                                 bool restarts);
 /* Returns a job's state according to the journal. */
--- a/tests/jobs/simulation_commands.c
+++ b/tests/jobs/simulation_commands.c
@@ -58,6 +58,16 @@
   g_ptr_array_add (simulation->events, unknown);
 }
 
+/* Makes a command late. If its endpoint becomes unreachable meanwhile, it is carried out all the
+ * same in half of the cases. */
+static void
+simulation_delay_command (struct simulation *simulation, struct event *event)
+{
+  event->due_ms =
+      simulation->now_ms + g_rand_int_range (simulation->random, LATE_MIN_MS, LATE_MAX_MS);
+  event->passes_cut = !event->target->unreachable && g_rand_boolean (simulation->random);
+}
+
 /* Sends a command whose connection closes at once. It is carried out all the same in half of the
  * cases, late in a quarter and not at all in a quarter; what follows is rejected for a while. */
 static void
@@ -71,8 +81,7 @@
   event->target->unhealthy_until_ms =
       event->target->unhealthy_from_ms + g_rand_int_range (simulation->random, 0, UNHEALTHY_MAX_MS);
   if (fate == 0)
-    event->due_ms =
-        simulation->now_ms + g_rand_int_range (simulation->random, LATE_MIN_MS, LATE_MAX_MS);
+    simulation_delay_command (simulation, event);
   else if (fate == 1)
     event->lost = true;
 }
@@ -93,8 +102,7 @@
   event->no_response = late || simulation_chance (simulation, simulation->lost_permille) ||
                        event->target->unreachable;
   if (late)
-    event->due_ms =
-        simulation->now_ms + g_rand_int_range (simulation->random, LATE_MIN_MS, LATE_MAX_MS);
+    simulation_delay_command (simulation, event);
   if (event->no_response)
     simulation_post_unknown (simulation, event,
                              MAX (event->wait_until_ms, simulation->now_ms) + TIMEOUT_MS);
@@ -119,6 +127,22 @@
   return true;
 }
 
+/* Counts a start whose number was sent to another endpoint before. */
+static void
+simulation_check_number (struct simulation *simulation, const struct event *event)
+{
+  char *key = g_strdup_printf ("%s/%u", event->name, event->attempt);
+  const char *endpoint = g_hash_table_lookup (simulation->sent_attempts, key);
+
+  if (endpoint && strcmp (endpoint, event->endpoint->id) != 0)
+    {
+      simulation->reused_attempts++;
+      simulation_log (simulation, "NUMBER SENT TO ANOTHER ENDPOINT: attempt=%s was=%s now=%s", key,
+                      endpoint, event->endpoint->id);
+    }
+  g_hash_table_replace (simulation->sent_attempts, key, g_strdup (event->endpoint->id));
+}
+
 void
 on_start (void *ctx, struct endpoint *endpoint, struct task *task, int64_t lease_end_ms)
 {
@@ -134,6 +158,7 @@
   event->long_running = step->long_running;
   event->spread_limit = step->spread_limit;
   event->target->start_commands++;
+  simulation_check_number (simulation, event);
   simulation->starts_out_of_order += !task_dependencies_are_done (task);
   if (!task_dependencies_are_done (task))
     simulation_log (simulation, "OUT OF ORDER: task=%s", event->name);
@@ -247,13 +272,14 @@
   g_autofree struct endpoint_completion *completions =
       g_new0 (struct endpoint_completion, endpoint->completions->len + 1);
   struct endpoint_report report = {
-    .clock_ms = simulation->now_ms,
+    .clock_ms = event->clock_ms,
     .born_ms = endpoint->born_ms,
     .attempts = attempts,
     .n_attempts = endpoint->attempts->len,
     .completions = completions,
     .n_completions = endpoint->completions->len,
   };
+  enum command_result result = event->result;
 
   for (guint i = 0; i < endpoint->attempts->len; i++)
     {
@@ -278,9 +304,12 @@
         .outcome = completion->outcome,
       };
     }
-  scheduler_heartbeat_done (simulation->scheduler, event->endpoint, event->fence, event->result,
-                            event->result == COMMAND_DONE ? &report : NULL, event->acked,
-                            event->sent_ms, simulation->now_ms);
+  /* The connection of a response under way closes when the endpoint restarts. */
+  if (event->result == COMMAND_DONE && event->born_ms != endpoint->born_ms)
+    result = COMMAND_UNKNOWN;
+  scheduler_heartbeat_done (simulation->scheduler, event->endpoint, event->fence, result,
+                            result == COMMAND_DONE ? &report : NULL, event->acked, event->sent_ms,
+                            simulation->now_ms);
 }
 
 /* Passes a response to the scheduler. Responses to a former leader are dropped. */
@@ -294,7 +323,7 @@
     case EVENT_START:
       scheduler_start_done (simulation->scheduler, event->endpoint, event->task, event->attempt,
                             event->fence, event->result,
-                            event->result == COMMAND_UNKNOWN ? 0 : simulation->now_ms,
+                            event->result == COMMAND_UNKNOWN ? 0 : event->clock_ms,
                             simulation->now_ms);
       break;
     case EVENT_STOP:
@@ -360,8 +389,18 @@
     }
   if (event->lost)
     return;
+  if (event->kind == EVENT_HEARTBEAT && event->born_ms > 0 &&
+      event->born_ms != event->target->born_ms)
+    {
+      /* The endpoint has restarted while it waited with its response. */
+      event->result = COMMAND_UNKNOWN;
+      event->response = true;
+      if (!event->no_response)
+        simulation_deliver_response (simulation, event);
+      return;
+    }
   if (event->kind == EVENT_HEARTBEAT && event->wait_until_ms > simulation->now_ms &&
-      event->target->up && !event->target->unreachable && event->target->completions->len == 0)
+      endpoint_receive_heartbeat (simulation, event))
     {
       /* The lease is renewed on arrival. The command is checked again later, until there is a
        * completion or its wait is over. */
@@ -377,6 +416,8 @@
                               .wait_until_ms = event->wait_until_ms,
                               .sent_ms = event->sent_ms,
                               .acked = event->acked,
+                              .born_ms = event->target->born_ms,
+                              .passes_cut = event->passes_cut,
                               .no_response = event->no_response };
       return;
     }
@@ -384,6 +425,9 @@
   if (event->no_response)
     return;
   next = simulation_post (simulation, event->kind, RESPONSE_MS / 2);
+  if (event->kind == EVENT_START &&
+      simulation_chance (simulation, simulation->slow_response_permille))
+    next->due_ms += SLOW_RESPONSE_MS;
   {
     int64_t due_ms = next->due_ms;
 
--- /dev/null
+++ b/tests/jobs/test_leases.c
@@ -0,0 +1,174 @@
+#include <string.h>
+
+#include "simulation.h"
+#include "suite.h"
+
+/* Leases on the clocks of endpoints, which start near 0 with each incarnation and may be 2% slow,
+ * and starts that reach a new incarnation. */
+
+/* Creates a simulation with one pool and a leader. All clocks are slow by slow_permille. */
+static struct simulation *
+simulation_with_clocks (unsigned n_hosts, int slow_permille)
+{
+  struct simulation *simulation = simulation_create (1);
+
+  simulation_add_hosts (simulation, "pool", n_hosts);
+  for (guint i = 0; i < simulation->endpoints->len; i++)
+    ((struct simulated_endpoint *) g_ptr_array_index (simulation->endpoints, i))
+        ->clock_slow_permille = slow_permille;
+  simulation_start_new_leader (simulation);
+  simulation_run (simulation, 100);
+  return simulation;
+}
+
+/* Submits a job of tasks that take a minute and one core each. */
+static void
+submit_long_tasks (struct simulation *simulation, const char *id, uint32_t n_tasks)
+{
+  Sp__JobStep step = SP__JOB_STEP__INIT;
+
+  step.n_tasks = n_tasks;
+  step.cpu_milli = 1000;
+  step.memory_mb = 1000;
+  step.estimate_ms = 60000;
+  simulation->work_ms = 60000;
+  simulation_submit (simulation, id, "pool", &step, 1, 3);
+}
+
+/* Guards against a lease that outlasts the leader's wait because the estimate of an idle endpoint's
+ * slow clock runs ahead: the task would start elsewhere while it still runs. */
+static void
+test_slow_clock_of_idle_endpoint (void)
+{
+  struct simulation *simulation = simulation_with_clocks (2, 20);
+  struct simulated_endpoint *cut_off;
+
+  simulation_run (simulation, 60000);
+  submit_long_tasks (simulation, "job", 1);
+  simulation_run (simulation, 40);
+  cut_off = simulation_find_attempt (simulation, "job.0.0.0", NULL);
+  SUITE_REQUIRE (cut_off != NULL);
+  cut_off->unreachable = true;
+  simulation_run (simulation, 6000);
+  CU_ASSERT_EQUAL (simulation->starts, 2);
+  CU_ASSERT_EQUAL (simulation_violations (simulation), 0);
+  simulation_destroy (simulation);
+}
+
+/* Guards against an estimate that falls so far behind an idle endpoint's clock that the lease of a
+ * start has expired on arrival: the start would be rejected and sent again. */
+static void
+test_exact_clock_of_idle_endpoint (void)
+{
+  struct simulation *simulation = simulation_with_clocks (1, 0);
+  struct simulated_endpoint *endpoint = g_ptr_array_index (simulation->endpoints, 0);
+
+  simulation_run (simulation, 600000);
+  submit_long_tasks (simulation, "job", 1);
+  simulation_run (simulation, 40);
+  CU_ASSERT_EQUAL (simulation->starts, 1);
+  CU_ASSERT_EQUAL (endpoint->start_commands, 1);
+  simulation_destroy (simulation);
+}
+
+/* Makes all endpoints of a simulation unreachable, or reachable again. */
+static void
+set_all_unreachable (struct simulation *simulation, bool unreachable)
+{
+  for (guint i = 0; i < simulation->endpoints->len; i++)
+    ((struct simulated_endpoint *) g_ptr_array_index (simulation->endpoints, i))->unreachable =
+        unreachable;
+}
+
+/* Submits a job of one task while no endpoint is reachable. Returns the endpoint to which its start
+ * is sent without a response, and makes the others reachable again. */
+static struct simulated_endpoint *
+submit_unanswered_task (struct simulation *simulation)
+{
+  struct simulated_endpoint *chosen = NULL;
+
+  set_all_unreachable (simulation, true);
+  submit_long_tasks (simulation, "job", 1);
+  simulation_run (simulation, 20);
+  for (guint i = 0; i < simulation->endpoints->len; i++)
+    {
+      struct simulated_endpoint *endpoint = g_ptr_array_index (simulation->endpoints, i);
+
+      if (endpoint->start_commands > 0)
+        chosen = endpoint;
+      else
+        endpoint->unreachable = false;
+    }
+  return chosen;
+}
+
+/* Guards against a start that is sent again before the endpoint's new incarnation has reported:
+ * its lease would be computed from the former incarnation's clock, last up to 10 s, and outlast the
+ * leader's wait. */
+static void
+test_start_before_the_clock_is_known (void)
+{
+  struct simulation *simulation = simulation_with_clocks (2, 0);
+  struct simulated_endpoint *endpoint;
+
+  simulation_run (simulation, 15000);
+  endpoint = submit_unanswered_task (simulation);
+  SUITE_REQUIRE (endpoint != NULL);
+  simulation_crash_endpoint (simulation, endpoint, true);
+  /* Until the first send has timed out. A heartbeat to the new incarnation is in flight. */
+  simulation_run (simulation, 700);
+  CU_ASSERT_EQUAL (endpoint->start_commands, 1);
+  endpoint->unreachable = false;
+  simulation_run (simulation, 140);
+  endpoint->unreachable = true;
+  simulation_run (simulation, 8000);
+  CU_ASSERT_EQUAL (simulation_violations (simulation), 0);
+  endpoint->unreachable = false;
+  simulation_run (simulation, 2000);
+  CU_ASSERT_PTR_NOT_NULL (simulation_find_attempt (simulation, "job.0.0.0", NULL));
+  simulation_destroy (simulation);
+}
+
+/* Guards against a clock that is taken from the former incarnation's response to a start, which
+ * arrives after the new incarnation's first report: leases last up to 10 s and outlast the leader's
+ * wait. */
+static void
+test_response_of_former_incarnation (void)
+{
+  struct simulation *simulation = simulation_with_clocks (2, 0);
+  struct simulated_endpoint *endpoint = g_ptr_array_index (simulation->endpoints, 0);
+  struct simulated_endpoint *other = g_ptr_array_index (simulation->endpoints, 1);
+
+  simulation_run (simulation, 15000);
+  /* The other endpoint takes no task until this one is cut off. */
+  other->draining = true;
+  simulation_run (simulation, 400);
+  simulation->slow_response_permille = 1000;
+  submit_long_tasks (simulation, "before", 5);
+  simulation_run (simulation, 100);
+  CU_ASSERT_EQUAL (endpoint->attempts->len, 5);
+  simulation_crash_endpoint (simulation, endpoint, true);
+  simulation_run (simulation, 540);
+  simulation->slow_response_permille = 0;
+  submit_long_tasks (simulation, "after", 1);
+  simulation_run (simulation, 40);
+  CU_ASSERT_EQUAL (endpoint->attempts->len, 1);
+  endpoint->unreachable = true;
+  other->draining = false;
+  simulation_run (simulation, 8000);
+  CU_ASSERT_EQUAL (simulation_violations (simulation), 0);
+  simulation_destroy (simulation);
+}
+
+static const struct suite_test tests[] = {
+  { "slow clock of an idle endpoint", test_slow_clock_of_idle_endpoint },
+  { "exact clock of an idle endpoint", test_exact_clock_of_idle_endpoint },
+  { "start before the clock is known", test_start_before_the_clock_is_known },
+  { "response of a former incarnation", test_response_of_former_incarnation },
+};
+
+int
+main (void)
+{
+  return suite_run ("leases", tests, sizeof tests / sizeof tests[0]);
+}
