Log each stop of a start without a response and of an unknown attempt

The leader stopped attempts for two reasons that its log did not show: a start that got no response, and an attempt that an endpoint reports and that is not the current one of its task. A task that was stopped against its step's limit of unavailable tasks could not be traced to either.

Both now have a line, the second with the attempt and the endpoint that the leader knows for the task. No logic changes; tests/jobs/test-scheduler passes as before.

--- a/lib/jobs/endpoint_heartbeats.c
+++ b/lib/jobs/endpoint_heartbeats.c
@@ -260,6 +260,10 @@
     }
   if (!task || task->endpoint != endpoint || task->attempt != running->attempt)
     {
+      scheduler_log (scheduler,
+                     "stopping unknown attempt: task=%s attempt=%u endpoint=%s known=%u on=%s",
+                     running->task, running->attempt, endpoint->id, task ? task->attempt : 0,
+                     task && task->endpoint ? task->endpoint->id : "none");
       endpoint->n_unknown_attempts++;
       endpoint->calls++;
       scheduler->counts.stops++;
--- a/lib/jobs/task_attempt.c
+++ b/lib/jobs/task_attempt.c
@@ -153,6 +153,18 @@
     }
 }
 
+/* Begins to stop a task's attempt, with the next stop that is sent. */
+static void
+task_begin_stop (struct scheduler *scheduler, struct task *task, const char *why)
+{
+  scheduler_log (scheduler,
+                 "stopping attempt: task=%s.%u.%u.%u attempt=%u endpoint=%s reason=\"%s\"",
+                 task->job->id, task->occurrence, task->step, task->index, task->attempt,
+                 task->endpoint->id, why);
+  task_set_phase (scheduler, task, TASK_STOPPING);
+  task->confirmed_ms = 0;
+}
+
 /* Stops a task's attempt if it runs or may run; a ready task is blocked. */
 void
 task_stop (struct scheduler *scheduler, struct task *task, const char *why)
@@ -161,12 +173,7 @@
     task_set_phase (scheduler, task, TASK_BLOCKED);
   if (task->phase != TASK_STARTING && task->phase != TASK_RUNNING)
     return;
-  scheduler_log (scheduler,
-                 "stopping attempt: task=%s.%u.%u.%u attempt=%u endpoint=%s reason=\"%s\"",
-                 task->job->id, task->occurrence, task->step, task->index, task->attempt,
-                 task->endpoint->id, why);
-  task_set_phase (scheduler, task, TASK_STOPPING);
-  task->confirmed_ms = 0;
+  task_begin_stop (scheduler, task, why);
   task->next_command_ms = scheduler->now_ms;
   task_send_commands (scheduler, task);
 }
@@ -381,8 +388,7 @@
   if (!task_start_may_be_invalidated (scheduler, task))
     return;
   endpoint_record_invalidated_start (scheduler, task->endpoint, task);
-  task_set_phase (scheduler, task, TASK_STOPPING);
-  task->confirmed_ms = 0;
+  task_begin_stop (scheduler, task, "start without a response");
 }
 
 /* Sends a task's command again if it is due: a start without a response, or a stop. */
