Invalidate a start of a limited step by a higher fence, not by a stop

Cause: a start that was sent three times without a response was invalidated by a stop once a later report did not list the attempt. Such a report says nothing of the next second: the start may be carried out between that report and the stop, or between a stop that got no response and its repetition 0.25 s after that. The task is at work by then, the stop ends it, and the limit was not asked (start_unlisted took its place), nor asked again for a repetition.

Class: a state that was observed decides about a command that takes effect later, and in between a command that is still in transit changes the state.

Fix: a start of a limited step is invalidated by raising the endpoint's fence. The endpoint rejects the start from then on and ends nothing. The first report under the higher fence settles it: a listed attempt is running, one that is not listed is released and starts elsewhere. The task stays in TASK_STARTING until then, so that nothing stops it. Starts of other steps are invalidated by a stop as before. start_unlisted and start_unanswered_ms have no use any more.

--- a/include/lib/jobs/job.h
+++ b/include/lib/jobs/job.h
@@ -61,13 +61,10 @@
   int pace_percent;
   int pace_acknowledged_percent;
   bool pace_in_flight;
-  /* How often the current start was sent without a response, when the last of these sends ended,
-   * and whether a report requested later doesn't list the attempt. */
+  /* How often the current start was sent without a response. */
   unsigned starts_unanswered;
-  int64_t start_unanswered_ms;
-  bool start_unlisted;
-  /* How often the current stop failed, and when the endpoint's fence was raised because of that; 0
-   * if it was not. */
+  /* How often the current stop failed, and when the endpoint's fence was raised to invalidate the
+   * start; 0 if it was not. */
   unsigned stops_failed;
   int64_t fence_raised_ms;
   bool command_in_flight;
--- a/lib/jobs/endpoint_heartbeats.c
+++ b/lib/jobs/endpoint_heartbeats.c
@@ -304,16 +304,13 @@
 static bool
 task_is_settled (const struct task *task, int64_t sent_ms)
 {
-  if (task->phase != TASK_RUNNING && task->phase != TASK_STOPPING)
-    return false;
-  if (task->confirmed_ms > 0)
-    return task->confirmed_ms < sent_ms;
-  return task->phase == TASK_STOPPING && task->fence_raised_ms > 0 &&
-         task->fence_raised_ms < sent_ms;
+  if (task->phase == TASK_RUNNING || (task->phase == TASK_STOPPING && task->confirmed_ms > 0))
+    return task->confirmed_ms > 0 && task->confirmed_ms < sent_ms;
+  return (task->phase == TASK_STARTING || task->phase == TASK_STOPPING) &&
+         task->fence_raised_ms > 0 && task->fence_raised_ms < sent_ms;
 }
 
-/* Releases tasks whose attempts are missing from a report and can't run any more. Marks starts
- * without a response that are missing from a report requested later. */
+/* Releases tasks whose attempts are missing from a report and can't run any more. */
 static void
 endpoint_release_unlisted (struct scheduler *scheduler, struct endpoint *endpoint,
                            const struct endpoint_report *report, int64_t sent_ms)
@@ -324,9 +321,6 @@
     {
       struct task *next = TAILQ_NEXT (task, endpoint_link);
 
-      if (task->phase == TASK_STARTING && !task->command_in_flight && task->starts_unanswered > 0 &&
-          task->start_unanswered_ms < sent_ms)
-        task->start_unlisted = !report_lists_attempt (report, task);
       if (task_is_settled (task, sent_ms) && !report_lists_attempt (report, task))
         {
           scheduler->counts.lapses++;
--- a/lib/jobs/task_attempt.c
+++ b/lib/jobs/task_attempt.c
@@ -112,7 +112,7 @@
 
   task->attempt = attempt;
   task->starts_unanswered = 0;
-  task->start_unlisted = false;
+  task->fence_raised_ms = 0;
   task->command_in_flight = false;
   task->next_command_ms = 0;
   task->progress_percent = -1;
@@ -343,15 +343,6 @@
     job_advance (scheduler, job);
 }
 
-/* Returns whether a start that got no response may be invalidated by a stop. A task that may
- * already be at work is not stopped while too many of its step are unavailable; a report shows
- * whether it is. */
-static bool
-task_start_may_be_invalidated (const struct scheduler *scheduler, const struct task *task)
-{
-  return task->start_unlisted || task_may_be_stopped (scheduler, task);
-}
-
 /* Records that a start is invalidated because none of its sends got a response. An endpoint that
  * sends reports all the same fails its starts, and is avoided for a while; the task is tried on
  * another endpoint. */
@@ -375,8 +366,30 @@
                  endpoint->id, endpoint->starts_invalidated, avoid_ms);
 }
 
+/* Returns whether few tasks of a task's step may be unavailable at once, and its job goes on. */
+static bool
+task_is_limited (const struct task *task)
+{
+  return task_step (task)->away_limit > 0 && !job_is_over (task->job);
+}
+
+/* Raises the fence of a task's endpoint, so that its attempt is not started any more unless it has
+ * been by now. Unlike a stop this ends nothing that runs. The next report shows which it is. */
+static void
+task_raise_fence (struct scheduler *scheduler, struct task *task, const char *why)
+{
+  endpoint_raise_fence (scheduler, task->endpoint);
+  task->fence_raised_ms = scheduler->now_ms;
+  task->endpoint->next_heartbeat_ms = scheduler->now_ms;
+  scheduler_log (scheduler, "fence raised: task=%s.%u.%u.%u attempt=%u endpoint=%s reason=\"%s\"",
+                 task->job->id, task->occurrence, task->step, task->index, task->attempt,
+                 task->endpoint->id, why);
+}
+
 /* Continues a start without a response: sends it again, or invalidates it by a stop, after which it
- * can't be carried out any more. */
+ * can't be carried out any more. It may be carried out at any time until then, also after a report
+ * that doesn't list it, so that a stop may end a task at work: one of a limited step is invalidated
+ * by a higher fence. */
 static void
 task_continue_start (struct scheduler *scheduler, struct task *task)
 {
@@ -385,9 +398,14 @@
       task_send_start (scheduler, task);
       return;
     }
-  if (!task_start_may_be_invalidated (scheduler, task))
+  if (task->fence_raised_ms > 0)
     return;
   endpoint_record_invalidated_start (scheduler, task->endpoint, task);
+  if (task_is_limited (task))
+    {
+      task_raise_fence (scheduler, task, "start without a response");
+      return;
+    }
   task_begin_stop (scheduler, task, "start without a response");
 }
 
@@ -467,8 +485,6 @@
       break;
     case COMMAND_UNKNOWN:
       task->starts_unanswered++;
-      task->start_unanswered_ms = now_ms;
-      task->start_unlisted = false;
       scheduler_log (scheduler,
                      "start got no response: task=%s.%u.%u.%u attempt=%u endpoint=%s try=%u",
                      task->job->id, task->occurrence, task->step, task->index, attempt,
@@ -509,17 +525,13 @@
  * higher fence, no start that was sent before can be carried out once the endpoint has accepted it,
  * so that the next report shows whether the attempt will ever run. */
 static void
-task_stop_failed (struct scheduler *scheduler, struct endpoint *endpoint, struct task *task)
+task_stop_failed (struct scheduler *scheduler, struct task *task)
 {
   task->next_command_ms = scheduler->now_ms + STOP_RETRY_MS;
   task->stops_failed++;
   if (task->stops_failed != STOPS_FAILED_MAX)
     return;
-  endpoint_raise_fence (scheduler, endpoint);
-  task->fence_raised_ms = scheduler->now_ms;
-  scheduler_log (
-      scheduler, "fence raised after failed stops: task=%s.%u.%u.%u attempt=%u endpoint=%s",
-      task->job->id, task->occurrence, task->step, task->index, task->attempt, endpoint->id);
+  task_raise_fence (scheduler, task, "failed stops");
 }
 
 /* Handles the response to a stop. After a successful one the endpoint reports the attempt's
@@ -542,5 +554,5 @@
   if (result == COMMAND_DONE || result == COMMAND_STALE_ATTEMPT)
     known->confirmed_ms = now_ms;
   else
-    task_stop_failed (scheduler, endpoint, known);
+    task_stop_failed (scheduler, known);
 }
--- a/tests/jobs/test_scheduler.c
+++ b/tests/jobs/test_scheduler.c
@@ -639,6 +639,46 @@
     }
 }
 
+/* Half of all commands get no response and are carried out seconds late. A start that was to be
+ * invalidated because a report did not list it was carried out after that report, and a repeated
+ * stop then ended the task while more of its step were away than may be. */
+static void
+test_late_starts_of_a_limited_step (void)
+{
+  enum
+  {
+    SEEDS = 40,
+  };
+
+  for (guint32 seed = 1; seed <= SEEDS; seed++)
+    {
+      struct simulation *simulation = simulation_create (seed);
+      Sp__JobStep step = make_step (16);
+
+      simulation_add_hosts (simulation, "pool", 8);
+      simulation_start_new_leader (simulation);
+      simulation_run (simulation, 100);
+      step.long_running = true;
+      step.away_limit = 2;
+      simulation->late_permille = 500;
+      simulation_submit (simulation, "job", "pool", &step, 1, 3);
+      simulation_run (simulation, 9000);
+      simulation->late_permille = 0;
+      simulation_run (simulation, 12000);
+      if (simulation_violations (simulation) > 0)
+        printf ("seed %u: over the limit %u, duplicate starts %u\n", seed,
+                simulation->over_unavailable_limit, simulation->duplicate_starts);
+      CU_ASSERT_EQUAL (simulation_violations (simulation), 0);
+      for (unsigned i = 0; i < step.n_tasks; i++)
+        {
+          g_autofree char *name = g_strdup_printf ("job.0.0.%u", i);
+
+          CU_ASSERT_PTR_NOT_NULL (simulation_find_attempt (simulation, name, NULL));
+        }
+      simulation_destroy (simulation);
+    }
+}
+
 /* A gang starts as a whole or not at all. */
 static void
 test_gang (void)
@@ -706,6 +746,7 @@
   { "endpoint listed again", test_endpoint_listed_again },
   { "long-running", test_long_running },
   { "unanswered starts of a limited step", test_unanswered_starts_of_a_limited_step },
+  { "late starts of a limited step", test_late_starts_of_a_limited_step },
   { "gang", test_gang },
   { "store down", test_store_down },
 };
