Ask the limit of unavailable tasks again before a stop is repeated

What callers see: while a host is emptied for maintenance, a task that lasts is ended although other tasks of its step have become unavailable since its stop was decided, more than the step's limit allows together (rule AVAIL).

Cause: the limit is asked when a stop is decided. A stop without a response is repeated 0.25 s after each failure for as long as it fails, without asking.

Fix: a stop of a limited step's task is repeated only while the limit allows it. Until then the task goes on being counted as unavailable, as it may have been stopped. Stops of jobs that are over are repeated as before.

--- a/lib/jobs/task_attempt.c
+++ b/lib/jobs/task_attempt.c
@@ -409,6 +409,16 @@
   task_begin_stop (scheduler, task, "start without a response");
 }
 
+/* Returns whether a stop may be sent now. It is sent for the first time when it is decided. Before
+ * it is repeated, others of a limited step may have become unavailable; the task, which may have
+ * been stopped or not, goes on counting as unavailable. */
+static bool
+task_stop_may_be_sent (const struct scheduler *scheduler, const struct task *task)
+{
+  return task->stops_failed == 0 || !task_is_limited (task) ||
+         task_may_be_stopped (scheduler, task);
+}
+
 /* Sends a task's command again if it is due: a start without a response, or a stop. */
 void
 task_send_commands (struct scheduler *scheduler, struct task *task)
@@ -417,7 +427,8 @@
     return;
   if (task->phase == TASK_STARTING)
     task_continue_start (scheduler, task);
-  if (task->phase == TASK_STOPPING && task->confirmed_ms == 0)
+  if (task->phase == TASK_STOPPING && task->confirmed_ms == 0 &&
+      task_stop_may_be_sent (scheduler, task))
     task_send_stop (scheduler, task);
 }
 
--- a/tests/jobs/test_waves.c
+++ b/tests/jobs/test_waves.c
@@ -192,6 +192,41 @@
     }
 }
 
+/* The stop of a task on a host that is to be maintained gets no response, and another endpoint
+ * crashes before the stop is repeated. The repetition once ended the task though its step's limit
+ * was reached by then. */
+static void
+test_limit_reached_after_a_lost_stop (void)
+{
+  struct simulation *simulation = simulation_create (1);
+  Sp__JobStep step = long_running_step (6, 1, 1);
+  struct simulated_endpoint *evicted;
+
+  simulation_add_hosts (simulation, "pool", HOSTS);
+  simulation_start_new_leader (simulation);
+  simulation_run (simulation, 100);
+  simulation_submit (simulation, "job", "pool", &step, 1, 3);
+  simulation_run (simulation, 2000);
+  evicted = g_ptr_array_index (simulation->endpoints, 0);
+  SUITE_REQUIRE (evicted->attempts->len == 1);
+  evicted->stop_errors = true;
+  request_wave (simulation, 1, 1, 27000);
+  simulation_run (simulation, 150);
+  simulation_crash_endpoint (simulation, g_ptr_array_index (simulation->endpoints, 1), false);
+  simulation_run (simulation, 50);
+  evicted->stop_errors = false;
+  simulation_run (simulation, 26800);
+  CU_ASSERT_EQUAL (simulation_violations (simulation), 0);
+  CU_ASSERT_TRUE (simulation->wave_completed);
+  for (unsigned i = 0; i < step.n_tasks; i++)
+    {
+      g_autofree char *name = g_strdup_printf ("job.0.0.%u", i);
+
+      CU_ASSERT_PTR_NOT_NULL (simulation_find_attempt (simulation, name, NULL));
+    }
+  simulation_destroy (simulation);
+}
+
 /* Maintenance commands lose their connection, and their repetitions are rejected as too many. A
  * rejection doesn't prove that the first one was not carried out, so that the host still counts
  * against the limit of one or two; and the wave goes on, since the host's own command may be
@@ -292,6 +327,7 @@
   { "standby hosts", test_standby_hosts },
   { "takeover", test_takeover },
   { "stops by a former leader", test_stops_by_former_leader },
+  { "limit reached after a lost stop", test_limit_reached_after_a_lost_stop },
   { "lost commands", test_lost_commands },
   { "lost commands to standby hosts", test_lost_commands_to_standby_hosts },
 };
