Don't take the tasks of an unresponsive endpoint for stalled

What callers see: while endpoints are out of reach or responses are lost, batch tasks that work are stopped and begun anew, and endpoints that are well get no tasks for 2.5 s after they are reached again.

Cause: a task is stalled when its reported progress has not changed for 2.5 s. An endpoint that sends no report reports no change either.

Fix: progress is only judged on endpoints that respond. A task whose endpoint stays silent starts elsewhere once the lease has expired, as before.

Evidence: test "unreachable endpoint is not stalled" (out of reach for 2.7 s of a lease of 3.5 s), before: job1's four tasks stopped for "no progress" and started again at 7022, 12 starts instead of 8, neither job completed in time.

--- a/lib/jobs/endpoint_heartbeats.c
+++ b/lib/jobs/endpoint_heartbeats.c
@@ -196,7 +196,7 @@
 }
 
 /* Stops stalled tasks, so that they run on another endpoint. Long-running tasks and gangs are left
- * alone. */
+ * alone. Nothing is known of the progress on an unresponsive endpoint. */
 static void
 endpoint_stop_stalled (struct scheduler *scheduler, struct endpoint *endpoint)
 {
@@ -227,7 +227,7 @@
       (drained_out || scheduler->now_ms > endpoint->lease_expiry_ms))
     endpoint_release_tasks (scheduler, endpoint,
                             drained_out ? "drained and left the registry" : "lease expired");
-  if (endpoint->n_tasks > 0)
+  if (endpoint->n_tasks > 0 && endpoint->unresponsive_since_ms == 0)
     endpoint_stop_stalled (scheduler, endpoint);
   if (!endpoint->heartbeat_in_flight && scheduler->now_ms >= endpoint->next_heartbeat_ms &&
       endpoint_needs_heartbeat (endpoint))
--- a/tests/jobs/test_scheduler.c
+++ b/tests/jobs/test_scheduler.c
@@ -361,6 +361,38 @@
   simulation_destroy (simulation);
 }
 
+/* An endpoint that is out of reach for less than its lease sends no report. Its tasks were once
+ * taken for stalled, stopped as soon as it was reached again, and the endpoint was avoided. */
+static void
+test_unreachable_endpoint_is_not_stalled (void)
+{
+  enum
+  {
+    OUT_OF_REACH_MS = 2700,
+    WORK_MS = 6000,
+  };
+  struct simulation *simulation = simulation_with_pool (1);
+  Sp__JobStep step = make_step (4);
+  struct simulated_endpoint *endpoint = g_ptr_array_index (simulation->endpoints, 0);
+
+  simulation->work_ms = WORK_MS;
+  simulation_submit (simulation, "job1", "pool", &step, 1, 3);
+  simulation_run (simulation, 1000);
+  endpoint->unreachable = true;
+  simulation_run (simulation, OUT_OF_REACH_MS);
+  endpoint->unreachable = false;
+  simulation_run (simulation, 500);
+  simulation_submit (simulation, "job2", "pool", &step, 1, 3);
+  simulation_run (simulation, 200);
+  CU_ASSERT_EQUAL (simulation->starts, 8);
+  simulation_run (simulation, WORK_MS + 500);
+  CU_ASSERT_EQUAL (simulation->starts, 8);
+  CU_ASSERT_EQUAL (simulation_job_state (simulation, "job1"), SP__JOB_STATE__JOB_COMPLETED);
+  CU_ASSERT_EQUAL (simulation_job_state (simulation, "job2"), SP__JOB_STATE__JOB_COMPLETED);
+  CU_ASSERT_EQUAL (simulation_violations (simulation), 0);
+  simulation_destroy (simulation);
+}
+
 /* A new leader adopts what runs and starts none of it again. */
 static void
 test_takeover (void)
@@ -736,6 +768,7 @@
   { "start errors", test_start_errors },
   { "start errors of a limited step", test_start_errors_of_a_limited_step },
   { "unreachable endpoint", test_unreachable_endpoint },
+  { "unreachable endpoint is not stalled", test_unreachable_endpoint_is_not_stalled },
   { "takeover", test_takeover },
   { "takeover with an unreachable endpoint", test_takeover_with_unreachable_endpoint },
   { "takeover with a former incarnation", test_takeover_with_former_incarnation },
