Keep an earlier attempt that runs where a later one was to start

What callers see: a task is started elsewhere while an attempt of it still runs on an endpoint that is up (rule TWICE), or a task at work is ended although too many of its step are unavailable (rule AVAIL).

Cause: an endpoint reports attempt 1 of a task while the leader has assigned attempt 2 to the same endpoint and has no confirmation of it: attempt 1 was started late, by a new incarnation that no fence was shown to. The leader stopped attempt 1 as unknown without asking the limit. In the same report, attempt 2 was missing; once that was settled the task was released and started elsewhere, although the report listed attempt 1 and its stop takes 400 ms or is lost. The class: what one report says of a task was judged attempt by attempt, so that it released a task which the report shows as running.

Fix: such an attempt is not stopped at first. The start of the later one is invalidated by a higher fence. When a report under that fence doesn't list it, the task is released, before the report's attempts are handled, so that the earlier attempt is adopted. If the later one runs too, the earlier one is stopped as before. Attempt numbers go on from the highest that may have been used; after an adoption of a lower one they were used a second time.

Evidence: test "earlier attempt of a starting task", before: starts 3 instead of 2, task 0 not on its endpoint, two asserts on violations (duplicate start). After: passed.

--- a/include/lib/jobs/job.h
+++ b/include/lib/jobs/job.h
@@ -43,6 +43,8 @@
 
   enum task_phase phase;
   uint32_t attempt;
+  /* Highest number of an attempt that may have been started, if above attempt. */
+  uint32_t last_attempt;
   /* Endpoint on which it runs or may run, or NULL. */
   struct endpoint *endpoint;
   TAILQ_ENTRY (task) endpoint_link;
--- a/lib/jobs/endpoint_heartbeats.c
+++ b/lib/jobs/endpoint_heartbeats.c
@@ -244,8 +244,18 @@
          running->attempt > task->ended_attempt;
 }
 
+/* Returns whether an endpoint runs an earlier attempt of a task that it is to start. */
+static bool
+attempt_precedes_start (const struct task *task, const struct endpoint *endpoint,
+                        const struct endpoint_attempt *running)
+{
+  return task && task->endpoint == endpoint && task->phase == TASK_STARTING && !task->done &&
+         running->attempt > task->ended_attempt && running->attempt < task->attempt;
+}
+
 /* Handles an attempt that an endpoint reports as running. It is stopped unless it is the current
- * attempt of a task assigned to the endpoint. */
+ * attempt of a task assigned to the endpoint, or an earlier one of which the next report shows
+ * whether it can take the place of the current one. */
 static void
 endpoint_handle_attempt (struct scheduler *scheduler, struct endpoint *endpoint,
                          const struct endpoint_attempt *running, int64_t sent_ms)
@@ -258,6 +268,12 @@
       if (job_is_over (task->job))
         task_stop (scheduler, task, "job is cancelled or finished");
     }
+  if (attempt_precedes_start (task, endpoint, running))
+    {
+      endpoint->n_unknown_attempts++;
+      task_invalidate_start (scheduler, task, "an earlier attempt runs");
+      return;
+    }
   if (!task || task->endpoint != endpoint || task->attempt != running->attempt)
     {
       scheduler_log (scheduler,
@@ -382,10 +398,11 @@
   if (!was_accepted)
     endpoint->lease_expiry_ms = scheduler_lease_expiry_ms (scheduler);
   endpoint_handle_completions (scheduler, endpoint, report);
+  /* Before the attempts: an earlier one of a task that is released here is adopted. */
+  endpoint_release_unlisted (scheduler, endpoint, report, sent_ms);
   endpoint->n_unknown_attempts = 0;
   for (size_t i = 0; i < report->n_attempts; i++)
     endpoint_handle_attempt (scheduler, endpoint, &report->attempts[i], sent_ms);
-  endpoint_release_unlisted (scheduler, endpoint, report, sent_ms);
   if (!was_accepted)
     scheduler_pool (scheduler, endpoint->pool)->changed = true;
 }
--- a/lib/jobs/placement.c
+++ b/lib/jobs/placement.c
@@ -176,7 +176,7 @@
     {
       if (first[i].phase != TASK_READY)
         return;
-      attempt = MAX (attempt, first[i].attempt);
+      attempt = MAX (attempt, task_next_attempt (&first[i]));
       checkpoint = first[i].checkpoint ? first[i].checkpoint : checkpoint;
     }
   if (!(step->same_rack && gang_choose_rack (scheduler, pool, first, step->n_tasks, chosen)) &&
@@ -185,7 +185,7 @@
   for (uint32_t i = 0; i < step->n_tasks; i++)
     {
       task_set_checkpoint (&first[i], checkpoint);
-      task_start (scheduler, &first[i], chosen[i], attempt + 1);
+      task_start (scheduler, &first[i], chosen[i], attempt);
     }
 }
 
@@ -253,7 +253,7 @@
       endpoint = pool_choose_endpoint (scheduler, pool, task, NULL);
       if (endpoint)
         {
-          task_start (scheduler, task, endpoint, task->attempt + 1);
+          task_start (scheduler, task, endpoint, task_next_attempt (task));
           pass->starts_left--;
           continue;
         }
--- a/lib/jobs/scheduled_jobs.c
+++ b/lib/jobs/scheduled_jobs.c
@@ -122,6 +122,7 @@
       task->endpoint = NULL;
       task->phase = task->done ? TASK_DONE : TASK_BLOCKED;
       task->attempt = task->ended_attempt;
+      task->last_attempt = 0;
       task->command_in_flight = false;
       task->pace_in_flight = false;
       task->pace_percent = 100;
--- a/lib/jobs/scheduler_state.h
+++ b/lib/jobs/scheduler_state.h
@@ -119,11 +119,13 @@
 
 /* task_attempt.c: attempts of tasks */
 void task_set_phase (struct scheduler *scheduler, struct task *task, enum task_phase phase);
+uint32_t task_next_attempt (const struct task *task);
 void task_start (struct scheduler *scheduler, struct task *task, struct endpoint *endpoint,
                  uint32_t attempt);
 void task_adopt (struct scheduler *scheduler, struct task *task, struct endpoint *endpoint,
                  const struct endpoint_attempt *running, int64_t sent_ms);
 void task_stop (struct scheduler *scheduler, struct task *task, const char *why);
+void task_invalidate_start (struct scheduler *scheduler, struct task *task, const char *why);
 void task_release (struct scheduler *scheduler, struct task *task);
 void task_handle_completion (struct scheduler *scheduler, struct endpoint *endpoint,
                              const struct endpoint_completion *completion);
--- a/lib/jobs/task_attempt.c
+++ b/lib/jobs/task_attempt.c
@@ -103,6 +103,13 @@
   scheduler->ops.stop (scheduler->ops.ctx, task->endpoint, name, task->attempt, task);
 }
 
+/* Returns the number of a task's next attempt. */
+uint32_t
+task_next_attempt (const struct task *task)
+{
+  return MAX (task->attempt, task->last_attempt) + 1;
+}
+
 /* Starts a ready task on an endpoint. attempt must be higher than the task's earlier attempts. */
 void
 task_start (struct scheduler *scheduler, struct task *task, struct endpoint *endpoint,
@@ -135,6 +142,7 @@
 task_adopt (struct scheduler *scheduler, struct task *task, struct endpoint *endpoint,
             const struct endpoint_attempt *running, int64_t sent_ms)
 {
+  task->last_attempt = MAX (task->last_attempt, task->attempt);
   task->attempt = running->attempt;
   task->starts_unanswered = 0;
   task->command_in_flight = false;
@@ -386,6 +394,16 @@
                  task->endpoint->id, why);
 }
 
+/* Invalidates a start by a higher fence, once. It is not sent again. */
+void
+task_invalidate_start (struct scheduler *scheduler, struct task *task, const char *why)
+{
+  if (task->fence_raised_ms > 0)
+    return;
+  task->starts_unanswered = START_SENDS_MAX;
+  task_raise_fence (scheduler, task, why);
+}
+
 /* Continues a start without a response: sends it again, or invalidates it by a stop, after which it
  * can't be carried out any more. It may be carried out at any time until then, also after a report
  * that doesn't list it, so that a stop may end a task at work: one of a limited step is invalidated
@@ -403,7 +421,7 @@
   endpoint_record_invalidated_start (scheduler, task->endpoint, task);
   if (task_is_limited (task))
     {
-      task_raise_fence (scheduler, task, "start without a response");
+      task_invalidate_start (scheduler, task, "start without a response");
       return;
     }
   task_begin_stop (scheduler, task, "start without a response");
--- a/tests/jobs/test_scheduler.c
+++ b/tests/jobs/test_scheduler.c
@@ -711,6 +711,53 @@
     }
 }
 
+/* An endpoint reports an earlier attempt of a task whose later one it has not confirmed: a late
+ * start that a new incarnation carried out. The task was once started a third time elsewhere as
+ * soon as the later attempt was settled, while the earlier one still ran. */
+static void
+test_earlier_attempt_of_a_starting_task (void)
+{
+  struct simulation *simulation = simulation_with_pool (2);
+  struct simulated_endpoint *first = g_ptr_array_index (simulation->endpoints, 0);
+  struct simulated_endpoint *second = g_ptr_array_index (simulation->endpoints, 1);
+  struct simulated_attempt *late = g_new0 (struct simulated_attempt, 1);
+  Sp__JobStep step = make_step (3);
+
+  step.long_running = true;
+  step.away_limit = 1;
+  second->draining = true;
+  simulation_run (simulation, 400);
+  first->start_errors = true;
+  simulation_submit (simulation, "job", "pool", &step, 1, 3);
+  /* Three sends of each of two attempts. */
+  for (int i = 0; i < 5000 && first->start_commands < 6 * step.n_tasks; i++)
+    simulation_run (simulation, 2);
+  SUITE_REQUIRE (first->start_commands == 6 * step.n_tasks);
+  *late = (struct simulated_attempt){
+    .task = g_strdup ("job.0.0.0"),
+    .attempt = 1,
+    .start_ms = simulation->now_ms - 1000,
+    .end_ms = INT64_MAX,
+    .long_running = true,
+  };
+  first->lease_end_ms = simulation->now_ms + 3000;
+  g_ptr_array_add (first->attempts, late);
+  second->draining = false;
+  simulation_run (simulation, 5000);
+  CU_ASSERT_EQUAL (simulation->starts, 2);
+  CU_ASSERT_PTR_EQUAL (simulation_find_attempt (simulation, "job.0.0.0", NULL), first);
+  CU_ASSERT_PTR_EQUAL (simulation_find_attempt (simulation, "job.0.0.1", NULL), second);
+  CU_ASSERT_PTR_EQUAL (simulation_find_attempt (simulation, "job.0.0.2", NULL), second);
+  CU_ASSERT_EQUAL (simulation_violations (simulation), 0);
+  /* The number of the attempt that never ran is not used again. */
+  simulation_crash_endpoint (simulation, first, false);
+  simulation_run (simulation, 6000);
+  CU_ASSERT_PTR_EQUAL (simulation_find_attempt (simulation, "job.0.0.0", &late), second);
+  CU_ASSERT_EQUAL (late->attempt, 3);
+  CU_ASSERT_EQUAL (simulation_violations (simulation), 0);
+  simulation_destroy (simulation);
+}
+
 /* A gang starts as a whole or not at all. */
 static void
 test_gang (void)
@@ -780,6 +827,7 @@
   { "long-running", test_long_running },
   { "unanswered starts of a limited step", test_unanswered_starts_of_a_limited_step },
   { "late starts of a limited step", test_late_starts_of_a_limited_step },
+  { "earlier attempt of a starting task", test_earlier_attempt_of_a_starting_task },
   { "gang", test_gang },
   { "store down", test_store_down },
 };
