Don't start a task while another endpoint reports an attempt of it

What callers see: a task is started on a third endpoint while an attempt of it still runs on the first (rule TWICE).

Cause: an endpoint reports an attempt of a task that is assigned to another endpoint, after a start that came late. It is stopped as unknown, and nothing else was remembered of it. When the other endpoint's start was given up, the task was placed anew at once, whether the stop had been carried out or not.

Fix: the task remembers the endpoint and when that attempt has ended at the latest, by the lease that the endpoint may hold; each report that lists the attempt postpones it, the report of its end lifts it. The task isn't placed before.

--- a/include/lib/jobs/job.h
+++ b/include/lib/jobs/job.h
@@ -71,6 +71,10 @@
   int64_t fence_raised_ms;
   bool command_in_flight;
   int64_t next_command_ms;
+  /* Another endpoint that reports an attempt of it, which is being stopped, used for comparison
+   * only, and when that attempt has ended at the latest. */
+  const struct endpoint *other_endpoint;
+  int64_t other_attempt_until_ms;
   /* Endpoint where it last failed, used for comparison only, and when. */
   const struct endpoint *failed_endpoint;
   int64_t failed_ms;
--- a/lib/jobs/endpoint_heartbeats.c
+++ b/lib/jobs/endpoint_heartbeats.c
@@ -280,6 +280,11 @@
                      "stopping unknown attempt: task=%s attempt=%u endpoint=%s known=%u on=%s",
                      running->task, running->attempt, endpoint->id, task ? task->attempt : 0,
                      task && task->endpoint ? task->endpoint->id : "none");
+      if (task)
+        {
+          task->other_endpoint = endpoint;
+          task->other_attempt_until_ms = scheduler_lease_expiry_ms (scheduler);
+        }
       endpoint->n_unknown_attempts++;
       endpoint->calls++;
       scheduler->counts.stops++;
--- a/lib/jobs/placement.c
+++ b/lib/jobs/placement.c
@@ -160,6 +160,14 @@
   return false;
 }
 
+/* Returns whether a task may start. One waits while another endpoint may still run an attempt of
+ * it. */
+static bool
+task_may_start (const struct scheduler *scheduler, const struct task *task)
+{
+  return task->phase == TASK_READY && scheduler->now_ms >= task->other_attempt_until_ms;
+}
+
 /* Starts all tasks of a gang or none. A gang that should run within one rack is spread over several
  * if no rack has enough free capacity. The tasks share the attempt number and the checkpoint. */
 static void
@@ -174,7 +182,7 @@
     return;
   for (uint32_t i = 0; i < step->n_tasks; i++)
     {
-      if (first[i].phase != TASK_READY)
+      if (!task_may_start (scheduler, &first[i]))
         return;
       attempt = MAX (attempt, task_next_attempt (&first[i]));
       checkpoint = first[i].checkpoint ? first[i].checkpoint : checkpoint;
@@ -246,7 +254,7 @@
       struct task *task = &first[i];
       struct endpoint *endpoint;
 
-      if (task->phase != TASK_READY)
+      if (!task_may_start (scheduler, task))
         continue;
       if (shortage_covers (&pass->shortage, &request))
         return;
--- a/lib/jobs/scheduled_jobs.c
+++ b/lib/jobs/scheduled_jobs.c
@@ -123,6 +123,7 @@
       task->phase = task->done ? TASK_DONE : TASK_BLOCKED;
       task->attempt = task->ended_attempt;
       task->last_attempt = 0;
+      task->other_attempt_until_ms = 0;
       task->command_in_flight = false;
       task->pace_in_flight = false;
       task->pace_percent = 100;
--- a/lib/jobs/task_attempt.c
+++ b/lib/jobs/task_attempt.c
@@ -341,6 +341,8 @@
                  completion->task, completion->attempt, endpoint->id,
                  attempt_outcome_name (completion->outcome), completion->number);
   task_record_completion (scheduler, endpoint, task, completion);
+  if (task->other_endpoint == endpoint)
+    task->other_attempt_until_ms = 0;
   if (task->endpoint == endpoint && task->attempt <= completion->attempt)
     task_release (scheduler, task);
   else if (task->done && task->endpoint)
--- a/tests/jobs/test_scheduler.c
+++ b/tests/jobs/test_scheduler.c
@@ -758,6 +758,55 @@
   simulation_destroy (simulation);
 }
 
+/* An endpoint reports an attempt of a task that another endpoint is to start, and its stops fail.
+ * When the other endpoint gave up, the task was once started on a third one while the first still
+ * ran it. */
+static void
+test_attempt_on_another_endpoint (void)
+{
+  struct simulation *simulation = simulation_with_pool (3);
+  struct simulated_endpoint *first = g_ptr_array_index (simulation->endpoints, 0);
+  struct simulated_endpoint *second = g_ptr_array_index (simulation->endpoints, 1);
+  struct simulated_endpoint *third = g_ptr_array_index (simulation->endpoints, 2);
+  struct simulated_attempt *late = g_new0 (struct simulated_attempt, 1);
+  Sp__JobStep steady = make_step (1);
+  Sp__JobStep step = make_step (1);
+
+  /* The first endpoint has a task, so that it is called. */
+  steady.long_running = true;
+  second->draining = true;
+  third->draining = true;
+  simulation_run (simulation, 400);
+  simulation_submit (simulation, "steady", "pool", &steady, 1, 3);
+  simulation_run (simulation, 100);
+  CU_ASSERT_PTR_EQUAL (simulation_find_attempt (simulation, "steady.0.0.0", NULL), first);
+  first->draining = true;
+  second->draining = false;
+  simulation_run (simulation, 400);
+  second->start_errors = true;
+  first->stop_errors = true;
+  simulation_submit (simulation, "job", "pool", &step, 1, 3);
+  /* Three sends of the first attempt and one of the second. */
+  for (int i = 0; i < 5000 && second->start_commands < 4; i++)
+    simulation_run (simulation, 2);
+  SUITE_REQUIRE (second->start_commands == 4);
+  *late = (struct simulated_attempt){
+    .task = g_strdup ("job.0.0.0"),
+    .attempt = 1,
+    .start_ms = simulation->now_ms,
+    .end_ms = INT64_MAX,
+  };
+  g_ptr_array_add (first->attempts, late);
+  third->draining = false;
+  simulation_run (simulation, 8000);
+  CU_ASSERT_EQUAL (simulation->duplicate_starts, 0);
+  first->stop_errors = false;
+  simulation_run (simulation, 4000);
+  CU_ASSERT_EQUAL (simulation_job_state (simulation, "job"), SP__JOB_STATE__JOB_COMPLETED);
+  CU_ASSERT_EQUAL (simulation_violations (simulation), 0);
+  simulation_destroy (simulation);
+}
+
 /* A gang starts as a whole or not at all. */
 static void
 test_gang (void)
@@ -828,6 +877,7 @@
   { "unanswered starts of a limited step", test_unanswered_starts_of_a_limited_step },
   { "late starts of a limited step", test_late_starts_of_a_limited_step },
   { "earlier attempt of a starting task", test_earlier_attempt_of_a_starting_task },
+  { "attempt on another endpoint", test_attempt_on_another_endpoint },
   { "gang", test_gang },
   { "store down", test_store_down },
 };
