--- a/lib/jobs/endpoint_heartbeats.c
+++ b/lib/jobs/endpoint_heartbeats.c
@@ -280,7 +280,7 @@
 }
 
 /* Stops stalled tasks, so that they run on another endpoint. Long-running tasks and gangs are left
- * alone. */
+ * alone. Nothing is known of the progress on an unresponsive endpoint. */
 static void
 endpoint_stop_stalled (struct scheduler *scheduler, struct endpoint *endpoint)
 {
@@ -317,7 +317,7 @@
   if (endpoint->n_tasks > 0 && endpoint->unresponsive_since_ms > 0 &&
       endpoint_lease_has_expired (scheduler, endpoint))
     endpoint_release_tasks (scheduler, endpoint, "lease expired");
-  if (endpoint->n_tasks > 0)
+  if (endpoint->n_tasks > 0 && endpoint->unresponsive_since_ms == 0)
     endpoint_stop_stalled (scheduler, endpoint);
   if (!endpoint->heartbeat_in_flight && scheduler->now_ms >= endpoint->next_heartbeat_ms &&
       endpoint_needs_heartbeat (scheduler, endpoint))
@@ -334,8 +334,18 @@
          running->attempt > task->ended_attempt;
 }
 
+/* Returns whether an endpoint runs an earlier attempt of a task that it is to start. */
+static bool
+attempt_precedes_start (const struct task *task, const struct endpoint *endpoint,
+                        const struct endpoint_attempt *running)
+{
+  return task && task->endpoint == endpoint && task->phase == TASK_STARTING && !task->done &&
+         running->attempt > task->ended_attempt && running->attempt < task->attempt;
+}
+
 /* Handles an attempt that an endpoint reports as running. It is stopped unless it is the current
- * attempt of a task assigned to the endpoint. */
+ * attempt of a task assigned to the endpoint, or an earlier one of which the next report shows
+ * whether it can take the place of the current one. */
 static void
 endpoint_handle_attempt (struct scheduler *scheduler, struct endpoint *endpoint,
                          const struct endpoint_attempt *running, int64_t sent_ms)
@@ -348,10 +358,25 @@
       if (job_is_over (task->job))
         task_stop (scheduler, task, "job is cancelled or finished");
     }
+  if (attempt_precedes_start (task, endpoint, running))
+    {
+      endpoint->n_unknown_attempts++;
+      task_invalidate_start (scheduler, task, "an earlier attempt runs");
+      return;
+    }
   if (!task || task->endpoint != endpoint || task->attempt != running->attempt)
     {
+      scheduler_log (scheduler,
+                     "stopping unknown attempt: task=%s attempt=%u endpoint=%s known=%u on=%s",
+                     running->task, running->attempt, endpoint->id, task ? task->attempt : 0,
+                     task && task->endpoint ? task->endpoint->id : "none");
       if (task)
-        task->highest_attempt = MAX (task->highest_attempt, running->attempt);
+        {
+          task->highest_attempt = MAX (task->highest_attempt, running->attempt);
+          task->other_endpoint = endpoint;
+          task->other_attempt_until_ms =
+              scheduler_lease_expiry_ms (scheduler, scheduler->config.lease_ms);
+        }
       endpoint->n_unknown_attempts++;
       endpoint->calls++;
       scheduler->counts.stops++;
@@ -392,16 +417,13 @@
 static bool
 task_is_settled (const struct task *task, int64_t sent_ms)
 {
-  if (task->phase != TASK_RUNNING && task->phase != TASK_STOPPING)
-    return false;
-  if (task->confirmed_ms > 0)
-    return task->confirmed_ms < sent_ms;
-  return task->phase == TASK_STOPPING && task->fence_raised_ms > 0 &&
-         task->fence_raised_ms < sent_ms;
+  if (task->phase == TASK_RUNNING || (task->phase == TASK_STOPPING && task->confirmed_ms > 0))
+    return task->confirmed_ms > 0 && task->confirmed_ms < sent_ms;
+  return (task->phase == TASK_STARTING || task->phase == TASK_STOPPING) &&
+         task->fence_raised_ms > 0 && task->fence_raised_ms < sent_ms;
 }
 
-/* Releases tasks whose attempts are missing from a report and can't run any more. Marks starts
- * without a response that are missing from a report requested later. */
+/* Releases tasks whose attempts are missing from a report and can't run any more. */
 static void
 endpoint_release_unlisted (struct scheduler *scheduler, struct endpoint *endpoint,
                            const struct endpoint_report *report, int64_t sent_ms)
@@ -412,9 +434,6 @@
     {
       struct task *next = TAILQ_NEXT (task, endpoint_link);
 
-      if (task->phase == TASK_STARTING && !task->command_in_flight && task->starts_unanswered > 0 &&
-          task->start_unanswered_ms < sent_ms)
-        task->start_unlisted = !report_lists_attempt (report, task);
       if (task_is_settled (task, sent_ms) && !report_lists_attempt (report, task))
         {
           scheduler->counts.lapses++;
@@ -476,10 +495,11 @@
   if (!was_accepted)
     endpoint->lease_expiry_ms = scheduler_lease_expiry_ms (scheduler, scheduler->config.lease_ms);
   endpoint_handle_completions (scheduler, endpoint, report);
+  /* Before the attempts: an earlier one of a task that is released here is adopted. */
+  endpoint_release_unlisted (scheduler, endpoint, report, sent_ms);
   endpoint->n_unknown_attempts = 0;
   for (size_t i = 0; i < report->n_attempts; i++)
     endpoint_handle_attempt (scheduler, endpoint, &report->attempts[i], sent_ms);
-  endpoint_release_unlisted (scheduler, endpoint, report, sent_ms);
   if (!was_accepted)
     scheduler_pool (scheduler, endpoint->pool)->changed = true;
 }
--- a/lib/jobs/scheduler_state.h
+++ b/lib/jobs/scheduler_state.h
@@ -130,6 +130,7 @@
 void task_adopt (struct scheduler *scheduler, struct task *task, struct endpoint *endpoint,
                  const struct endpoint_attempt *running, int64_t sent_ms);
 void task_stop (struct scheduler *scheduler, struct task *task, const char *why);
+void task_invalidate_start (struct scheduler *scheduler, struct task *task, const char *why);
 void task_release (struct scheduler *scheduler, struct task *task);
 void task_handle_completion (struct scheduler *scheduler, struct endpoint *endpoint,
                              const struct endpoint_completion *completion);
--- a/lib/jobs/task_attempt.c
+++ b/lib/jobs/task_attempt.c
@@ -114,7 +114,7 @@
   task->attempt = attempt;
   task->highest_attempt = attempt;
   task->starts_unanswered = 0;
-  task->start_unlisted = false;
+  task->fence_raised_ms = 0;
   task->command_in_flight = false;
   task->next_command_ms = 0;
   task->progress_percent = -1;
@@ -156,6 +156,18 @@
     }
 }
 
+/* Begins to stop a task's attempt, with the next stop that is sent. */
+static void
+task_begin_stop (struct scheduler *scheduler, struct task *task, const char *why)
+{
+  scheduler_log (scheduler,
+                 "stopping attempt: task=%s.%u.%u.%u attempt=%u endpoint=%s reason=\"%s\"",
+                 task->job->id, task->occurrence, task->step, task->index, task->attempt,
+                 task->endpoint->id, why);
+  task_set_phase (scheduler, task, TASK_STOPPING);
+  task->confirmed_ms = 0;
+}
+
 /* Stops a task's attempt if it runs or may run; a ready task is blocked. */
 void
 task_stop (struct scheduler *scheduler, struct task *task, const char *why)
@@ -164,12 +176,7 @@
     task_set_phase (scheduler, task, TASK_BLOCKED);
   if (task->phase != TASK_STARTING && task->phase != TASK_RUNNING)
     return;
-  scheduler_log (scheduler,
-                 "stopping attempt: task=%s.%u.%u.%u attempt=%u endpoint=%s reason=\"%s\"",
-                 task->job->id, task->occurrence, task->step, task->index, task->attempt,
-                 task->endpoint->id, why);
-  task_set_phase (scheduler, task, TASK_STOPPING);
-  task->confirmed_ms = 0;
+  task_begin_stop (scheduler, task, why);
   task->next_command_ms = scheduler->now_ms;
   task_send_commands (scheduler, task);
 }
@@ -330,6 +337,8 @@
                  completion->task, completion->attempt, endpoint->id,
                  attempt_outcome_name (completion->outcome), completion->number);
   task_record_completion (scheduler, endpoint, task, completion);
+  if (task->other_endpoint == endpoint)
+    task->other_attempt_until_ms = 0;
   if (task->endpoint == endpoint && task->attempt <= completion->attempt)
     task_release (scheduler, task);
   else if (task->done && task->endpoint)
@@ -340,15 +349,6 @@
     job_advance (scheduler, job);
 }
 
-/* Returns whether a start that got no response may be invalidated by a stop. A task that may
- * already be at work is not stopped while too many of its step are unavailable; a report shows
- * whether it is. */
-static bool
-task_start_may_be_invalidated (const struct scheduler *scheduler, const struct task *task)
-{
-  return task->start_unlisted || task_may_be_stopped (scheduler, task);
-}
-
 /* Records that a start is invalidated because none of its sends got a response. An endpoint that
  * sends reports all the same fails its starts, and is avoided for a while; the task is tried on
  * another endpoint. */
@@ -372,9 +372,41 @@
                  endpoint->id, endpoint->starts_invalidated, avoid_ms);
 }
 
+/* Returns whether few tasks of a task's step may be unavailable at once, and its job goes on. */
+static bool
+task_is_limited (const struct task *task)
+{
+  return task_step (task)->away_limit > 0 && !job_is_over (task->job);
+}
+
+/* Raises the fence of a task's endpoint, so that its attempt is not started any more unless it has
+ * been by now. Unlike a stop this ends nothing that runs. The next report shows which it is. */
+static void
+task_raise_fence (struct scheduler *scheduler, struct task *task, const char *why)
+{
+  endpoint_raise_fence (scheduler, task->endpoint);
+  task->fence_raised_ms = scheduler->now_ms;
+  task->endpoint->next_heartbeat_ms = scheduler->now_ms;
+  scheduler_log (scheduler, "fence raised: task=%s.%u.%u.%u attempt=%u endpoint=%s reason=\"%s\"",
+                 task->job->id, task->occurrence, task->step, task->index, task->attempt,
+                 task->endpoint->id, why);
+}
+
+/* Invalidates a start by a higher fence, once. It is not sent again. */
+void
+task_invalidate_start (struct scheduler *scheduler, struct task *task, const char *why)
+{
+  if (task->fence_raised_ms > 0)
+    return;
+  task->starts_unanswered = START_SENDS_MAX;
+  task_raise_fence (scheduler, task, why);
+}
+
 /* Continues a start without a response: sends it again, or invalidates it by a stop, after which it
- * can't be carried out any more. A new incarnation gets no start before its first report: its clock
- * is not known, so the end of the lease isn't either. */
+ * can't be carried out any more. It may be carried out at any time until then, also after a report
+ * that doesn't list it, so that a stop may end a task at work: one of a limited step is invalidated
+ * by a higher fence. A new incarnation gets no start before its first report: its clock is not
+ * known, so the end of the lease isn't either. */
 static void
 task_continue_start (struct scheduler *scheduler, struct task *task)
 {
@@ -386,11 +418,25 @@
         task_send_start (scheduler, task);
       return;
     }
-  if (!task_start_may_be_invalidated (scheduler, task))
+  if (task->fence_raised_ms > 0)
     return;
   endpoint_record_invalidated_start (scheduler, task->endpoint, task);
-  task_set_phase (scheduler, task, TASK_STOPPING);
-  task->confirmed_ms = 0;
+  if (task_is_limited (task))
+    {
+      task_invalidate_start (scheduler, task, "start without a response");
+      return;
+    }
+  task_begin_stop (scheduler, task, "start without a response");
+}
+
+/* Returns whether a stop may be sent now. It is sent for the first time when it is decided. Before
+ * it is repeated, others of a limited step may have become unavailable; the task, which may have
+ * been stopped or not, goes on counting as unavailable. */
+static bool
+task_stop_may_be_sent (const struct scheduler *scheduler, const struct task *task)
+{
+  return task->stops_failed == 0 || !task_is_limited (task) ||
+         task_may_be_stopped (scheduler, task);
 }
 
 /* Sends a task's command again if it is due: a start without a response, or a stop. An endpoint
@@ -403,7 +449,8 @@
     return;
   if (task->phase == TASK_STARTING)
     task_continue_start (scheduler, task);
-  if (task->phase == TASK_STOPPING && task->confirmed_ms == 0)
+  if (task->phase == TASK_STOPPING && task->confirmed_ms == 0 &&
+      task_stop_may_be_sent (scheduler, task))
     task_send_stop (scheduler, task);
 }
 
@@ -473,8 +520,6 @@
       break;
     case COMMAND_UNKNOWN:
       task->starts_unanswered++;
-      task->start_unanswered_ms = now_ms;
-      task->start_unlisted = false;
       scheduler_log (scheduler,
                      "start got no response: task=%s.%u.%u.%u attempt=%u endpoint=%s try=%u",
                      task->job->id, task->occurrence, task->step, task->index, attempt,
@@ -515,17 +560,13 @@
  * higher fence, no start that was sent before can be carried out once the endpoint has accepted it,
  * so that the next report shows whether the attempt will ever run. */
 static void
-task_stop_failed (struct scheduler *scheduler, struct endpoint *endpoint, struct task *task)
+task_stop_failed (struct scheduler *scheduler, struct task *task)
 {
   task->next_command_ms = scheduler->now_ms + STOP_RETRY_MS;
   task->stops_failed++;
   if (task->stops_failed != STOPS_FAILED_MAX)
     return;
-  endpoint_raise_fence (scheduler, endpoint);
-  task->fence_raised_ms = scheduler->now_ms;
-  scheduler_log (
-      scheduler, "fence raised after failed stops: task=%s.%u.%u.%u attempt=%u endpoint=%s",
-      task->job->id, task->occurrence, task->step, task->index, task->attempt, endpoint->id);
+  task_raise_fence (scheduler, task, "failed stops");
 }
 
 /* Handles the response to a stop. After a successful one the endpoint reports the attempt's
@@ -548,5 +589,5 @@
   if (result == COMMAND_DONE || result == COMMAND_STALE_ATTEMPT)
     known->confirmed_ms = now_ms;
   else
-    task_stop_failed (scheduler, endpoint, known);
+    task_stop_failed (scheduler, known);
 }
--- a/tests/jobs/test_scheduler.c
+++ b/tests/jobs/test_scheduler.c
@@ -682,6 +682,38 @@
   simulation_destroy (simulation);
 }
 
+/* An endpoint that is out of reach for less than its lease sends no report. Its tasks were once
+ * taken for stalled, stopped as soon as it was reached again, and the endpoint was avoided. */
+static void
+test_unreachable_endpoint_is_not_stalled (void)
+{
+  enum
+  {
+    OUT_OF_REACH_MS = 2700,
+    WORK_MS = 6000,
+  };
+  struct simulation *simulation = simulation_with_pool (1);
+  Sp__JobStep step = make_step (4);
+  struct simulated_endpoint *endpoint = g_ptr_array_index (simulation->endpoints, 0);
+
+  simulation->work_ms = WORK_MS;
+  simulation_submit (simulation, "job1", "pool", &step, 1, 3);
+  simulation_run (simulation, 1000);
+  endpoint->unreachable = true;
+  simulation_run (simulation, OUT_OF_REACH_MS);
+  endpoint->unreachable = false;
+  simulation_run (simulation, 500);
+  simulation_submit (simulation, "job2", "pool", &step, 1, 3);
+  simulation_run (simulation, 200);
+  CU_ASSERT_EQUAL (simulation->starts, 8);
+  simulation_run (simulation, WORK_MS + 500);
+  CU_ASSERT_EQUAL (simulation->starts, 8);
+  CU_ASSERT_EQUAL (simulation_job_state (simulation, "job1"), SP__JOB_STATE__JOB_COMPLETED);
+  CU_ASSERT_EQUAL (simulation_job_state (simulation, "job2"), SP__JOB_STATE__JOB_COMPLETED);
+  CU_ASSERT_EQUAL (simulation_violations (simulation), 0);
+  simulation_destroy (simulation);
+}
+
 /* A new leader adopts what runs and starts none of it again. */
 static void
 test_takeover (void)
@@ -1040,6 +1072,142 @@
     }
 }
 
+/* Half of all commands get no response and are carried out seconds late. A start that was to be
+ * invalidated because a report did not list it was carried out after that report, and a repeated
+ * stop then ended the task while more of its step were away than may be. */
+static void
+test_late_starts_of_a_limited_step (void)
+{
+  enum
+  {
+    SEEDS = 40,
+  };
+
+  for (guint32 seed = 1; seed <= SEEDS; seed++)
+    {
+      struct simulation *simulation = simulation_create (seed);
+      Sp__JobStep step = make_step (16);
+
+      simulation_add_hosts (simulation, "pool", 8);
+      simulation_start_new_leader (simulation);
+      simulation_run (simulation, 100);
+      step.long_running = true;
+      step.away_limit = 2;
+      simulation->late_permille = 500;
+      simulation_submit (simulation, "job", "pool", &step, 1, 3);
+      simulation_run (simulation, 9000);
+      simulation->late_permille = 0;
+      simulation_run (simulation, 12000);
+      if (simulation_violations (simulation) > 0)
+        printf ("seed %u: over the limit %u, duplicate starts %u\n", seed,
+                simulation->over_unavailable_limit, simulation->duplicate_starts);
+      CU_ASSERT_EQUAL (simulation_violations (simulation), 0);
+      for (unsigned i = 0; i < step.n_tasks; i++)
+        {
+          g_autofree char *name = g_strdup_printf ("job.0.0.%u", i);
+
+          CU_ASSERT_PTR_NOT_NULL (simulation_find_attempt (simulation, name, NULL));
+        }
+      simulation_destroy (simulation);
+    }
+}
+
+/* An endpoint reports an earlier attempt of a task whose later one it has not confirmed: a late
+ * start that a new incarnation carried out. The task was once started a third time elsewhere as
+ * soon as the later attempt was settled, while the earlier one still ran. */
+static void
+test_earlier_attempt_of_a_starting_task (void)
+{
+  struct simulation *simulation = simulation_with_pool (2);
+  struct simulated_endpoint *first = g_ptr_array_index (simulation->endpoints, 0);
+  struct simulated_endpoint *second = g_ptr_array_index (simulation->endpoints, 1);
+  struct simulated_attempt *late = g_new0 (struct simulated_attempt, 1);
+  Sp__JobStep step = make_step (3);
+
+  step.long_running = true;
+  step.away_limit = 1;
+  second->draining = true;
+  simulation_run (simulation, 400);
+  first->start_errors = true;
+  simulation_submit (simulation, "job", "pool", &step, 1, 3);
+  /* Three sends of each of two attempts. */
+  for (int i = 0; i < 5000 && first->start_commands < 6 * step.n_tasks; i++)
+    simulation_run (simulation, 2);
+  SUITE_REQUIRE (first->start_commands == 6 * step.n_tasks);
+  *late = (struct simulated_attempt){
+    .task = g_strdup ("job.0.0.0"),
+    .attempt = 1,
+    .start_ms = simulation->now_ms - 1000,
+    .end_ms = INT64_MAX,
+    .long_running = true,
+  };
+  first->lease_end_ms = simulation->now_ms + 3000;
+  g_ptr_array_add (first->attempts, late);
+  second->draining = false;
+  simulation_run (simulation, 5000);
+  CU_ASSERT_EQUAL (simulation->starts, 2);
+  CU_ASSERT_PTR_EQUAL (simulation_find_attempt (simulation, "job.0.0.0", NULL), first);
+  CU_ASSERT_PTR_EQUAL (simulation_find_attempt (simulation, "job.0.0.1", NULL), second);
+  CU_ASSERT_PTR_EQUAL (simulation_find_attempt (simulation, "job.0.0.2", NULL), second);
+  CU_ASSERT_EQUAL (simulation_violations (simulation), 0);
+  /* The number of the attempt that never ran is not used again. */
+  simulation_crash_endpoint (simulation, first, false);
+  simulation_run (simulation, 6000);
+  CU_ASSERT_PTR_EQUAL (simulation_find_attempt (simulation, "job.0.0.0", &late), second);
+  CU_ASSERT_EQUAL (late->attempt, 3);
+  CU_ASSERT_EQUAL (simulation_violations (simulation), 0);
+  simulation_destroy (simulation);
+}
+
+/* An endpoint reports an attempt of a task that another endpoint is to start, and its stops fail.
+ * When the other endpoint gave up, the task was once started on a third one while the first still
+ * ran it. */
+static void
+test_attempt_on_another_endpoint (void)
+{
+  struct simulation *simulation = simulation_with_pool (3);
+  struct simulated_endpoint *first = g_ptr_array_index (simulation->endpoints, 0);
+  struct simulated_endpoint *second = g_ptr_array_index (simulation->endpoints, 1);
+  struct simulated_endpoint *third = g_ptr_array_index (simulation->endpoints, 2);
+  struct simulated_attempt *late = g_new0 (struct simulated_attempt, 1);
+  Sp__JobStep steady = make_step (1);
+  Sp__JobStep step = make_step (1);
+
+  /* The first endpoint has a task, so that it is called. */
+  steady.long_running = true;
+  second->draining = true;
+  third->draining = true;
+  simulation_run (simulation, 400);
+  simulation_submit (simulation, "steady", "pool", &steady, 1, 3);
+  simulation_run (simulation, 100);
+  CU_ASSERT_PTR_EQUAL (simulation_find_attempt (simulation, "steady.0.0.0", NULL), first);
+  first->draining = true;
+  second->draining = false;
+  simulation_run (simulation, 400);
+  second->start_errors = true;
+  first->stop_errors = true;
+  simulation_submit (simulation, "job", "pool", &step, 1, 3);
+  /* Three sends of the first attempt and one of the second. */
+  for (int i = 0; i < 5000 && second->start_commands < 4; i++)
+    simulation_run (simulation, 2);
+  SUITE_REQUIRE (second->start_commands == 4);
+  *late = (struct simulated_attempt){
+    .task = g_strdup ("job.0.0.0"),
+    .attempt = 1,
+    .start_ms = simulation->now_ms,
+    .end_ms = INT64_MAX,
+  };
+  g_ptr_array_add (first->attempts, late);
+  third->draining = false;
+  simulation_run (simulation, 8000);
+  CU_ASSERT_EQUAL (simulation->duplicate_starts, 0);
+  first->stop_errors = false;
+  simulation_run (simulation, 4000);
+  CU_ASSERT_EQUAL (simulation_job_state (simulation, "job"), SP__JOB_STATE__JOB_COMPLETED);
+  CU_ASSERT_EQUAL (simulation_violations (simulation), 0);
+  simulation_destroy (simulation);
+}
+
 /* A gang starts as a whole or not at all. */
 static void
 test_gang (void)
@@ -1105,6 +1273,7 @@
   { "late start after its host was down", test_late_start_after_host_down },
   { "lease renewed by a successor", test_lease_renewed_by_successor },
   { "leases end", test_leases_end },
+  { "unreachable endpoint is not stalled", test_unreachable_endpoint_is_not_stalled },
   { "takeover", test_takeover },
   { "takeover with an unreachable endpoint", test_takeover_with_unreachable_endpoint },
   { "takeover with a former incarnation", test_takeover_with_former_incarnation },
@@ -1117,6 +1286,9 @@
   { "endpoint listed again", test_endpoint_listed_again },
   { "long-running", test_long_running },
   { "unanswered starts of a limited step", test_unanswered_starts_of_a_limited_step },
+  { "late starts of a limited step", test_late_starts_of_a_limited_step },
+  { "earlier attempt of a starting task", test_earlier_attempt_of_a_starting_task },
+  { "attempt on another endpoint", test_attempt_on_another_endpoint },
   { "gang", test_gang },
   { "store down", test_store_down },
 };
