Don't take a host whose state can't be read for down

Cause: any state of a host in the machine list other than up, moving and upkeep, or none, was read as down, which releases the tasks on it.

Evidence: the new test on the code before: Test: unreadable host state ...FAILED 1. test_command_client.c:704 - CU_ASSERT_EQUAL(...state,states[i]) 2. test_command_client.c:704 - CU_ASSERT_EQUAL(...state,states[i])

--- a/include/lib/jobs/host.h
+++ b/include/lib/jobs/host.h
@@ -13,6 +13,8 @@
   HOST_MOVING,
   HOST_IN_MAINTENANCE,
   HOST_DOWN,
+  /* The list gives no state, or one that isn't known. */
+  HOST_STATE_UNKNOWN,
 };
 
 /* A host as the machine list shows it. */
--- a/tests/jobd/test_command_client.c
+++ b/tests/jobd/test_command_client.c
@@ -8,6 +8,7 @@
 #include <unistd.h>
 
 #include "platform/command_client.h"
+#include "platform/documents.h"
 #include "process.h"
 #include "suite.h"
 
@@ -685,6 +686,25 @@
   fixture_stop (&fixture);
 }
 
+/* Guards against tasks that start twice because the state of their host could not be read: only the
+ * word for it shows a host as down. */
+static void
+test_unreadable_host_state (void)
+{
+  static const char page[] =
+      "{\"machines\":[{\"machine\":\"m1\",\"pool\":\"one\",\"state\":\"down\"},"
+      "{\"machine\":\"m2\",\"pool\":\"one\",\"state\":\"booting\",\"id\":\"e2\"},"
+      "{\"machine\":\"m3\",\"pool\":\"one\",\"id\":\"e3\"}]}";
+  static const enum host_state states[] = { HOST_DOWN, HOST_STATE_UNKNOWN, HOST_STATE_UNKNOWN };
+  struct decoded_hosts decoded;
+
+  CU_ASSERT_EQUAL (decode_hosts (page, strlen (page), &decoded), 0);
+  SUITE_REQUIRE (decoded.entries->len == G_N_ELEMENTS (states));
+  for (guint i = 0; i < G_N_ELEMENTS (states); i++)
+    CU_ASSERT_EQUAL (g_array_index (decoded.entries, struct host_entry, i).state, states[i]);
+  decoded_hosts_clear (&decoded);
+}
+
 /* Guards against endpoints that accept no more connections, so that accepted jobs have nothing
  * running: each start of a burst opened a connection of its own. */
 static void
@@ -709,6 +729,7 @@
   { "host commands", test_host_commands },
   { "aborted host command", test_aborted_host_command },
   { "list is repeated", test_list_is_repeated },
+  { "unreadable host state", test_unreadable_host_state },
   { "connections of an endpoint", test_connections_of_endpoint },
 };
 
