A start that may still be carried out keeps its task on its endpoint

Callers see a task run twice at once: a start gets no response, its endpoint is cut off and restarts, and the task starts elsewhere when the lease has expired. Then the start is carried out, up to 12 s after it was sent, by the new incarnation, to which no fence was shown.

Cause: the wait for the lease ends attempts that run, but not a start that is still under way.

Evidence, before: test-leases Test: late start at a new incarnation ...FAILED 1. ../tests/jobs/test_leases.c:194 - CU_ASSERT_EQUAL(simulation->duplicate_starts,0) 2. ../tests/jobs/test_leases.c:198 - CU_ASSERT_EQUAL(simulation_violations (simulation),0)

When an unresponsive endpoint's leases have expired, a task whose start has a send without a response stays on it until a report under a raised fence shows what runs, the machine list names no host that runs the endpoint, its host is down, moved or maintained, or 12 s have passed since the last such send was given up. Confirmed attempts are released as before.

--- a/include/lib/jobs/job.h
+++ b/include/lib/jobs/job.h
@@ -69,6 +69,8 @@
   unsigned starts_unanswered;
   int64_t start_unanswered_ms;
   bool start_unlisted;
+  /* Until when a send of the current attempt's start that got no response may be carried out. */
+  int64_t start_late_until_ms;
   /* How often the current stop failed, and when the endpoint's fence was raised because of that; 0
    * if it was not. */
   unsigned stops_failed;
--- a/lib/jobs/endpoint_heartbeats.c
+++ b/lib/jobs/endpoint_heartbeats.c
@@ -118,30 +118,80 @@
   return n;
 }
 
-/* Releases all tasks of an endpoint on which none of them can run any longer. */
-void
-endpoint_release_tasks (struct scheduler *scheduler, struct endpoint *endpoint, const char *why)
+/* Returns whether a send of a task's start may still be carried out, by the endpoint's next
+ * incarnation if not by this one: it got no response, or is in flight. */
+static bool
+task_start_may_come_late (const struct scheduler *scheduler, const struct task *task)
 {
+  return task->start_late_until_ms > scheduler->now_ms ||
+         (task->phase == TASK_STARTING && task->command_in_flight);
+}
+
+/* Counts the tasks of an endpoint whose start may still be carried out. */
+static unsigned
+endpoint_count_late_starts (const struct scheduler *scheduler, const struct endpoint *endpoint)
+{
+  const struct task *task;
+  unsigned n = 0;
+
+  TAILQ_FOREACH (task, &endpoint->tasks, endpoint_link)
+    n += task_start_may_come_late (scheduler, task);
+  return n;
+}
+
+/* Releases the tasks of an endpoint on which none of them can run any longer. With keep_late, those
+ * whose start may still be carried out are kept. */
+static void
+endpoint_release (struct scheduler *scheduler, struct endpoint *endpoint, bool keep_late,
+                  const char *why)
+{
+  struct task *task = TAILQ_FIRST (&endpoint->tasks);
+  unsigned n_kept = keep_late ? endpoint_count_late_starts (scheduler, endpoint) : 0;
   int64_t silent_ms =
       endpoint->unresponsive_since_ms > 0 ? scheduler->now_ms - endpoint->unresponsive_since_ms : 0;
 
   scheduler_log (scheduler,
                  "endpoint lost, tasks released: endpoint=%s born_ms=%" G_GINT64_FORMAT
-                 " tasks=%u starts_unanswered=%u silent_ms=%" G_GINT64_FORMAT
+                 " tasks=%u kept=%u starts_unanswered=%u silent_ms=%" G_GINT64_FORMAT
                  " lease_left_ms=%" G_GINT64_FORMAT " listed=%d draining=%d reason=\"%s\"",
-                 endpoint->id, endpoint->born_ms, endpoint->n_tasks,
+                 endpoint->id, endpoint->born_ms, endpoint->n_tasks, n_kept,
                  endpoint_count_unanswered_starts (endpoint), silent_ms,
                  endpoint->lease_expiry_ms - scheduler->now_ms, endpoint->listed,
                  endpoint->draining, why);
-  while (!TAILQ_EMPTY (&endpoint->tasks))
+  while (task)
     {
-      scheduler->counts.lapses++;
-      task_release (scheduler, TAILQ_FIRST (&endpoint->tasks));
+      struct task *next = TAILQ_NEXT (task, endpoint_link);
+
+      if (!keep_late || !task_start_may_come_late (scheduler, task))
+        {
+          scheduler->counts.lapses++;
+          task_release (scheduler, task);
+        }
+      task = next;
     }
-  endpoint->lease_expiry_ms = 0;
+  if (endpoint->n_tasks == 0)
+    endpoint->lease_expiry_ms = 0;
   endpoint_reset_incarnation (scheduler, endpoint);
 }
 
+/* Releases all tasks of an endpoint that no incarnation of it can run any longer. */
+void
+endpoint_release_tasks (struct scheduler *scheduler, struct endpoint *endpoint, const char *why)
+{
+  endpoint_release (scheduler, endpoint, false, why);
+}
+
+/* Releases the tasks of an unresponsive endpoint whose attempts have ended. A start that may still
+ * be carried out can reach a new incarnation to which no raised fence was shown, so its task is
+ * kept until a report shows what runs, no host runs the endpoint, or the time for late starts has
+ * passed. */
+static void
+endpoint_release_expired (struct scheduler *scheduler, struct endpoint *endpoint, const char *why)
+{
+  if (endpoint_count_late_starts (scheduler, endpoint) < endpoint->n_tasks)
+    endpoint_release (scheduler, endpoint, true, why);
+}
+
 /* Returns the time, on this process's clock, at which a lease granted now has certainly expired. */
 static int64_t
 scheduler_lease_expiry_ms (const struct scheduler *scheduler)
@@ -241,8 +291,8 @@
 
   if (endpoint->n_tasks > 0 && endpoint->unresponsive_since_ms > 0 &&
       (drained_out || scheduler->now_ms > endpoint->lease_expiry_ms))
-    endpoint_release_tasks (scheduler, endpoint,
-                            drained_out ? "drained and left the registry" : "lease expired");
+    endpoint_release_expired (scheduler, endpoint,
+                              drained_out ? "drained and left the registry" : "lease expired");
   if (endpoint->n_tasks > 0)
     endpoint_stop_stalled (scheduler, endpoint);
   if (!endpoint->heartbeat_in_flight && scheduler->now_ms >= endpoint->next_heartbeat_ms &&
@@ -286,6 +336,7 @@
     }
   if (task->phase == TASK_STARTING)
     task_set_phase (scheduler, task, TASK_RUNNING);
+  task->start_late_until_ms = 0;
   task_set_checkpoint (task, running->checkpoint);
   task->load = running->load;
   if (running->percent != task->progress_percent)
--- a/lib/jobs/task_attempt.c
+++ b/lib/jobs/task_attempt.c
@@ -27,6 +27,8 @@
   UNHEALTHY_AVOID_MS = 1000,
   /* The same after it rejected a start for another reason. */
   REJECTED_AVOID_MS = 200,
+  /* Longest time for which a start without a response may still be carried out. */
+  START_LATE_MAX_MS = 12000,
 };
 
 /* Changes a task's phase and updates the counts of its job. */
@@ -115,6 +117,7 @@
   task->highest_attempt = attempt;
   task->starts_unanswered = 0;
   task->start_unlisted = false;
+  task->start_late_until_ms = 0;
   task->command_in_flight = false;
   task->next_command_ms = 0;
   task->progress_percent = -1;
@@ -140,6 +143,7 @@
   task->attempt = running->attempt;
   task->highest_attempt = MAX (task->highest_attempt, running->attempt);
   task->starts_unanswered = 0;
+  task->start_late_until_ms = 0;
   task->command_in_flight = false;
   task->progress_ms = scheduler->now_ms;
   task->progress_percent = -1;
@@ -449,6 +453,8 @@
       endpoint->clock_ms = clock_ms;
       endpoint->clock_read_ms = now_ms;
     }
+  if (result == COMMAND_UNKNOWN && task->endpoint == endpoint && task->attempt == attempt)
+    task->start_late_until_ms = now_ms + START_LATE_MAX_MS;
   if (task->endpoint != endpoint || task->attempt != attempt || task->phase != TASK_STARTING)
     {
       task->next_command_ms = now_ms;
@@ -462,6 +468,7 @@
     case COMMAND_DONE:
       task_set_phase (scheduler, task, TASK_RUNNING);
       task->confirmed_ms = now_ms;
+      task->start_late_until_ms = 0;
       task->progress_ms = now_ms;
       endpoint->unresponsive_since_ms = 0;
       endpoint->starts_invalidated = 0;
--- a/tests/jobs/test_leases.c
+++ b/tests/jobs/test_leases.c
@@ -160,11 +160,95 @@
   simulation_destroy (simulation);
 }
 
+/* Sends a start that is carried out 2 to 12 s later and gets no response. Returns its endpoint,
+ * whose clock is then so far on that a new incarnation's clock doesn't reach the end of the lease.
+ */
+static struct simulated_endpoint *
+submit_late_task (struct simulation *simulation)
+{
+  simulation_run (simulation, 20000);
+  simulation->late_permille = 1000;
+  submit_long_tasks (simulation, "job", 1);
+  simulation_run (simulation, 20);
+  simulation->late_permille = 0;
+  for (guint i = 0; i < simulation->endpoints->len; i++)
+    {
+      struct simulated_endpoint *endpoint = g_ptr_array_index (simulation->endpoints, i);
+
+      if (endpoint->start_commands > 0)
+        return endpoint;
+    }
+  return NULL;
+}
+
+/* Cuts an endpoint off, lets it restart while it is cut off, and ends the cut 12.2 s after sent_ms.
+ * Then the task runs once. */
+static void
+restart_behind_cut (struct simulation *simulation, struct simulated_endpoint *endpoint,
+                    int64_t sent_ms)
+{
+  endpoint->unreachable = true;
+  simulation_run (simulation, 1500);
+  simulation_crash_endpoint (simulation, endpoint, true);
+  simulation_run (simulation, sent_ms + 12200 - simulation->now_ms);
+  CU_ASSERT_EQUAL (simulation->duplicate_starts, 0);
+  endpoint->unreachable = false;
+  simulation_run (simulation, 5000);
+  CU_ASSERT_PTR_NOT_NULL (simulation_find_attempt (simulation, "job.0.0.0", NULL));
+  CU_ASSERT_EQUAL (simulation_violations (simulation), 0);
+}
+
+/* Guards against a task that starts elsewhere while its first start is under way: the start was
+ * never confirmed, its endpoint is cut off and restarts, and the new incarnation carries it out. */
+static void
+test_late_start_at_new_incarnation (void)
+{
+  enum
+  {
+    SEEDS = 20,
+  };
+
+  for (guint32 seed = 1; seed <= SEEDS; seed++)
+    {
+      struct simulation *simulation = simulation_with_clocks (2, 0);
+      struct simulated_endpoint *endpoint;
+      g_rand_set_seed (simulation->random, seed);
+      endpoint = submit_late_task (simulation);
+      SUITE_REQUIRE (endpoint != NULL);
+      restart_behind_cut (simulation, endpoint, simulation->now_ms);
+      simulation_destroy (simulation);
+    }
+}
+
+/* Guards against a wait for late starts of an endpoint that no host runs any more: its task starts
+ * elsewhere with the next machine list. */
+static void
+test_no_wait_for_endpoint_without_host (void)
+{
+  struct simulation *simulation = simulation_with_clocks (2, 0);
+  struct simulated_endpoint *endpoint = submit_unanswered_task (simulation);
+
+  SUITE_REQUIRE (endpoint != NULL);
+  simulation_crash_endpoint (simulation, endpoint, false);
+  endpoint->listed = false;
+  for (unsigned i = 0; i < simulation->n_hosts; i++)
+    {
+      if (strcmp (simulation->hosts[i].id, endpoint->host) == 0)
+        simulation->hosts[i].endpoint = -1;
+    }
+  simulation_run (simulation, 2000);
+  CU_ASSERT_EQUAL (simulation->starts, 1);
+  CU_ASSERT_EQUAL (simulation_violations (simulation), 0);
+  simulation_destroy (simulation);
+}
+
 static const struct suite_test tests[] = {
   { "slow clock of an idle endpoint", test_slow_clock_of_idle_endpoint },
   { "exact clock of an idle endpoint", test_exact_clock_of_idle_endpoint },
   { "start before the clock is known", test_start_before_the_clock_is_known },
   { "response of a former incarnation", test_response_of_former_incarnation },
+  { "late start at a new incarnation", test_late_start_at_new_incarnation },
+  { "no wait for an endpoint without a host", test_no_wait_for_endpoint_without_host },
 };
 
 int
