--- a/include/lib/jobs/job.h
+++ b/include/lib/jobs/job.h
@@ -66,6 +66,8 @@
   bool pace_in_flight;
   /* How often the current start was sent without a response. */
   unsigned starts_unanswered;
+  /* Until when a send of the current attempt's start that got no response may be carried out. */
+  int64_t start_late_until_ms;
   /* How often the current stop failed, and when the endpoint's fence was raised to invalidate the
    * start; 0 if it was not. */
   unsigned stops_failed;
