Judge a task's progress by its endpoint's last report

Cause: an endpoint counts as responsive again when any start gets a response. The progress that the leader knows is still that of the last report.

Fix: a task is stalled when the endpoint's last report came more than 2.5 s after the last report that showed progress. Whether the endpoint is responsive makes no difference any more.

Evidence: test "unreported progress is not stalled", before: job1's tasks stopped for "no progress" at 5380 and started again at 7922 (12 starts instead of 8). After: 8 starts, both jobs complete; "unreachable endpoint is not stalled" passes too.

--- a/include/lib/jobs/endpoint.h
+++ b/include/lib/jobs/endpoint.h
@@ -101,6 +101,8 @@
   /* The endpoint's clock, and when it was read on this process's clock. */
   int64_t clock_ms;
   int64_t clock_read_ms;
+  /* When its last report was handled. */
+  int64_t reported_ms;
   /* End of the last lease on the endpoint's clock, and when it has certainly expired on this
    * process's clock. */
   int64_t lease_end_ms;
--- a/lib/jobs/endpoint_heartbeats.c
+++ b/lib/jobs/endpoint_heartbeats.c
@@ -196,7 +196,8 @@
 }
 
 /* Stops stalled tasks, so that they run on another endpoint. Long-running tasks and gangs are left
- * alone. Nothing is known of the progress on an unresponsive endpoint. */
+ * alone. What happened since the endpoint's last report is not known, also if it has responded to
+ * other commands. */
 static void
 endpoint_stop_stalled (struct scheduler *scheduler, struct endpoint *endpoint)
 {
@@ -207,7 +208,7 @@
       struct task *next = TAILQ_NEXT (task, endpoint_link);
 
       if (task->phase == TASK_RUNNING && !task_step (task)->long_running &&
-          !task_step (task)->gang && scheduler->now_ms - task->progress_ms > STALL_MS)
+          !task_step (task)->gang && endpoint->reported_ms - task->progress_ms > STALL_MS)
         {
           endpoint->avoid_until_ms = scheduler->now_ms + STALL_MS;
           task_stop (scheduler, task, "no progress");
@@ -227,7 +228,7 @@
       (drained_out || scheduler->now_ms > endpoint->lease_expiry_ms))
     endpoint_release_tasks (scheduler, endpoint,
                             drained_out ? "drained and left the registry" : "lease expired");
-  if (endpoint->n_tasks > 0 && endpoint->unresponsive_since_ms == 0)
+  if (endpoint->n_tasks > 0)
     endpoint_stop_stalled (scheduler, endpoint);
   if (!endpoint->heartbeat_in_flight && scheduler->now_ms >= endpoint->next_heartbeat_ms &&
       endpoint_needs_heartbeat (endpoint))
@@ -398,6 +399,7 @@
   endpoint->fence_accepted = true;
   endpoint->clock_ms = report->clock_ms;
   endpoint->clock_read_ms = scheduler->now_ms;
+  endpoint->reported_ms = scheduler->now_ms;
   endpoint->completions_acked = MAX (endpoint->completions_acked, acked);
   /* An earlier leader may have granted a lease until just now. */
   if (!was_accepted)
--- a/tests/jobs/simulation.h
+++ b/tests/jobs/simulation.h
@@ -45,6 +45,8 @@
   bool up;
   /* Runs, but no command reaches it. */
   bool unreachable;
+  /* Heartbeats neither reach it nor get a response. */
+  bool heartbeats_lost;
   /* Every attempt that it starts fails after a short time. */
   bool fails_all;
   /* Answers every start with an unknown status, such as 500, and carries out none, or all. */
--- a/tests/jobs/simulation_commands.c
+++ b/tests/jobs/simulation_commands.c
@@ -90,7 +90,9 @@
       return;
     }
   late = simulation_chance (simulation, simulation->late_permille);
-  event->no_response = late || simulation_chance (simulation, simulation->lost_permille) ||
+  event->lost = event->kind == EVENT_HEARTBEAT && event->target->heartbeats_lost;
+  event->no_response = late || event->lost ||
+                       simulation_chance (simulation, simulation->lost_permille) ||
                        event->target->unreachable;
   if (late)
     event->due_ms =
--- a/tests/jobs/test_scheduler.c
+++ b/tests/jobs/test_scheduler.c
@@ -393,6 +393,35 @@
   simulation_destroy (simulation);
 }
 
+/* As above, but only heartbeats get no response. Starts of another job get one at the third send,
+ * more than 2.5 s after the last report and before the lease ends. It says nothing of the progress
+ * of the first job's tasks, which were stopped. */
+static void
+test_unreported_progress_is_not_stalled (void)
+{
+  struct simulation *simulation = simulation_with_pool (1);
+  Sp__JobStep step = make_step (4);
+  struct simulated_endpoint *endpoint = g_ptr_array_index (simulation->endpoints, 0);
+
+  simulation->work_ms = 6000;
+  simulation_submit (simulation, "job1", "pool", &step, 1, 3);
+  simulation_run (simulation, 1000);
+  endpoint->heartbeats_lost = true;
+  simulation_run (simulation, 1640);
+  simulation->late_permille = 1000;
+  simulation_submit (simulation, "job2", "pool", &step, 1, 3);
+  simulation_run (simulation, 1100);
+  simulation->late_permille = 0;
+  simulation_run (simulation, 600);
+  endpoint->heartbeats_lost = false;
+  simulation_run (simulation, 12000);
+  CU_ASSERT_EQUAL (simulation->starts, 8);
+  CU_ASSERT_EQUAL (simulation_job_state (simulation, "job1"), SP__JOB_STATE__JOB_COMPLETED);
+  CU_ASSERT_EQUAL (simulation_job_state (simulation, "job2"), SP__JOB_STATE__JOB_COMPLETED);
+  CU_ASSERT_EQUAL (simulation_violations (simulation), 0);
+  simulation_destroy (simulation);
+}
+
 /* A new leader adopts what runs and starts none of it again. */
 static void
 test_takeover (void)
@@ -865,6 +894,7 @@
   { "start errors of a limited step", test_start_errors_of_a_limited_step },
   { "unreachable endpoint", test_unreachable_endpoint },
   { "unreachable endpoint is not stalled", test_unreachable_endpoint_is_not_stalled },
+  { "unreported progress is not stalled", test_unreported_progress_is_not_stalled },
   { "takeover", test_takeover },
   { "takeover with an unreachable endpoint", test_takeover_with_unreachable_endpoint },
   { "takeover with a former incarnation", test_takeover_with_former_incarnation },
