--- a/lib/jobs/endpoint_heartbeats.c
+++ b/lib/jobs/endpoint_heartbeats.c
@@ -297,7 +297,8 @@
 }
 
 /* Stops stalled tasks, so that they run on another endpoint. Long-running tasks and gangs are left
- * alone. Nothing is known of the progress on an unresponsive endpoint. */
+ * alone. What happened since the endpoint's last report is not known, also if it has responded to
+ * other commands. */
 static void
 endpoint_stop_stalled (struct scheduler *scheduler, struct endpoint *endpoint)
 {
@@ -308,7 +309,7 @@
       struct task *next = TAILQ_NEXT (task, endpoint_link);
 
       if (task->phase == TASK_RUNNING && !task_step (task)->long_running &&
-          !task_step (task)->gang && scheduler->now_ms - task->progress_ms > STALL_MS)
+          !task_step (task)->gang && endpoint->reported_ms - task->progress_ms > STALL_MS)
         {
           endpoint->avoid_until_ms = scheduler->now_ms + STALL_MS;
           task_stop (scheduler, task, "no progress");
@@ -508,6 +509,7 @@
   endpoint->fence_accepted = true;
   endpoint->clock_ms = report->clock_ms;
   endpoint->clock_read_ms = scheduler->now_ms;
+  endpoint->reported_ms = scheduler->now_ms;
   endpoint->completions_acked = MAX (endpoint->completions_acked, acked);
   /* An earlier leader may have granted a lease until just now. */
   if (!was_accepted)
--- a/tests/jobs/simulation.h
+++ b/tests/jobs/simulation.h
@@ -47,6 +47,8 @@
   bool unreachable;
   /* Its reports don't reach the registry either, which keeps the last one. */
   bool cut_off_from_registry;
+  /* Heartbeats neither reach it nor get a response. */
+  bool heartbeats_lost;
   /* Every attempt that it starts fails after a short time. */
   bool fails_all;
   /* Answers every start with an unknown status, such as 500, and carries out none, or all. */
