--- a/lib/jobs/endpoint_heartbeats.c
+++ b/lib/jobs/endpoint_heartbeats.c
@@ -200,7 +200,7 @@
     endpoint_release (scheduler, endpoint, true, why);
 }
 
-/* Releases the tasks of an endpoint whose end a machine list shows, but for late starts. */
+/* Releases the tasks of an endpoint whose host is down, but for late starts. */
 void
 endpoint_release_ended (struct scheduler *scheduler, struct endpoint *endpoint, const char *why)
 {
--- a/lib/jobs/hosts.c
+++ b/lib/jobs/hosts.c
@@ -166,10 +166,13 @@
     {
       struct endpoint *endpoint = value;
 
-      if (endpoint->n_tasks > 0 && endpoint->unresponsive_since_ms > 0 &&
-          endpoint->unresponsive_since_ms < sent_ms && endpoint->alive_ms < sent_ms &&
-          !scheduler_endpoint_has_host (scheduler, endpoint->id))
-        endpoint_release_ended (scheduler, endpoint, "the machine list names no host that runs it");
+      if (endpoint->n_tasks == 0 || endpoint->unresponsive_since_ms == 0 ||
+          endpoint->unresponsive_since_ms >= sent_ms || endpoint->alive_ms >= sent_ms ||
+          scheduler_endpoint_has_host (scheduler, endpoint->id))
+        continue;
+      /* An endpoint whose host is down may come back under its id, and late starts with it. */
+      if (!endpoint->gone)
+        endpoint_release_tasks (scheduler, endpoint, "the machine list names no host that runs it");
     }
 }
 
