A confirmed attempt's earlier send keeps its task on its endpoint too

Callers see a task run twice at once: the first send of a start gets no response, the second does, the endpoint is cut off and restarts, and the task starts elsewhere when the lease has expired. Then the first send is carried out by the new incarnation.

Cause: a confirmation ended the wait for sends without a response. It says nothing of the other sends: an incarnation that has not seen the attempt takes each of them.

Evidence, before: test-leases Test: late start after a confirmation ...FAILED 1. ../tests/jobs/test_leases.c:198 - CU_ASSERT_EQUAL(simulation_violations (simulation),0) 2. ../tests/jobs/test_leases.c:194 - CU_ASSERT_EQUAL(simulation->duplicate_starts,0)

A confirmation no longer ends it. Attempts whose sends all got a response are released as before. In the test the cut ends after 11.5 s: the wait ends 12 s after the one send without a response was given up, and a heartbeat to the endpoint takes up to 0.9 s, so that with a longer cut a start in the last second is carried out unseen.

--- a/lib/jobs/endpoint_heartbeats.c
+++ b/lib/jobs/endpoint_heartbeats.c
@@ -336,7 +336,6 @@
     }
   if (task->phase == TASK_STARTING)
     task_set_phase (scheduler, task, TASK_RUNNING);
-  task->start_late_until_ms = 0;
   task_set_checkpoint (task, running->checkpoint);
   task->load = running->load;
   if (running->percent != task->progress_percent)
--- a/lib/jobs/task_attempt.c
+++ b/lib/jobs/task_attempt.c
@@ -468,7 +468,6 @@
     case COMMAND_DONE:
       task_set_phase (scheduler, task, TASK_RUNNING);
       task->confirmed_ms = now_ms;
-      task->start_late_until_ms = 0;
       task->progress_ms = now_ms;
       endpoint->unresponsive_since_ms = 0;
       endpoint->starts_invalidated = 0;
--- a/tests/jobs/test_leases.c
+++ b/tests/jobs/test_leases.c
@@ -181,16 +181,16 @@
   return NULL;
 }
 
-/* Cuts an endpoint off, lets it restart while it is cut off, and ends the cut 12.2 s after sent_ms.
- * Then the task runs once. */
+/* Cuts an endpoint off, lets it restart while it is cut off, and ends the cut at cut_end_ms. Then
+ * the task runs once. */
 static void
 restart_behind_cut (struct simulation *simulation, struct simulated_endpoint *endpoint,
-                    int64_t sent_ms)
+                    int64_t cut_end_ms)
 {
   endpoint->unreachable = true;
   simulation_run (simulation, 1500);
   simulation_crash_endpoint (simulation, endpoint, true);
-  simulation_run (simulation, sent_ms + 12200 - simulation->now_ms);
+  simulation_run (simulation, cut_end_ms - simulation->now_ms);
   CU_ASSERT_EQUAL (simulation->duplicate_starts, 0);
   endpoint->unreachable = false;
   simulation_run (simulation, 5000);
@@ -215,7 +215,36 @@
       g_rand_set_seed (simulation->random, seed);
       endpoint = submit_late_task (simulation);
       SUITE_REQUIRE (endpoint != NULL);
-      restart_behind_cut (simulation, endpoint, simulation->now_ms);
+      restart_behind_cut (simulation, endpoint, simulation->now_ms + 12200);
+      simulation_destroy (simulation);
+    }
+}
+
+/* Guards against the same with an attempt that was confirmed: its first send got no response, the
+ * second did, and the first is carried out by the new incarnation. */
+static void
+test_late_start_after_confirmation (void)
+{
+  enum
+  {
+    SEEDS = 20,
+  };
+
+  for (guint32 seed = 1; seed <= SEEDS; seed++)
+    {
+      struct simulation *simulation = simulation_with_clocks (2, 0);
+      struct simulated_endpoint *endpoint;
+      int64_t sent_ms;
+
+      g_rand_set_seed (simulation->random, seed);
+      endpoint = submit_late_task (simulation);
+      SUITE_REQUIRE (endpoint != NULL);
+      sent_ms = simulation->now_ms;
+      simulation_run (simulation, 1000);
+      CU_ASSERT_EQUAL (endpoint->attempts->len, 1);
+      CU_ASSERT_EQUAL (job_task (job_table_find (simulation->all_jobs, "job"), 0, 0, 0)->phase,
+                       TASK_RUNNING);
+      restart_behind_cut (simulation, endpoint, sent_ms + 11500);
       simulation_destroy (simulation);
     }
 }
@@ -248,6 +277,7 @@
   { "start before the clock is known", test_start_before_the_clock_is_known },
   { "response of a former incarnation", test_response_of_former_incarnation },
   { "late start at a new incarnation", test_late_start_at_new_incarnation },
+  { "late start after a confirmation", test_late_start_after_confirmation },
   { "no wait for an endpoint without a host", test_no_wait_for_endpoint_without_host },
 };
 
