Confirm an epoch only after reading a leadership record

What callers see: a task may have two attempts at once. A leader that has lost the store renews leases and starts tasks after its successor has counted all its leases as ended, once the successor's process has restarted.

Cause: a host confirms to a leader that it knows of no later epoch.

Steps (two hosts): A leads under epoch 4 and loses the store and its link to B. B claims epoch 5, waits, counts A's leases as ended and starts tasks. B restarts and can't read the store; its link to A works again. A asks B, which confirms epoch 4, and A grants leases again while those of B's earlier process last.

Change: leadership_may_confirm, used by the relay server and by the random test, requires that the process has read a leadership record. A record read after the start is the newest one, which names the earlier process's epoch if that led.

--- a/include/lib/jobs/leadership_lease.h
+++ b/include/lib/jobs/leadership_lease.h
@@ -23,6 +23,12 @@
  * this, or 0. */
 int64_t leadership_leases_end_ms (int64_t record_sent_ms, int64_t confirmed_ms, int64_t lease_ms);
 
+/* Returns whether a host may confirm to the leader of an epoch that it knows of no later one.
+ * read_epoch: of the last leadership record that this process has read, 0 if none; claimed_epoch:
+ * of its own last claim; heard_epoch: the highest of which a leader has sent it a message. */
+bool leadership_may_confirm (uint64_t epoch, uint64_t read_epoch, uint64_t claimed_epoch,
+                             uint64_t heard_epoch);
+
 /* What a host knows of the leaders before it, from the leadership records that it has read. */
 struct former_leaders
 {
--- a/jobd/relay_server.c
+++ b/jobd/relay_server.c
@@ -8,6 +8,7 @@
 #include "common/peer_socket.h"
 #include "common/settings.h"
 #include "lib/jobs/command_message.h"
+#include "lib/jobs/leadership_lease.h"
 #include "platform/command_client.h"
 #include "record_sender.h"
 
@@ -96,15 +97,16 @@
     relay_session_free (session);
 }
 
-/* Returns the highest epoch that this host knows of: by the journal, by the batches of leaders, and
- * by its own claims, of which the last may be on its way to the store. */
-static uint64_t
-relay_server_known_epoch (const struct relay_server *server)
+/* Returns whether this host knows of no later epoch than a session's: by the journal, by its own
+ * claims, of which the last may be on its way to the store, and by the batches of leaders. */
+static bool
+relay_session_confirms (const struct relay_session *session)
 {
-  uint64_t epoch =
-      MAX (server->jobd->jobs.leader_epoch, leader_claimed_epoch (server->jobd->leader));
+  const struct relay_server *server = session->server;
 
-  return server->leader ? MAX (epoch, server->leader->epoch) : epoch;
+  return leadership_may_confirm (session->epoch, server->jobd->jobs.leader_epoch,
+                                 leader_claimed_epoch (server->jobd->leader),
+                                 server->leader ? server->leader->epoch : 0);
 }
 
 /* Sends the results that have arrived, and acknowledges the batches received. */
@@ -115,8 +117,7 @@
   const void *reply_to = g_bytes_get_data (session->reply_to, &len);
 
   result_batch_finish (session->results, session->acked_sequence, session->epoch,
-                       session->server->jobd->stopping,
-                       session->epoch >= relay_server_known_epoch (session->server));
+                       session->server->jobd->stopping, relay_session_confirms (session));
   /* A message that can't be sent is lost like one in transit; the leader repeats its commands. */
   peer_node_reply (session->server->node, reply_to, len, session->results->data,
                    session->results->len);
--- a/lib/jobs/leadership_lease.c
+++ b/lib/jobs/leadership_lease.c
@@ -8,6 +8,15 @@
   return MAX (record_sent_ms + LEADERSHIP_VALID_MS, confirmed_ms) + lease_ms;
 }
 
+/* A process that has read no record doesn't know what its host's earlier process has claimed and
+ * done as a leader. */
+bool
+leadership_may_confirm (uint64_t epoch, uint64_t read_epoch, uint64_t claimed_epoch,
+                        uint64_t heard_epoch)
+{
+  return read_epoch > 0 && epoch >= MAX (read_epoch, MAX (claimed_epoch, heard_epoch));
+}
+
 /* A record is read after it was sent, so its leader's time ends no later than counted from now. A
  * leader that resigns grants no lease that lasts longer than one granted with its resignation. */
 void
--- a/tests/jobs/test_leadership_lease.c
+++ b/tests/jobs/test_leadership_lease.c
@@ -15,7 +15,7 @@
 enum
 {
   HOSTS_MAX = 7,
-  ROUNDS = 300,
+  ROUNDS = 1000,
   ROUND_MS = 60000,
   STEP_MS = 10,
   LEASE_MS = 3500,
@@ -329,8 +329,8 @@
                              .sequence = message->sequence };
 
   member->pinged_epoch = MAX (member->pinged_epoch, message->epoch);
-  confirm.success =
-      message->epoch >= MAX (MAX (member->last.epoch, member->claimed_epoch), member->pinged_epoch);
+  confirm.success = leadership_may_confirm (message->epoch, member->last.epoch,
+                                            member->claimed_epoch, member->pinged_epoch);
   if (world->now_ms >= world->cut_until_ms[host][message->from])
     world_send (world, confirm);
 }
@@ -567,6 +567,20 @@
   relay_set_finish (&set);
 }
 
+/* A host confirms an epoch unless it knows of a later one. Without any record it knows nothing: its
+ * earlier process may have led. */
+static void
+test_may_confirm (void)
+{
+  CU_ASSERT_TRUE (leadership_may_confirm (5, 5, 0, 0));
+  CU_ASSERT_TRUE (leadership_may_confirm (5, 4, 3, 5));
+  CU_ASSERT_FALSE (leadership_may_confirm (5, 6, 0, 0));
+  CU_ASSERT_FALSE (leadership_may_confirm (5, 5, 6, 0));
+  CU_ASSERT_FALSE (leadership_may_confirm (5, 5, 0, 6));
+  CU_ASSERT_FALSE (leadership_may_confirm (5, 0, 0, 0));
+  CU_ASSERT_FALSE (leadership_may_confirm (5, 0, 0, 5));
+}
+
 /* A host that has skipped records doesn't know how long earlier leaders grant leases, unless the
  * last leader has recorded that they have ended. */
 static void
@@ -590,6 +604,7 @@
   { "leases of earlier leaders", test_leases_of_earlier_leaders },
   { "confirmed by all", test_confirmed_by_all },
   { "confirmed since", test_confirmed_since },
+  { "confirmation needs a record", test_may_confirm },
   { "skipped records", test_skipped_records },
 };
 
