Let leases end with the records of a leader without a relay server

What callers see: where hosts have no relay address, a task may have two attempts at once, as before leases ended with the leadership: a leader that is cut off from the store renews its leases for good.

Cause: the confirmations of an empty set of hosts count as given now.

Change: a leader without a relay server counts nothing as confirmed. The price is that the tasks of hosts without relay addresses end when the store is away for more than 5 s (docs/operating-jobd.md).

--- a/jobd/command_sender.c
+++ b/jobd/command_sender.c
@@ -443,7 +443,8 @@
 int64_t
 command_sender_confirmed_ms (const struct command_sender *sender)
 {
-  if (!command_sender_reaches_hosts (sender))
+  /* Hosts without a relay server are not in the journal and may lead all the same. */
+  if (!sender->jobd->relay_server || !command_sender_reaches_hosts (sender))
     return 0;
   return relay_set_confirmed_ms (&sender->relays, command_sender_now_ms (sender));
 }
--- a/tests/jobd/test_handed_records.c
+++ b/tests/jobd/test_handed_records.c
@@ -4,8 +4,9 @@
 #include "relay_server.h"
 #include "suite.h"
 
-/* Records that a host hands to the leader, over a real link between two daemons' modules in one
- * process. The journal's writer is replaced, so that the test decides when a record is durable. */
+/* Records that a host hands to the leader, and its confirmations of the leader's epoch, over a real
+ * link between two daemons' modules in one process. The journal's writer is replaced, so that the
+ * test decides when a record is durable. */
 
 enum
 {
@@ -19,6 +20,8 @@
    * a record itself. */
   QUIET_MS = 300,
   FIRST_OFFSET = 7,
+  /* Longer than it takes to reconnect and to ask twice. */
+  UNCONFIRMED_MS = 3000,
 };
 
 /* The parts of a daemon that hand records over or take them. */
@@ -222,11 +225,46 @@
   test_host_stop (&host);
 }
 
+/* Waits until the other host has confirmed the leader's epoch since a time. Returns whether it
+ * has. */
+static bool
+wait_confirmed (int64_t since_ms, int64_t limit_ms)
+{
+  int64_t end_ms = test_now_ms () + limit_ms;
+
+  while (command_sender_confirmed_ms (sender) < since_ms && test_now_ms () < end_ms)
+    run_for (TICK_MS);
+  return command_sender_confirmed_ms (sender) >= since_ms;
+}
+
+/* A host confirms the leader's epoch, but not after a restart until it has read a record. A leader
+ * without a relay server can't ask the others, which then are not in the journal either. */
+static void
+test_confirmations (void)
+{
+  struct relay_server *relay_server = leader.jobd.relay_server;
+  struct test_host host;
+
+  test_host_start (&host, "host", HOST_PORT, 1);
+  CU_ASSERT_TRUE (wait_confirmed (jobd_now_ms (&leader.jobd), LINK_LIMIT_MS));
+  test_host_stop (&host);
+  test_host_start (&host, "host", HOST_PORT, 2);
+  host.jobd.jobs.leader_epoch = 0;
+  CU_ASSERT_FALSE (wait_confirmed (jobd_now_ms (&leader.jobd), UNCONFIRMED_MS));
+  host.jobd.jobs.leader_epoch = EPOCH;
+  CU_ASSERT_TRUE (wait_confirmed (jobd_now_ms (&leader.jobd), LINK_LIMIT_MS));
+  leader.jobd.relay_server = NULL;
+  CU_ASSERT_EQUAL (command_sender_confirmed_ms (sender), 0);
+  leader.jobd.relay_server = relay_server;
+  test_host_stop (&host);
+}
+
 int
 main (void)
 {
   static const struct suite_test tests[] = {
     { "host restarts", test_host_restarts },
+    { "confirmations", test_confirmations },
   };
   struct scheduler_config config = { 0 };
   struct scheduler_ops ops = { 0 };
@@ -237,6 +275,7 @@
   loop = ev_loop_new (EVFLAG_AUTO);
   leader_appends = g_ptr_array_new_with_free_func (stored_append_free);
   test_host_start (&leader, "leader", LEADER_PORT, 3);
+  leader.jobd.relays = g_hash_table_new (g_str_hash, g_str_equal);
   job_table_init (&jobs);
   scheduler = scheduler_create (&config, &ops, &jobs, 0, 0);
   sender = command_sender_create (&leader.jobd, EPOCH, NULL, leader.jobd.writer);
@@ -248,6 +287,7 @@
   command_sender_destroy (sender);
   scheduler_destroy (scheduler);
   job_table_finish (&jobs);
+  g_hash_table_destroy (leader.jobd.relays);
   test_host_stop (&leader);
   g_ptr_array_unref (leader_appends);
   ev_loop_destroy (loop);
