Check that the store appends before a claim

What callers see: all running tasks end 5 s into an outage in which the store reads but carries out no appends, although all hosts are up and reach each other.

Reads succeed in such an outage, so that it claims, and the claim, which may be carried out at any time, keeps it from confirming to the leader that no other leads.

Change: the host appends its own record (h/NAME) first, under its own producer, and reads and claims once that is durable. Until then it has claimed nothing and confirms. Such an append changes nothing, whenever it is carried out. A host without a relay server confirms nothing and only reads, as before.

--- a/jobd/leader.c
+++ b/jobd/leader.c
@@ -5,6 +5,7 @@
 #include "host_command_queue.h"
 #include "leader_state.h"
 #include "lib/jobs/leader_election.h"
+#include "relay_server.h"
 
 /* Leader election and leadership. The leader's journal appends carry its epoch, and its commands
  * carry the epoch in their fence. A replaced leader therefore can write nothing, and an endpoint
@@ -20,8 +21,8 @@
   /* A leader that has not read the journal to its end for this long writes no heartbeats. Longer
    * than a read without a response and the one after it take. */
   JOURNAL_UNREAD_MAX_MS = 2500,
-  /* Minimum time between two reads of the journal before a claim. */
-  CLAIM_READ_INTERVAL_MS = 250,
+  /* Minimum time between two checks of the store before a claim. */
+  CLAIM_CHECK_INTERVAL_MS = 250,
   /* Minimum time between two appends, so that progress is written in batches. */
   LEADER_APPEND_INTERVAL_MS = 25,
   /* Minimum time between two reads of the journal. */
@@ -325,24 +326,41 @@
 {
   struct leader *leader = ctx;
 
-  leader->claim_read_pending = false;
+  leader->claim_check_pending = false;
   if (success && leader->phase == LEADER_FOLLOWING && leader_should_claim (leader))
     leader_claim (leader);
 }
 
-/* Reads the journal to its end before a claim. A claim that is sent while the store is away may be
- * carried out at any time later, so that this host could no longer confirm to the leader that no
- * other leads, and the leader would have to let its leases run out. */
+/* Reads the journal to its end once the store has carried out an append of this host. */
 static void
-leader_read_before_claim (struct leader *leader)
+leader_on_claim_append (void *ctx, const struct writer_outcome *outcome)
 {
+  struct leader *leader = ctx;
+
+  if (outcome->result == WRITER_DURABLE)
+    topic_reader_read_to_end (leader->jobd->journal, leader_on_claim_read, leader);
+  else
+    leader->claim_check_pending = false;
+}
+
+/* Before a claim, appends this host's own record and reads the journal to its end. A claim that is
+ * sent while the store is away, or carries out no appends, may be carried out at any time later, so
+ * that this host could no longer confirm to the leader that no other leads, and the leader would
+ * have to let its leases run out. A host without a relay server confirms nothing and only reads. */
+static void
+leader_check_before_claim (struct leader *leader)
+{
+  struct jobd *jobd = leader->jobd;
   int64_t now_ms = leader_now_ms (leader);
 
-  if (leader->claim_read_pending || now_ms < leader->next_claim_read_ms)
+  if (leader->claim_check_pending || now_ms < leader->next_claim_check_ms)
     return;
-  leader->claim_read_pending = true;
-  leader->next_claim_read_ms = now_ms + CLAIM_READ_INTERVAL_MS;
-  topic_reader_read_to_end (leader->jobd->journal, leader_on_claim_read, leader);
+  leader->claim_check_pending = true;
+  leader->next_claim_check_ms = now_ms + CLAIM_CHECK_INTERVAL_MS;
+  if (jobd->relay_server)
+    relay_server_append_record (jobd->relay_server, leader_on_claim_append, leader);
+  else
+    topic_reader_read_to_end (jobd->journal, leader_on_claim_read, leader);
 }
 
 void
@@ -573,7 +591,7 @@
     {
     case LEADER_FOLLOWING:
       if (leader_should_claim (leader))
-        leader_read_before_claim (leader);
+        leader_check_before_claim (leader);
       break;
     case LEADER_CLAIMING:
       break;
--- a/jobd/leader_state.h
+++ b/jobd/leader_state.h
@@ -47,9 +47,9 @@
   /* Random fraction, 0 to 1, of the time span over which hosts claim; see
    * leader_election_draw_fraction. */
   double claim_delay_fraction;
-  /* A read before a claim is on its way, and when the next may be sent. */
-  bool claim_read_pending;
-  int64_t next_claim_read_ms;
+  /* The store is being checked before a claim, and when this may begin again. */
+  bool claim_check_pending;
+  int64_t next_claim_check_ms;
   /* Why to step down in the next tick; NULL if not. Set in callbacks, which must not destroy what
    * called them. */
   const char *step_down_reason;
--- a/jobd/relay_server.c
+++ b/jobd/relay_server.c
@@ -264,9 +264,8 @@
   server->announced = false;
 }
 
-/* Writes this host's record to the journal. */
-static void
-relay_server_announce (struct relay_server *server)
+void
+relay_server_append_record (struct relay_server *server, writer_done *done, void *ctx)
 {
   struct jobd *jobd = server->jobd;
   Sp__JobRecord record = SP__JOB_RECORD__INIT;
@@ -284,9 +283,16 @@
   key = job_record_key (&record);
   value = job_record_pack (&record);
   data = g_bytes_get_data (value, &len);
+  writer_append (jobd->writer, key, data, len, done, ctx);
+}
+
+/* Writes this host's record to the journal. */
+static void
+relay_server_announce (struct relay_server *server)
+{
   server->announced = true;
-  server->next_announce_ms = jobd_now_ms (jobd) + ANNOUNCE_RETRY_MS;
-  writer_append (jobd->writer, key, data, len, relay_server_on_announced, server);
+  server->next_announce_ms = jobd_now_ms (server->jobd) + ANNOUNCE_RETRY_MS;
+  relay_server_append_record (server, relay_server_on_announced, server);
 }
 
 /* Forgets leaders that have sent nothing for a while. */
--- a/jobd/relay_server.h
+++ b/jobd/relay_server.h
@@ -12,6 +12,8 @@
 void relay_server_destroy (struct relay_server *server);
 /* Announces the host in the journal until the announcement is durable. */
 void relay_server_tick (struct relay_server *server);
+/* Appends this host's record to the journal, also if it is there already. */
+void relay_server_append_record (struct relay_server *server, writer_done *done, void *ctx);
 /* Handles the journal's record of this host, which another host may have deleted. */
 void relay_server_on_own_record (struct relay_server *server, const char *address);
 /* Passes a record to the leader, which appends it to the journal. Returns false if there is no link
--- a/tests/jobd/test_island.c
+++ b/tests/jobd/test_island.c
@@ -379,6 +379,22 @@
   case_end (&c);
 }
 
+/* The store carries out no appends, but reads: no host claims, all confirm to the leader, and tasks
+ * run on. */
+static void
+test_appends_unanswered (void)
+{
+  struct island_case c;
+
+  case_begin (&c);
+  hosts_post (&hosts, "/faults", "{\"store\":\"deaf\"}");
+  test_sleep_ms (STORE_AWAY_MS);
+  check_nothing_lapsed (&c);
+  hosts_post (&hosts, "/faults", "{\"store\":\"up\"}");
+  CU_ASSERT_TRUE (test_wait (one_host_leads, NULL, ELECTION_LIMIT_MS));
+  case_end (&c);
+}
+
 /* The leader alone loses the store, and all hosts and endpoints reach each other: a successor takes
  * over, and tasks run on. */
 static void
@@ -401,6 +417,7 @@
 /* The island is last: what its violations leave behind can't fail the other cases. */
 static const struct suite_test tests[] = {
   { "store away for all", test_store_away },
+  { "appends unanswered for all", test_appends_unanswered },
   { "leader cut from the store only", test_leader_without_store },
   { "store away for all, one host stopped", test_store_away_host_stopped },
   { "leader on an island", test_leader_on_island },
