tests: the island case names the leader only once it is settled

A case now begins once one host has led alone for 1.5 s, and checks that it still leads when its faults begin. Requests that set faults abort the test if they are rejected.

--- a/tests/jobd/hosts.c
+++ b/tests/jobd/hosts.c
@@ -2,6 +2,7 @@
 
 #include <glib.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 enum
@@ -133,6 +134,28 @@
   return hosts_report_count (ctx, "starts") == 0;
 }
 
+/* Sends a request that sets faults, and aborts the test if it is rejected. */
+static void
+post_faults (unsigned port, const char *path, const char *body)
+{
+  g_autofree char *url = g_strdup_printf ("http://127.0.0.1:%u%s", port, path);
+  struct fetched fetched;
+
+  fetch (&fetched, "POST", url, NULL, body, CALL_TIMEOUT_MS);
+  if (fetched.status != 200)
+    {
+      fprintf (stderr, "POST %s %s: status %d\n", url, body, fetched.status);
+      abort ();
+    }
+  fetched_clear (&fetched);
+}
+
+void
+hosts_set_faults (struct hosts *hosts, const char *body)
+{
+  post_faults (hosts->port, "/faults", body);
+}
+
 /* Makes each host read the proxy's ports in place of the other hosts' relays. */
 static void
 hosts_separate (struct hosts *hosts)
@@ -148,7 +171,7 @@
               hosts_relay_port (hosts, to), hosts_link_port (hosts, from, to));
 
           if (from != to)
-            hosts_post (hosts, "/faults", body);
+            hosts_set_faults (hosts, body);
         }
     }
 }
@@ -158,23 +181,17 @@
 {
   g_autofree char *body = g_strdup_printf ("{\"entry_host\":%u,\"entry_store\":\"%s\"}", n, mode);
 
-  hosts_post (hosts, "/faults", body);
+  hosts_set_faults (hosts, body);
 }
 
 /* Sets the mode of one link. */
 static void
 hosts_set_link (struct hosts *hosts, unsigned from, unsigned to, const char *mode)
 {
-  g_autofree char *url =
-      g_strdup_printf ("http://127.0.0.1:%u/standin/faults", hosts->port + PROXY_PORT_OFFSET);
   g_autofree char *body =
       g_strdup_printf ("{\"port\":%u,\"mode\":\"%s\"}", hosts_link_port (hosts, from, to), mode);
-  struct fetched fetched;
 
-  fetch (&fetched, "POST", url, NULL, body, CALL_TIMEOUT_MS);
-  if (fetched.status != 200)
-    fprintf (stderr, "the proxy answered %d to %s\n", fetched.status, body);
-  fetched_clear (&fetched);
+  post_faults (hosts->port + PROXY_PORT_OFFSET, "/standin/faults", body);
 }
 
 void
--- a/tests/jobd/hosts.h
+++ b/tests/jobd/hosts.h
@@ -66,6 +66,8 @@
                        const char *operand, char **output);
 /* Sends a POST request to the simulated platform, for example to inject faults. */
 void hosts_post (struct hosts *hosts, const char *path, const char *body);
+/* Sets faults of the simulated platform; aborts the test if they are rejected. */
+void hosts_set_faults (struct hosts *hosts, const char *body);
 /* Sets whether the store responds to a host: "up", "busy" or "silent". Needs separable hosts. */
 void hosts_set_store (struct hosts *hosts, unsigned n, const char *mode);
 /* Cuts a host's relay links with all other hosts, both ways, or restores them. What is sent
--- a/tests/jobd/test_island.c
+++ b/tests/jobd/test_island.c
@@ -19,7 +19,7 @@
   /* How long a leader is on its island: several times what a successor waits for its leases. */
   ISLAND_MS = 15000,
   STORE_AWAY_MS = 9000,
-  /* Time in which a leader has stopped calling endpoints, if it has to. */
+  /* How long a leader stays alone before a case begins, and after it took over. */
   SETTLED_MS = 1500,
   POLL_MS = 100,
   CALM_MS = 500,
@@ -116,6 +116,44 @@
   return count_attempts (ctx) == TASKS;
 }
 
+static bool
+host_leads (unsigned n)
+{
+  return process_is_running (hosts.jobds[n]) &&
+         hosts_metric (&hosts, n, "sesamepick_jobd_leading") == 1;
+}
+
+static unsigned
+count_leaders (void)
+{
+  unsigned n_leaders = 0;
+
+  for (unsigned n = 0; n < HOSTS; n++)
+    n_leaders += host_leads (n);
+  return n_leaders;
+}
+
+/* Waits until the same host has led alone for a while: when the store responds again, a claim of
+ * before is carried out. Returns the host, or -1. */
+static int
+wait_settled_leader (void)
+{
+  int64_t end_ms = test_now_ms () + ELECTION_LIMIT_MS;
+  int64_t since_ms = test_now_ms ();
+  int leader = -1;
+
+  while (test_now_ms () < end_ms && (leader < 0 || test_now_ms () < since_ms + SETTLED_MS))
+    {
+      int now = count_leaders () == 1 ? hosts_leader (&hosts) : -1;
+
+      if (now != leader)
+        since_ms = test_now_ms ();
+      leader = now;
+      test_sleep_ms (POLL_MS);
+    }
+  return leader;
+}
+
 /* Waits until all hosts are ready and one leads, and until tasks of two jobs run. */
 static void
 case_begin (struct island_case *c)
@@ -125,7 +163,7 @@
 
   for (unsigned n = 0; n < HOSTS; n++)
     CU_ASSERT_TRUE (hosts_wait_ready (&hosts, n, 0));
-  leader = hosts_wait_leader (&hosts, ELECTION_LIMIT_MS);
+  leader = wait_settled_leader ();
   SUITE_REQUIRE (leader >= 0);
   c->leader = (unsigned) leader;
   submit (c->leader, LONG_RUNNING_JOB, c->long_running);
@@ -140,6 +178,8 @@
   json_array_extend (c->attempts, batch);
   json_decref (batch);
   c->lapses = hosts_report_count (&hosts, "lapsed");
+  CU_ASSERT_TRUE (host_leads (c->leader));
+  CU_ASSERT_EQUAL (count_leaders (), 1);
 }
 
 /* Checks that no task ran twice at once or again after it was done, and that each long-running task
@@ -184,23 +224,6 @@
   CU_ASSERT_EQUAL (hosts_report_count (&hosts, "lapsed"), c->lapses);
 }
 
-static bool
-host_leads (unsigned n)
-{
-  return process_is_running (hosts.jobds[n]) &&
-         hosts_metric (&hosts, n, "sesamepick_jobd_leading") == 1;
-}
-
-static unsigned
-count_leaders (void)
-{
-  unsigned n_leaders = 0;
-
-  for (unsigned n = 0; n < HOSTS; n++)
-    n_leaders += host_leads (n);
-  return n_leaders;
-}
-
 /* Returns whether another host than the case's first leader leads. */
 static bool
 successor_leads (void *ctx)
@@ -239,7 +262,7 @@
 {
   g_autofree char *body = g_strdup_printf ("{\"epochs\":{\"%s\":\"%s\"}}", machine, epochs);
 
-  hosts_post (&hosts, "/faults", body);
+  hosts_set_faults (&hosts, body);
 }
 
 /* Leaves the machines of the first task of each job to the leader so far, and all others to its
@@ -298,8 +321,8 @@
 
   case_begin (&c);
   hosts_cut_links (&hosts, c.leader, true);
-  hosts_set_store (&hosts, c.leader, "silent");
   divide_endpoints (&c);
+  hosts_set_store (&hosts, c.leader, "silent");
   cut_ms = test_now_ms ();
   while (test_now_ms () < cut_ms + ISLAND_MS)
     {
