Forget hosts that are gone in small fleets too

What callers see: after a host of a fleet of less than relay_endpoints_min endpoints was removed for good, all running tasks end in each outage of the store of more than 5 s.

The record of a host that is gone is removed after a minute without an answer, but in small fleets the leader asked nothing, and the minute began anew with each outage.

Change: the leader always asks, each 10 s while no relays are used and no confirmations are needed.

Evidence: test-handed_records, 'small fleet forgets a host', failed before.

--- a/jobd/command_sender.c
+++ b/jobd/command_sender.c
@@ -12,6 +12,9 @@
 {
   /* Interval of batches without commands, which show whether a relay responds. */
   PING_INTERVAL_MS = 500,
+  /* The same while no relays are used and no confirmations are needed: only to find the hosts that
+   * are gone. */
+  IDLE_PING_INTERVAL_MS = 10000,
   /* Time for the way to the relay and back, and for a relay that stands still for a moment, beyond
    * the time that the call itself may take. */
   RELAY_MARGIN_MS = 300,
@@ -229,7 +232,9 @@
   /* A batch that can't be sent is not acknowledged, so the relay counts as failed soon. */
   peer_link_send (link->peer, link->batch->data, link->batch->len);
   g_byte_array_set_size (link->batch, 0);
-  link->next_ping_ms = now_ms + PING_INTERVAL_MS;
+  link->next_ping_ms =
+      now_ms + (link->sender->relaying || link->sender->confirming ? PING_INTERVAL_MS
+                                                                   : IDLE_PING_INTERVAL_MS);
 }
 
 /* Sends all batches before the loop waits for events. */
@@ -415,9 +420,8 @@
 
   if ((relaying || confirming) && !sender->relaying && !sender->confirming)
     {
-      /* Nothing was sent to the relays before, so they have not been silent. */
       TAILQ_FOREACH (relay, &sender->relays.relays, link)
-        ((struct relay_link *) relay->data)->heard_ms = now_ms;
+        ((struct relay_link *) relay->data)->next_ping_ms = now_ms;
     }
   sender->relaying = relaying;
   sender->confirming = confirming;
@@ -457,8 +461,7 @@
 
   command_sender_set_use (sender, n_endpoints >= sender->jobd->settings->relay_endpoints_min,
                           confirming, now_ms);
-  if (sender->relaying || sender->confirming)
-    command_sender_check_relays (sender, now_ms);
+  command_sender_check_relays (sender, now_ms);
   scheduler_set_starts_per_pass (sender->scheduler, sender->relaying && sender->relays.n_used > 0
                                                         ? STARTS_PER_PASS_RELAYED
                                                         : STARTS_PER_PASS_DIRECT);
@@ -479,7 +482,7 @@
 unsigned
 command_sender_relays (const struct command_sender *sender)
 {
-  return sender->relays.n_used;
+  return sender->relaying ? sender->relays.n_used : 0;
 }
 
 /* Sends a command to an endpoint, through its relay if it has one. */
--- a/tests/jobd/test_handed_records.c
+++ b/tests/jobd/test_handed_records.c
@@ -22,6 +22,13 @@
   FIRST_OFFSET = 7,
   /* Longer than it takes to reconnect and to ask twice. */
   UNCONFIRMED_MS = 3000,
+  /* Fleet that is too small for relays. */
+  FLEET_WITHOUT_RELAYS = 0,
+  /* How long a host is gone until it is certainly forgotten, and the steps in which the clock is
+   * set forward by that. */
+  GONE_MS = 90000,
+  GONE_STEP_MS = 3000,
+  GONE_RUN_MS = 60,
 };
 
 /* The parts of a daemon that hand records over or take them. */
@@ -54,6 +61,9 @@
 static unsigned n_host_appends;
 static struct test_host leader;
 static struct command_sender *sender;
+/* Size of the leader's fleet, and how far the clock was set forward. */
+static unsigned n_endpoints = 1;
+static int64_t clock_ahead_ms;
 
 int64_t
 jobd_now_ms (void *ctx)
@@ -61,7 +71,7 @@
   struct jobd *jobd = ctx;
 
   clock_update (&jobd->clock);
-  return jobd->clock.now_ms;
+  return jobd->clock.now_ms + clock_ahead_ms;
 }
 
 /* Stands in for the journal's writer. */
@@ -136,7 +146,7 @@
 {
   (void) timer;
   (void) events;
-  command_sender_tick (sender, 1, false);
+  command_sender_tick (sender, n_endpoints, false);
   ev_break (tick_loop, EVBREAK_ONE);
 }
 
@@ -259,12 +269,55 @@
   test_host_stop (&host);
 }
 
+/* Returns whether the leader has appended the removal of the host's record. */
+static bool
+host_is_forgotten (void)
+{
+  for (guint i = 0; i < leader_appends->len; i++)
+    {
+      if (strcmp (((struct stored_append *) g_ptr_array_index (leader_appends, i))->key,
+                  "h/host") == 0)
+        return true;
+    }
+  return false;
+}
+
+/* Runs the loop while the clock is set forward. */
+static void
+run_ahead (void)
+{
+  for (int64_t ms = 0; ms < GONE_MS; ms += GONE_STEP_MS)
+    {
+      clock_ahead_ms += GONE_STEP_MS;
+      run_for (GONE_RUN_MS);
+    }
+}
+
+/* A host that is gone for good stays in the journal of a fleet that is too small for relays. It
+ * would never confirm the leader's epoch again, so that all tasks ended in each outage of the
+ * store. */
+static void
+test_small_fleet_forgets_host (void)
+{
+  struct test_host host;
+
+  n_endpoints = FLEET_WITHOUT_RELAYS;
+  test_host_start (&host, "host", HOST_PORT, 1);
+  run_for (LINK_LIMIT_MS / 2);
+  run_ahead ();
+  CU_ASSERT_FALSE (host_is_forgotten ());
+  test_host_stop (&host);
+  run_ahead ();
+  CU_ASSERT_TRUE (host_is_forgotten ());
+}
+
 int
 main (void)
 {
   static const struct suite_test tests[] = {
     { "host restarts", test_host_restarts },
     { "confirmations", test_confirmations },
+    { "small fleet forgets a host", test_small_fleet_forgets_host },
   };
   struct scheduler_config config = { 0 };
   struct scheduler_ops ops = { 0 };
