Write no heartbeat after a resignation

A heartbeat after a resignation that takes long undid it, so that the takeover waited for the timeout of 1.3 s; and the result of a heartbeat that was in flight credited the leader with the time of its resignation.

--- a/jobd/leader.c
+++ b/jobd/leader.c
@@ -397,7 +397,9 @@
           leader, "heartbeat rejected: another host has used this epoch or a newer one");
       return;
     }
-  leader->heartbeat_durable_ms = leader->heartbeat_sent_ms;
+  /* A resignation has been sent since. */
+  if (leader->resignation_sent_ms == 0)
+    leader->heartbeat_durable_ms = leader->heartbeat_sent_ms;
 }
 
 /* Handles the result of a progress record: durable, or rejected because another host has used this
@@ -458,7 +460,8 @@
 
   if (leader->n_unflushed == 0 && scheduler_is_dirty (leader->scheduler))
     scheduler_collect (leader->scheduler, leader_append_progress, leader);
-  if (!leader->heartbeat_in_flight && now_ms - leader->heartbeat_sent_ms >= HEARTBEAT_INTERVAL_MS &&
+  if (!leader->heartbeat_in_flight && leader->resignation_sent_ms == 0 &&
+      now_ms - leader->heartbeat_sent_ms >= HEARTBEAT_INTERVAL_MS &&
       leader_may_send_heartbeat (leader))
     {
       leader->heartbeat_in_flight = true;
