Wait longer for leases that a restarted endpoint may have taken

What callers see: a task has two attempts at once. An endpoint restarts under its id and is cut off a little later; the task starts elsewhere 3.9 s after that, and the first attempt runs for up to 10 s.

Cause: the end of a lease is a time on the endpoint's clock, and a new incarnation's clock starts anew. A start or a heartbeat that reaches it before the leader knows of it names a time on the former incarnation's clock, which is further on, so that the endpoint takes the longest lease that it takes at all, 10 s, and no later command shortens it. The leader counted 3.9 s.

Class: a bound on another's authority that holds for one incarnation was used for the next.

Why it works: the clock in a response to a start shows how long the leases that were granted last on that clock, 10 s at most. For an incarnation that replaces a known one, 10 s are counted from the report under the raised fence, after which no such command is accepted any more. This matters only for endpoints that are lost within 10 s of their restart.

The simulation no longer renews a lease beyond 10 s while a heartbeat waits for its response.

What remains: a former leader's commands at an incarnation that neither leader has noticed.

--- a/include/lib/jobs/endpoint.h
+++ b/include/lib/jobs/endpoint.h
@@ -111,6 +111,8 @@
    * process's clock. */
   int64_t lease_end_ms;
   int64_t lease_expiry_ms;
+  /* The incarnation may have taken leases that end by the clock of a former one. */
+  bool lease_uncertain;
 
   /* Highest number of a completion that was handled, is in the flush in progress, is durable, and
    * was acknowledged to the endpoint. */
--- a/lib/jobs/endpoint_heartbeats.c
+++ b/lib/jobs/endpoint_heartbeats.c
@@ -12,6 +12,8 @@
   SLOW_CLOCK_PERMILLE = 20,
   /* Longest time that a command is expected to spend in transit. */
   LEASE_EXPIRY_MARGIN_MS = 300,
+  /* Longest lease that an endpoint takes, whatever end a command names. */
+  LEASE_LONGEST_MS = 10000,
   /* How long an endpoint may delay its response to a heartbeat until an attempt completes there.
    * Three of these fit into the shortest lease that the settings allow. */
   HEARTBEAT_WAIT_MS = 800,
@@ -108,6 +110,7 @@
     scheduler_log (scheduler,
                    "endpoint has a new incarnation: endpoint=%s tasks=%u born_ms=%" G_GINT64_FORMAT,
                    endpoint->id, endpoint->n_tasks, born_ms);
+  endpoint->lease_uncertain = endpoint->born_ms > 0;
   endpoint->born_ms = born_ms;
   endpoint_set_alive (scheduler, endpoint);
   endpoint_raise_fence (scheduler, endpoint);
@@ -248,6 +251,19 @@
   return lease_end_ms;
 }
 
+/* Stores a reading of an endpoint's clock. If it is behind the former one, the endpoint has
+ * restarted, and what it runs lasts longer under the leases that were granted. */
+void
+endpoint_set_clock (struct scheduler *scheduler, struct endpoint *endpoint, int64_t clock_ms)
+{
+  int64_t lease_ms = MIN (endpoint->lease_end_ms - clock_ms, LEASE_LONGEST_MS);
+
+  endpoint->clock_ms = clock_ms;
+  endpoint->clock_read_ms = scheduler->now_ms;
+  endpoint->lease_expiry_ms =
+      MAX (endpoint->lease_expiry_ms, scheduler_lease_expiry_ms (scheduler, lease_ms));
+}
+
 /* Sends a heartbeat, which renews the lease of everything on the endpoint. If all completions are
  * durable, the endpoint may delay its response until an attempt completes. */
 static void
@@ -510,9 +526,12 @@
   endpoint->clock_read_ms = scheduler->now_ms;
   endpoint->reported_ms = scheduler->now_ms;
   endpoint->completions_acked = MAX (endpoint->completions_acked, acked);
-  /* An earlier leader may have granted a lease until just now. */
+  /* An earlier leader may have granted a lease until just now, and a new incarnation may have taken
+   * one that ends by the clock of the former one. */
   if (!was_accepted)
-    endpoint->lease_expiry_ms = scheduler_lease_expiry_ms (scheduler, scheduler->config.lease_ms);
+    endpoint->lease_expiry_ms = scheduler_lease_expiry_ms (
+        scheduler, endpoint->lease_uncertain ? LEASE_LONGEST_MS : scheduler->config.lease_ms);
+  endpoint->lease_uncertain = false;
   endpoint_handle_completions (scheduler, endpoint, report);
   /* Before the attempts: an earlier one of a task that is released here is adopted. */
   endpoint_release_unlisted (scheduler, endpoint, report, sent_ms);
--- a/lib/jobs/scheduler_state.h
+++ b/lib/jobs/scheduler_state.h
@@ -141,6 +141,7 @@
 /* endpoint_heartbeats.c */
 bool scheduler_may_start_tasks (const struct scheduler *scheduler);
 int64_t endpoint_extend_lease (struct scheduler *scheduler, struct endpoint *endpoint);
+void endpoint_set_clock (struct scheduler *scheduler, struct endpoint *endpoint, int64_t clock_ms);
 void endpoint_command_fenced (struct scheduler *scheduler, struct endpoint *endpoint,
                               uint64_t fence, const char *why);
 void endpoint_raise_fence (struct scheduler *scheduler, struct endpoint *endpoint);
--- a/lib/jobs/task_attempt.c
+++ b/lib/jobs/task_attempt.c
@@ -500,10 +500,7 @@
     task->command_in_flight = false;
   /* A lower fence means that the response may be of a former incarnation, with another clock. */
   if (clock_ms > 0 && fence >= endpoint->fence)
-    {
-      endpoint->clock_ms = clock_ms;
-      endpoint->clock_read_ms = now_ms;
-    }
+    endpoint_set_clock (scheduler, endpoint, clock_ms);
   if (result == COMMAND_UNKNOWN && task->endpoint == endpoint && task->attempt == attempt)
     task->start_late_until_ms = now_ms + START_LATE_MAX_MS;
   if (task->endpoint != endpoint || task->attempt != attempt || task->phase != TASK_STARTING)
--- a/tests/jobs/simulation_commands.c
+++ b/tests/jobs/simulation_commands.c
@@ -406,7 +406,6 @@
     {
       /* The lease is renewed on arrival. The command is checked again later, until there is a
        * completion or its wait is over. */
-      event->target->lease_end_ms = MAX (event->target->lease_end_ms, event->lease_end_ms);
       next = simulation_post (simulation, event->kind, PASS_MS);
       *next = (struct event){ .kind = EVENT_HEARTBEAT,
                               .due_ms = simulation->now_ms + PASS_MS,
--- a/tests/jobs/simulation_endpoints.c
+++ b/tests/jobs/simulation_endpoints.c
@@ -271,7 +271,9 @@
 {
   if (endpoint_receive (simulation, event) != COMMAND_DONE)
     return false;
-  endpoint_renew_lease (simulation, event->target, event->lease_end_ms);
+  /* It has arrived before if it is checked again. */
+  if (event->born_ms == 0)
+    endpoint_renew_lease (simulation, event->target, event->lease_end_ms);
   return event->target->completions->len == 0;
 }
 
--- a/tests/jobs/test_leases.c
+++ b/tests/jobs/test_leases.c
@@ -160,6 +160,67 @@
   simulation_destroy (simulation);
 }
 
+/* Guards against a start that a new incarnation accepts before the leader knows of it: the end of
+ * its lease is a time on the former incarnation's clock, which is further on, so that the lease
+ * lasts up to 10 s and outlasts the leader's wait. */
+static void
+test_start_at_unnoticed_incarnation (void)
+{
+  struct simulation *simulation = simulation_with_clocks (2, 0);
+  struct simulated_endpoint *endpoint = g_ptr_array_index (simulation->endpoints, 0);
+  struct simulated_endpoint *other = g_ptr_array_index (simulation->endpoints, 1);
+
+  simulation_run (simulation, 15000);
+  /* The other endpoint takes no task until this one is cut off. */
+  other->draining = true;
+  simulation_run (simulation, 400);
+  endpoint->cut_off_from_registry = true;
+  simulation_crash_endpoint (simulation, endpoint, true);
+  submit_long_tasks (simulation, "job", 1);
+  simulation_run (simulation, 40);
+  SUITE_REQUIRE (endpoint->attempts->len == 1);
+  endpoint->unreachable = true;
+  other->draining = false;
+  simulation_run (simulation, 12000);
+  CU_ASSERT_EQUAL (simulation_violations (simulation), 0);
+  simulation_destroy (simulation);
+}
+
+/* Guards against a heartbeat that a new incarnation accepts before the leader knows of it: its
+ * lease is on the former incarnation's clock and holds for what is started there later. The
+ * endpoint restarts at each moment between two heartbeats. */
+static void
+test_heartbeat_at_unnoticed_incarnation (void)
+{
+  enum
+  {
+    OFFSETS_MS = 900,
+    OFFSET_STEP_MS = 10,
+  };
+
+  for (int64_t offset_ms = 0; offset_ms < OFFSETS_MS; offset_ms += OFFSET_STEP_MS)
+    {
+      struct simulation *simulation = simulation_with_clocks (2, 0);
+      struct simulated_endpoint *endpoint = g_ptr_array_index (simulation->endpoints, 0);
+      struct simulated_endpoint *other = g_ptr_array_index (simulation->endpoints, 1);
+
+      simulation_run (simulation, 15000);
+      other->draining = true;
+      simulation_run (simulation, 400);
+      submit_long_tasks (simulation, "job", 1);
+      simulation_run (simulation, 1000 + offset_ms);
+      SUITE_REQUIRE (endpoint->attempts->len == 1);
+      simulation_crash_endpoint (simulation, endpoint, true);
+      simulation_run (simulation, 1500);
+      SUITE_REQUIRE (endpoint->attempts->len == 1);
+      endpoint->unreachable = true;
+      other->draining = false;
+      simulation_run (simulation, 12000);
+      CU_ASSERT_EQUAL (simulation_violations (simulation), 0);
+      simulation_destroy (simulation);
+    }
+}
+
 /* Sends a start that is carried out 2 to 12 s later and gets no response. Returns its endpoint,
  * whose clock is then so far on that a new incarnation's clock doesn't reach the end of the lease.
  */
@@ -278,6 +339,8 @@
   { "response of a former incarnation", test_response_of_former_incarnation },
   { "late start at a new incarnation", test_late_start_at_new_incarnation },
   { "late start after a confirmation", test_late_start_after_confirmation },
+  { "start at an unnoticed incarnation", test_start_at_unnoticed_incarnation },
+  { "heartbeat at an unnoticed incarnation", test_heartbeat_at_unnoticed_incarnation },
   { "no wait for an endpoint without a host", test_no_wait_for_endpoint_without_host },
 };
 
