Wait longer for leases of former leaders at young incarnations

A former leader's start or heartbeat at an incarnation that it did not know of may have been taken for 10 s.

Why it works: a new leader's first report of an incarnation that is younger than 22 s, the longest time for a late command and the longest lease together, counts a lease of 10 s from then. An older one can't hold such a lease any more.

--- a/lib/jobs/endpoint_heartbeats.c
+++ b/lib/jobs/endpoint_heartbeats.c
@@ -14,6 +14,9 @@
   LEASE_EXPIRY_MARGIN_MS = 300,
   /* Longest lease that an endpoint takes, whatever end a command names. */
   LEASE_LONGEST_MS = 10000,
+  /* Age up to which an incarnation may hold a lease that an earlier leader granted to the one
+   * before it: the longest time for which a command may be late, and the longest lease. */
+  YOUNG_INCARNATION_MS = 22000,
   /* How long an endpoint may delay its response to a heartbeat until an attempt completes there.
    * Three of these fit into the shortest lease that the settings allow. */
   HEARTBEAT_WAIT_MS = 800,
@@ -524,14 +527,17 @@
   endpoint->fence_accepted = true;
   endpoint->clock_ms = report->clock_ms;
   endpoint->clock_read_ms = scheduler->now_ms;
-  endpoint->reported_ms = scheduler->now_ms;
   endpoint->completions_acked = MAX (endpoint->completions_acked, acked);
   /* An earlier leader may have granted a lease until just now, and a new incarnation may have taken
    * one that ends by the clock of the former one. */
+  if (endpoint->reported_ms == 0 && report->clock_ms < YOUNG_INCARNATION_MS &&
+      scheduler->config.epoch > 1)
+    endpoint->lease_uncertain = true;
   if (!was_accepted)
     endpoint->lease_expiry_ms = scheduler_lease_expiry_ms (
         scheduler, endpoint->lease_uncertain ? LEASE_LONGEST_MS : scheduler->config.lease_ms);
   endpoint->lease_uncertain = false;
+  endpoint->reported_ms = scheduler->now_ms;
   endpoint_handle_completions (scheduler, endpoint, report);
   /* Before the attempts: an earlier one of a task that is released here is adopted. */
   endpoint_release_unlisted (scheduler, endpoint, report, sent_ms);
--- a/tests/jobs/test_leases.c
+++ b/tests/jobs/test_leases.c
@@ -186,6 +186,34 @@
   simulation_destroy (simulation);
 }
 
+/* Guards against the same under a new leader, which learns of the incarnation when it takes over
+ * and doesn't know what the former leader sent. */
+static void
+test_former_leader_at_unnoticed_incarnation (void)
+{
+  struct simulation *simulation = simulation_with_clocks (2, 0);
+  struct simulated_endpoint *endpoint = g_ptr_array_index (simulation->endpoints, 0);
+  struct simulated_endpoint *other = g_ptr_array_index (simulation->endpoints, 1);
+
+  simulation_run (simulation, 15000);
+  /* The other endpoint takes no task until this one is cut off. */
+  other->draining = true;
+  simulation_run (simulation, 400);
+  endpoint->cut_off_from_registry = true;
+  simulation_crash_endpoint (simulation, endpoint, true);
+  submit_long_tasks (simulation, "job", 1);
+  simulation_run (simulation, 40);
+  SUITE_REQUIRE (endpoint->attempts->len == 1);
+  endpoint->cut_off_from_registry = false;
+  simulation_start_new_leader (simulation);
+  simulation_run (simulation, 600);
+  endpoint->unreachable = true;
+  other->draining = false;
+  simulation_run (simulation, 12000);
+  CU_ASSERT_EQUAL (simulation_violations (simulation), 0);
+  simulation_destroy (simulation);
+}
+
 /* Guards against a heartbeat that a new incarnation accepts before the leader knows of it: its
  * lease is on the former incarnation's clock and holds for what is started there later. The
  * endpoint restarts at each moment between two heartbeats. */
@@ -340,6 +368,7 @@
   { "late start at a new incarnation", test_late_start_at_new_incarnation },
   { "late start after a confirmation", test_late_start_after_confirmation },
   { "start at an unnoticed incarnation", test_start_at_unnoticed_incarnation },
+  { "former leader at an unnoticed incarnation", test_former_leader_at_unnoticed_incarnation },
   { "heartbeat at an unnoticed incarnation", test_heartbeat_at_unnoticed_incarnation },
   { "no wait for an endpoint without a host", test_no_wait_for_endpoint_without_host },
 };
