--- a/include/lib/jobs/demand.h
+++ b/include/lib/jobs/demand.h
@@ -44,8 +44,4 @@
  * takes as long as estimated. */
 struct resources job_demand_at_horizon (const struct job *job, int64_t horizon_ms, int64_t now_ms);
 
-void resources_add (struct resources *sum, const struct resources *request);
-/* Returns the larger amount of each resource. */
-struct resources resources_max (const struct resources *a, const struct resources *b);
-
 #endif
--- a/include/lib/jobs/endpoint.h
+++ b/include/lib/jobs/endpoint.h
@@ -8,14 +8,7 @@
 
 #include "lib/jobs/job.h"
 #include "lib/jobs/relay_set.h"
-
-/* Resources of an endpoint or a host, or those that a task requests. */
-struct resources
-{
-  int64_t cpu_milli;
-  int64_t memory_mb;
-  int64_t gpus;
-};
+#include "lib/resources.h"
 
 /* An endpoint's entry in the platform's registry. */
 struct endpoint_entry
--- a/include/lib/jobs/queue_table.h
+++ b/include/lib/jobs/queue_table.h
@@ -5,6 +5,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "lib/workspaces/workspace_table.h"
+
 /* The queues and pools of one version of the configuration. */
 struct job_queue
 {
@@ -20,6 +22,8 @@
   uint32_t target_ms;
   /* The queue's endpoints must be admitted by the advice service. */
   bool advised;
+  /* Callers need no key. */
+  bool is_public;
 };
 
 struct job_pool_config
@@ -33,6 +37,8 @@
   int64_t version;
   GPtrArray *queues;
   GPtrArray *pools;
+  /* Empty where the deployment has no workspaces. */
+  struct workspace_table *workspaces;
 };
 
 struct queue_table *queue_table_create (void);
--- a/lib/jobs/queue_table.c
+++ b/lib/jobs/queue_table.c
@@ -29,6 +29,7 @@
 
   table->queues = g_ptr_array_new_with_free_func (queue_destroy);
   table->pools = g_ptr_array_new_with_free_func (pool_config_destroy);
+  table->workspaces = workspace_table_create ();
   return table;
 }
 
@@ -39,6 +40,7 @@
     return;
   g_ptr_array_free (table->queues, TRUE);
   g_ptr_array_free (table->pools, TRUE);
+  workspace_table_destroy (table->workspaces);
   g_free (table);
 }
 
--- a/protocols/command.pb-c.c
+++ b/protocols/command.pb-c.c
@@ -367,6 +367,96 @@
   assert(message->base.descriptor == &sp__command_batch__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   sp__pool_outlook__init
+                     (Sp__PoolOutlook         *message)
+{
+  static const Sp__PoolOutlook init_value = SP__POOL_OUTLOOK__INIT;
+  *message = init_value;
+}
+size_t sp__pool_outlook__get_packed_size
+                     (const Sp__PoolOutlook *message)
+{
+  assert(message->base.descriptor == &sp__pool_outlook__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t sp__pool_outlook__pack
+                     (const Sp__PoolOutlook *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &sp__pool_outlook__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t sp__pool_outlook__pack_to_buffer
+                     (const Sp__PoolOutlook *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &sp__pool_outlook__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Sp__PoolOutlook *
+       sp__pool_outlook__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Sp__PoolOutlook *)
+     protobuf_c_message_unpack (&sp__pool_outlook__descriptor,
+                                allocator, len, data);
+}
+void   sp__pool_outlook__free_unpacked
+                     (Sp__PoolOutlook *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &sp__pool_outlook__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   sp__queue_durations__init
+                     (Sp__QueueDurations         *message)
+{
+  static const Sp__QueueDurations init_value = SP__QUEUE_DURATIONS__INIT;
+  *message = init_value;
+}
+size_t sp__queue_durations__get_packed_size
+                     (const Sp__QueueDurations *message)
+{
+  assert(message->base.descriptor == &sp__queue_durations__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t sp__queue_durations__pack
+                     (const Sp__QueueDurations *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &sp__queue_durations__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t sp__queue_durations__pack_to_buffer
+                     (const Sp__QueueDurations *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &sp__queue_durations__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Sp__QueueDurations *
+       sp__queue_durations__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Sp__QueueDurations *)
+     protobuf_c_message_unpack (&sp__queue_durations__descriptor,
+                                allocator, len, data);
+}
+void   sp__queue_durations__free_unpacked
+                     (Sp__QueueDurations *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &sp__queue_durations__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   sp__result_batch__init
                      (Sp__ResultBatch         *message)
 {
@@ -1081,7 +1171,7 @@
   (ProtobufCMessageInit) sp__appended_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sp__command_batch__field_descriptors[5] =
+static const ProtobufCFieldDescriptor sp__command_batch__field_descriptors[10] =
 {
   {
     "sequence",
@@ -1143,18 +1233,83 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "config_version",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Sp__CommandBatch, config_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "config_age_ms",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Sp__CommandBatch, config_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "config_record",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Sp__CommandBatch, config_record),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "outlooks",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sp__CommandBatch, n_outlooks),
+    offsetof(Sp__CommandBatch, outlooks),
+    &sp__pool_outlook__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "durations",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sp__CommandBatch, n_durations),
+    offsetof(Sp__CommandBatch, durations),
+    &sp__queue_durations__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sp__command_batch__field_indices_by_name[] = {
   3,   /* field[3] = appended */
   2,   /* field[2] = commands */
+  6,   /* field[6] = config_age_ms */
+  7,   /* field[7] = config_record */
+  5,   /* field[5] = config_version */
+  9,   /* field[9] = durations */
   1,   /* field[1] = epoch */
+  8,   /* field[8] = outlooks */
   0,   /* field[0] = sequence */
   4,   /* field[4] = takes_records */
 };
 static const ProtobufCIntRange sp__command_batch__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor sp__command_batch__descriptor =
 {
@@ -1164,14 +1319,207 @@
   "Sp__CommandBatch",
   "sp",
   sizeof(Sp__CommandBatch),
-  5,
+  10,
   sp__command_batch__field_descriptors,
   sp__command_batch__field_indices_by_name,
   1,  sp__command_batch__number_ranges,
   (ProtobufCMessageInit) sp__command_batch__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sp__result_batch__field_descriptors[6] =
+static const ProtobufCFieldDescriptor sp__pool_outlook__field_descriptors[7] =
+{
+  {
+    "pool",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sp__PoolOutlook, pool),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "priority",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Sp__PoolOutlook, priority),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wait_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Sp__PoolOutlook, wait_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "error_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Sp__PoolOutlook, error_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "excess_permille",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Sp__PoolOutlook, excess_permille),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "free_cpu_milli",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Sp__PoolOutlook, free_cpu_milli),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "free_memory_mb",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Sp__PoolOutlook, free_memory_mb),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned sp__pool_outlook__field_indices_by_name[] = {
+  3,   /* field[3] = error_ms */
+  4,   /* field[4] = excess_permille */
+  5,   /* field[5] = free_cpu_milli */
+  6,   /* field[6] = free_memory_mb */
+  0,   /* field[0] = pool */
+  1,   /* field[1] = priority */
+  2,   /* field[2] = wait_ms */
+};
+static const ProtobufCIntRange sp__pool_outlook__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor sp__pool_outlook__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "sp.PoolOutlook",
+  "PoolOutlook",
+  "Sp__PoolOutlook",
+  "sp",
+  sizeof(Sp__PoolOutlook),
+  7,
+  sp__pool_outlook__field_descriptors,
+  sp__pool_outlook__field_indices_by_name,
+  1,  sp__pool_outlook__number_ranges,
+  (ProtobufCMessageInit) sp__pool_outlook__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor sp__queue_durations__field_descriptors[4] =
+{
+  {
+    "queue",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sp__QueueDurations, queue),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "intercept",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Sp__QueueDurations, intercept),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slope",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Sp__QueueDurations, slope),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "residual",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Sp__QueueDurations, residual),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned sp__queue_durations__field_indices_by_name[] = {
+  1,   /* field[1] = intercept */
+  0,   /* field[0] = queue */
+  3,   /* field[3] = residual */
+  2,   /* field[2] = slope */
+};
+static const ProtobufCIntRange sp__queue_durations__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor sp__queue_durations__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "sp.QueueDurations",
+  "QueueDurations",
+  "Sp__QueueDurations",
+  "sp",
+  sizeof(Sp__QueueDurations),
+  4,
+  sp__queue_durations__field_descriptors,
+  sp__queue_durations__field_indices_by_name,
+  1,  sp__queue_durations__number_ranges,
+  (ProtobufCMessageInit) sp__queue_durations__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor sp__result_batch__field_descriptors[9] =
 {
   {
     "acked_sequence",
@@ -1245,9 +1593,48 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "config_version",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Sp__ResultBatch, config_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "config_age_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Sp__ResultBatch, config_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "config_record",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Sp__ResultBatch, config_record),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sp__result_batch__field_indices_by_name[] = {
   0,   /* field[0] = acked_sequence */
+  7,   /* field[7] = config_age_ms */
+  8,   /* field[8] = config_record */
+  6,   /* field[6] = config_version */
   5,   /* field[5] = confirms_epoch */
   1,   /* field[1] = epoch */
   3,   /* field[3] = records */
@@ -1257,7 +1644,7 @@
 static const ProtobufCIntRange sp__result_batch__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor sp__result_batch__descriptor =
 {
@@ -1267,7 +1654,7 @@
   "Sp__ResultBatch",
   "sp",
   sizeof(Sp__ResultBatch),
-  6,
+  9,
   sp__result_batch__field_descriptors,
   sp__result_batch__field_indices_by_name,
   1,  sp__result_batch__number_ranges,
--- a/protocols/command.pb-c.h
+++ b/protocols/command.pb-c.h
@@ -23,6 +23,8 @@
 typedef struct Sp__HandedRecord Sp__HandedRecord;
 typedef struct Sp__AppendedRecord Sp__AppendedRecord;
 typedef struct Sp__CommandBatch Sp__CommandBatch;
+typedef struct Sp__PoolOutlook Sp__PoolOutlook;
+typedef struct Sp__QueueDurations Sp__QueueDurations;
 typedef struct Sp__ResultBatch Sp__ResultBatch;
 
 
@@ -217,10 +219,78 @@
    * Hosts may hand records to the leader.
    */
   protobuf_c_boolean takes_records;
+  /*
+   * Version of the operators' configuration that the sender knows, and how long before the batch was
+   * sent it was last confirmed to be the newest, in milliseconds. A version of 0 means that it knows
+   * none.
+   */
+  int64_t config_version;
+  int64_t config_age_ms;
+  /*
+   * The configuration as the store holds it, only for a receiver whose version is older.
+   */
+  ProtobufCBinaryData config_record;
+  /*
+   * What the leader expects of jobs that arrive now.
+   */
+  size_t n_outlooks;
+  Sp__PoolOutlook **outlooks;
+  size_t n_durations;
+  Sp__QueueDurations **durations;
 };
 #define SP__COMMAND_BATCH__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sp__command_batch__descriptor) \
-    , 0, 0, 0,NULL, 0,NULL, 0 }
+    , 0, 0, 0,NULL, 0,NULL, 0, 0, 0, {0,NULL}, 0,NULL, 0,NULL }
+
+
+/*
+ * When jobs that arrive in a pool would start.
+ */
+struct  Sp__PoolOutlook
+{
+  ProtobufCMessage base;
+  char *pool;
+  uint32_t priority;
+  /*
+   * Expected wait until the first start, in milliseconds.
+   */
+  int64_t wait_ms;
+  /*
+   * Expected error of the wait, in milliseconds.
+   */
+  int64_t error_ms;
+  /*
+   * Share of the arrivals that exceeds the capacity, in thousandths.
+   */
+  uint32_t excess_permille;
+  /*
+   * The largest request that fits on an endpoint of the pool now.
+   */
+  uint32_t free_cpu_milli;
+  uint32_t free_memory_mb;
+};
+#define SP__POOL_OUTLOOK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&sp__pool_outlook__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0 }
+
+
+/*
+ * Learned durations of a queue's tasks: exp (intercept + slope * ln (estimate in ms)) ms.
+ */
+struct  Sp__QueueDurations
+{
+  ProtobufCMessage base;
+  char *queue;
+  double intercept;
+  double slope;
+  /*
+   * Standard deviation of the logarithm of the duration around the prediction.
+   */
+  double residual;
+};
+#define SP__QUEUE_DURATIONS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&sp__queue_durations__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 /*
@@ -246,10 +316,16 @@
    * The host knows of no later epoch than that of the batches, and has claimed none.
    */
   protobuf_c_boolean confirms_epoch;
+  /*
+   * As in the CommandBatch.
+   */
+  int64_t config_version;
+  int64_t config_age_ms;
+  ProtobufCBinaryData config_record;
 };
 #define SP__RESULT_BATCH__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sp__result_batch__descriptor) \
-    , 0, 0, 0,NULL, 0,NULL, 0, 0 }
+    , 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, {0,NULL} }
 
 
 /* Sp__EndpointCommand methods */
@@ -404,6 +480,44 @@
 void   sp__command_batch__free_unpacked
                      (Sp__CommandBatch *message,
                       ProtobufCAllocator *allocator);
+/* Sp__PoolOutlook methods */
+void   sp__pool_outlook__init
+                     (Sp__PoolOutlook         *message);
+size_t sp__pool_outlook__get_packed_size
+                     (const Sp__PoolOutlook   *message);
+size_t sp__pool_outlook__pack
+                     (const Sp__PoolOutlook   *message,
+                      uint8_t             *out);
+size_t sp__pool_outlook__pack_to_buffer
+                     (const Sp__PoolOutlook   *message,
+                      ProtobufCBuffer     *buffer);
+Sp__PoolOutlook *
+       sp__pool_outlook__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   sp__pool_outlook__free_unpacked
+                     (Sp__PoolOutlook *message,
+                      ProtobufCAllocator *allocator);
+/* Sp__QueueDurations methods */
+void   sp__queue_durations__init
+                     (Sp__QueueDurations         *message);
+size_t sp__queue_durations__get_packed_size
+                     (const Sp__QueueDurations   *message);
+size_t sp__queue_durations__pack
+                     (const Sp__QueueDurations   *message,
+                      uint8_t             *out);
+size_t sp__queue_durations__pack_to_buffer
+                     (const Sp__QueueDurations   *message,
+                      ProtobufCBuffer     *buffer);
+Sp__QueueDurations *
+       sp__queue_durations__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   sp__queue_durations__free_unpacked
+                     (Sp__QueueDurations *message,
+                      ProtobufCAllocator *allocator);
 /* Sp__ResultBatch methods */
 void   sp__result_batch__init
                      (Sp__ResultBatch         *message);
@@ -449,6 +563,12 @@
 typedef void (*Sp__CommandBatch_Closure)
                  (const Sp__CommandBatch *message,
                   void *closure_data);
+typedef void (*Sp__PoolOutlook_Closure)
+                 (const Sp__PoolOutlook *message,
+                  void *closure_data);
+typedef void (*Sp__QueueDurations_Closure)
+                 (const Sp__QueueDurations *message,
+                  void *closure_data);
 typedef void (*Sp__ResultBatch_Closure)
                  (const Sp__ResultBatch *message,
                   void *closure_data);
@@ -467,6 +587,8 @@
 extern const ProtobufCMessageDescriptor sp__handed_record__descriptor;
 extern const ProtobufCMessageDescriptor sp__appended_record__descriptor;
 extern const ProtobufCMessageDescriptor sp__command_batch__descriptor;
+extern const ProtobufCMessageDescriptor sp__pool_outlook__descriptor;
+extern const ProtobufCMessageDescriptor sp__queue_durations__descriptor;
 extern const ProtobufCMessageDescriptor sp__result_batch__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/protocols/job.pb-c.c
+++ b/protocols/job.pb-c.c
@@ -716,7 +716,7 @@
   (ProtobufCMessageInit) sp__job_step__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sp__job_definition__field_descriptors[15] =
+static const ProtobufCFieldDescriptor sp__job_definition__field_descriptors[16] =
 {
   {
     "id",
@@ -898,6 +898,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "workspace",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sp__JobDefinition, workspace),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sp__job_definition__field_indices_by_name[] = {
   13,   /* field[13] = accepted_ms */
@@ -915,11 +927,12 @@
   7,   /* field[7] = spec */
   8,   /* field[8] = steps */
   6,   /* field[6] = target_ms */
+  15,   /* field[15] = workspace */
 };
 static const ProtobufCIntRange sp__job_definition__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 15 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor sp__job_definition__descriptor =
 {
@@ -929,7 +942,7 @@
   "Sp__JobDefinition",
   "sp",
   sizeof(Sp__JobDefinition),
-  15,
+  16,
   sp__job_definition__field_descriptors,
   sp__job_definition__field_indices_by_name,
   1,  sp__job_definition__number_ranges,
--- a/protocols/job.pb-c.h
+++ b/protocols/job.pb-c.h
@@ -135,10 +135,14 @@
    * The advice service must approve the endpoints on which this queue's tasks run.
    */
   protobuf_c_boolean advised;
+  /*
+   * Workspace whose key the caller gave; empty if none.
+   */
+  char *workspace;
 };
 #define SP__JOB_DEFINITION__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sp__job_definition__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string }
 
 
 struct  Sp__TaskProgress
--- a/protocols/settings.pb-c.c
+++ b/protocols/settings.pb-c.c
@@ -1851,7 +1851,15 @@
 static const double sp__jobd_settings__processor_share__default_value = 1;
 static const uint32_t sp__jobd_settings__host_tokens_checked__default_value = 1u;
 static const uint32_t sp__jobd_settings__relay_endpoints_min__default_value = 100u;
-static const ProtobufCFieldDescriptor sp__jobd_settings__field_descriptors[18] =
+static const uint32_t sp__jobd_settings__config_ms__default_value = 0u;
+static const uint32_t sp__jobd_settings__config_skew_ms__default_value = 0u;
+static const uint32_t sp__jobd_settings__share_window_ms__default_value = 5000u;
+static const uint32_t sp__jobd_settings__learned_durations__default_value = 0u;
+static const uint32_t sp__jobd_settings__prospect_order__default_value = 0u;
+static const uint32_t sp__jobd_settings__load_admission__default_value = 0u;
+static const double sp__jobd_settings__far_factor__default_value = 1;
+static const uint32_t sp__jobd_settings__locality_wait_max_ms__default_value = 1000u;
+static const ProtobufCFieldDescriptor sp__jobd_settings__field_descriptors[26] =
 {
   {
     "name",
@@ -2069,23 +2077,127 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "config_ms",
+    23,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Sp__JobdSettings, has_config_ms),
+    offsetof(Sp__JobdSettings, config_ms),
+    NULL,
+    &sp__jobd_settings__config_ms__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "config_skew_ms",
+    24,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Sp__JobdSettings, has_config_skew_ms),
+    offsetof(Sp__JobdSettings, config_skew_ms),
+    NULL,
+    &sp__jobd_settings__config_skew_ms__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "share_window_ms",
+    25,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Sp__JobdSettings, has_share_window_ms),
+    offsetof(Sp__JobdSettings, share_window_ms),
+    NULL,
+    &sp__jobd_settings__share_window_ms__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "learned_durations",
+    26,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Sp__JobdSettings, has_learned_durations),
+    offsetof(Sp__JobdSettings, learned_durations),
+    NULL,
+    &sp__jobd_settings__learned_durations__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "prospect_order",
+    27,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Sp__JobdSettings, has_prospect_order),
+    offsetof(Sp__JobdSettings, prospect_order),
+    NULL,
+    &sp__jobd_settings__prospect_order__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "load_admission",
+    28,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Sp__JobdSettings, has_load_admission),
+    offsetof(Sp__JobdSettings, load_admission),
+    NULL,
+    &sp__jobd_settings__load_admission__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "far_factor",
+    29,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_DOUBLE,
+    offsetof(Sp__JobdSettings, has_far_factor),
+    offsetof(Sp__JobdSettings, far_factor),
+    NULL,
+    &sp__jobd_settings__far_factor__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "locality_wait_max_ms",
+    30,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Sp__JobdSettings, has_locality_wait_max_ms),
+    offsetof(Sp__JobdSettings, locality_wait_max_ms),
+    NULL,
+    &sp__jobd_settings__locality_wait_max_ms__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sp__jobd_settings__field_indices_by_name[] = {
   9,   /* field[9] = body_limit_bytes */
   8,   /* field[8] = caller_connection_limit */
+  18,   /* field[18] = config_ms */
+  19,   /* field[19] = config_skew_ms */
+  24,   /* field[24] = far_factor */
   1,   /* field[1] = frontend */
   7,   /* field[7] = grace_ms */
   15,   /* field[15] = host_tokens_checked */
   6,   /* field[6] = leader_timeout_ms */
+  21,   /* field[21] = learned_durations */
   5,   /* field[5] = lease_ms */
+  23,   /* field[23] = load_admission */
+  25,   /* field[25] = locality_wait_max_ms */
   12,   /* field[12] = log_level */
   4,   /* field[4] = machines */
   0,   /* field[0] = name */
   14,   /* field[14] = processor_share */
+  22,   /* field[22] = prospect_order */
   2,   /* field[2] = readiness */
   16,   /* field[16] = relay */
   17,   /* field[17] = relay_endpoints_min */
   13,   /* field[13] = seed */
+  20,   /* field[20] = share_window_ms */
   11,   /* field[11] = status_ms */
   10,   /* field[10] = stop_ms */
   3,   /* field[3] = store */
@@ -2095,7 +2207,7 @@
   { 1, 0 },
   { 7, 5 },
   { 18, 13 },
-  { 0, 18 }
+  { 0, 26 }
 };
 const ProtobufCMessageDescriptor sp__jobd_settings__descriptor =
 {
@@ -2105,7 +2217,7 @@
   "Sp__JobdSettings",
   "sp",
   sizeof(Sp__JobdSettings),
-  18,
+  26,
   sp__jobd_settings__field_descriptors,
   sp__jobd_settings__field_indices_by_name,
   3,  sp__jobd_settings__number_ranges,
--- a/protocols/settings.pb-c.h
+++ b/protocols/settings.pb-c.h
@@ -702,6 +702,57 @@
    */
   protobuf_c_boolean has_relay_endpoints_min;
   uint32_t relay_endpoints_min;
+  /*
+   * Time within which a version of the configuration must be in force, and by how much it is
+   * stretched while the store rejects some hosts only. A host whose configuration was not confirmed
+   * for about the sum serves no calls that need a key; 0 and 0 turn this off.
+   * range 0..600000 ms
+   */
+  protobuf_c_boolean has_config_ms;
+  uint32_t config_ms;
+  /*
+   * The second part of that time.
+   * range 0..600000 ms
+   */
+  protobuf_c_boolean has_config_skew_ms;
+  uint32_t config_skew_ms;
+  /*
+   * Window over which the service that workspaces get is compared.
+   * range 100..600000 ms
+   */
+  protobuf_c_boolean has_share_window_ms;
+  uint32_t share_window_ms;
+  /*
+   * Whether task durations are predicted from those that ended (1) or taken from the jobs (0).
+   * range 0..1 flag
+   */
+  protobuf_c_boolean has_learned_durations;
+  uint32_t learned_durations;
+  /*
+   * Whether jobs are placed by their prospect of meeting their objective (1) or by due time (0).
+   * range 0..1 flag
+   */
+  protobuf_c_boolean has_prospect_order;
+  uint32_t prospect_order;
+  /*
+   * Whether jobs that can't be served in time are refused (1).
+   * range 0..1 flag
+   */
+  protobuf_c_boolean has_load_admission;
+  uint32_t load_admission;
+  /*
+   * Factor by which a task takes longer away from the rack of its data or its gang; 1 if placement
+   * makes no difference, so that no task waits for a rack.
+   * range 1..1000 factor
+   */
+  protobuf_c_boolean has_far_factor;
+  double far_factor;
+  /*
+   * Longest time that a task waits for free capacity on its rack; 0 if it never waits.
+   * range 0..60000 ms
+   */
+  protobuf_c_boolean has_locality_wait_max_ms;
+  uint32_t locality_wait_max_ms;
 };
 extern char sp__jobd_settings__name__default_value[];
 extern char sp__jobd_settings__frontend__default_value[];
@@ -712,7 +763,7 @@
 extern char sp__jobd_settings__relay__default_value[];
 #define SP__JOBD_SETTINGS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sp__jobd_settings__descriptor) \
-    , sp__jobd_settings__name__default_value, sp__jobd_settings__frontend__default_value, sp__jobd_settings__readiness__default_value, sp__jobd_settings__store__default_value, sp__jobd_settings__machines__default_value, 0, 3500u, 0, 1300u, 0, 6000u, 0, 2000u, 0, 262144u, 0, 400u, 0, 120000u, sp__jobd_settings__log_level__default_value, 0, 0u, 0, 1, 0, 1u, sp__jobd_settings__relay__default_value, 0, 100u }
+    , sp__jobd_settings__name__default_value, sp__jobd_settings__frontend__default_value, sp__jobd_settings__readiness__default_value, sp__jobd_settings__store__default_value, sp__jobd_settings__machines__default_value, 0, 3500u, 0, 1300u, 0, 6000u, 0, 2000u, 0, 262144u, 0, 400u, 0, 120000u, sp__jobd_settings__log_level__default_value, 0, 0u, 0, 1, 0, 1u, sp__jobd_settings__relay__default_value, 0, 100u, 0, 0u, 0, 0u, 0, 5000u, 0, 0u, 0, 0u, 0, 0u, 0, 1, 0, 1000u }
 
 
 struct  Sp__ClusterSettings
