jobs: caps and weighted shares of workspaces

Nothing limits what one workspace may have running, and the order of a pool's jobs ignores who owns them, so that one workspace that sends several times its usual rate makes the jobs of all others wait.

workspace_usage counts what the attempts of each workspace use: those on endpoints, unknown ones that are being stopped, and those that an earlier leader may have running in pools whose takeover isn't complete. A start is refused before an endpoint is searched. A request before which smaller ones were started for a second may exceed the cap by one task, as a stream of small tasks would otherwise keep it waiting for good.

share_order gives the turns of a pool to the workspace with the lowest decayed service per weight, between jobs of the same class and priority.

Pool sizing counts ready tasks up to the cap only. Where the configuration has had no workspaces, nothing of this is computed.

--- a/include/lib/jobs/endpoint.h
+++ b/include/lib/jobs/endpoint.h
@@ -88,6 +88,9 @@
   /* Attempts in the last report that aren't the current attempt of a task assigned to this
    * endpoint. They use capacity until they are stopped. */
   unsigned n_unknown_attempts;
+  /* Those of them that count for a workspace, as struct unknown_attempt; NULL if there were none.
+   */
+  GArray *unknown_attempts;
   int64_t idle_since_ms;
 
   /* Host that sends the commands to it; belongs to the owner of the scheduler. */
--- a/include/lib/jobs/job.h
+++ b/include/lib/jobs/job.h
@@ -10,6 +10,7 @@
 
 struct endpoint;
 struct job;
+struct workspace_account;
 
 enum task_phase
 {
@@ -146,6 +147,8 @@
   bool scheduled;
   /* An earlier leader may have started tasks of it. */
   bool inherited;
+  /* What its workspace uses; NULL while the configuration has had no workspaces. */
+  struct workspace_account *account;
   /* Is in the scheduler's set of jobs whose progress is to be recorded. */
   bool dirty;
   /* Its queue's tasks have crashed endpoints a short while ago, as far as is known. */
--- a/include/lib/jobs/scheduler.h
+++ b/include/lib/jobs/scheduler.h
@@ -4,6 +4,7 @@
 #include "lib/jobs/endpoint.h"
 #include "lib/jobs/host.h"
 #include "lib/jobs/job_table.h"
+#include "lib/workspaces/workspace_usage.h"
 
 /* Decisions of the leader: which task starts where and when, what is stopped, and which hosts are
  * moved to another pool or maintained. The scheduler does no I/O: the owner reports events and the
@@ -131,6 +132,10 @@
 
 /* Sets whether a pool of the configuration is a standby pool. */
 void scheduler_set_pool (struct scheduler *scheduler, const char *name, bool standby);
+/* Applies the workspaces of the configuration in force. share_window_ms is the window over which
+ * the service that they get is compared; it holds for shares that begin later. */
+void scheduler_set_workspaces (struct scheduler *scheduler, const struct workspace_table *table,
+                               int64_t share_window_ms);
 /* Changes of the registry: a new or changed entry, a removed entry, and the end of the first
  * complete read. */
 void scheduler_endpoint_listed (struct scheduler *scheduler, const struct endpoint_entry *entry,
@@ -251,5 +256,9 @@
 };
 
 void scheduler_get_counts (const struct scheduler *scheduler, struct scheduler_counts *counts);
+/* Counts the ready tasks of each workspace. Returns the struct workspace_account of all workspaces
+ * that the scheduler knows, or NULL if there were none. Valid until the next call into the
+ * scheduler. */
+const GPtrArray *scheduler_count_workspaces (struct scheduler *scheduler);
 
 #endif
--- a/include/lib/workspaces/workspace_table.h
+++ b/include/lib/workspaces/workspace_table.h
@@ -34,6 +34,8 @@
 /* Returns a workspace by its name, or NULL. */
 const struct workspace *workspace_table_find (const struct workspace_table *table,
                                               const char *name);
+/* Adds copies of the workspaces of another version, in place of those of the same names. */
+void workspace_table_merge (struct workspace_table *table, const struct workspace_table *newer);
 /* Returns whether there are no workspaces, so that nothing about keys, caps and shares applies. */
 bool workspace_table_is_empty (const struct workspace_table *table);
 
--- a/lib/jobs/endpoint.c
+++ b/lib/jobs/endpoint.c
@@ -1,5 +1,7 @@
 #include "lib/jobs/endpoint.h"
 
+#include "lib/workspaces/workspace_usage.h"
+
 #include <string.h>
 
 enum
@@ -31,6 +33,8 @@
   g_free (endpoint->pool);
   g_free (endpoint->address);
   g_strfreev (endpoint->labels);
+  if (endpoint->unknown_attempts)
+    g_array_free (endpoint->unknown_attempts, TRUE);
   g_free (endpoint);
 }
 
@@ -125,6 +129,8 @@
   endpoint->used.cpu_milli += request.cpu_milli;
   endpoint->used.memory_mb += request.memory_mb;
   endpoint->used.gpus += request.gpus;
+  if (task->job->account)
+    workspace_account_add (task->job->account, &request);
 }
 
 /* Removes a task from its endpoint and releases its resources. */
@@ -145,6 +151,8 @@
   endpoint->used.cpu_milli -= request.cpu_milli;
   endpoint->used.memory_mb -= request.memory_mb;
   endpoint->used.gpus -= request.gpus;
+  if (task->job->account)
+    workspace_account_remove (task->job->account, &request);
   if (endpoint->n_tasks == 0)
     endpoint->idle_since_ms = now_ms;
 }
--- a/lib/jobs/endpoint_heartbeats.c
+++ b/lib/jobs/endpoint_heartbeats.c
@@ -375,6 +375,10 @@
   if (endpoint->n_tasks > 0 && endpoint->unresponsive_since_ms > 0 &&
       endpoint_lease_has_expired (scheduler, endpoint))
     endpoint_release_expired (scheduler, endpoint, ENDPOINT_END_UNKNOWN, "lease expired");
+  if (endpoint_has_unknown (endpoint) &&
+      (endpoint->gone ||
+       (endpoint->unresponsive_since_ms > 0 && endpoint_lease_has_expired (scheduler, endpoint))))
+    endpoint_clear_unknown (endpoint);
   if (endpoint->n_tasks > 0)
     endpoint_stop_stalled (scheduler, endpoint);
   if (!endpoint->heartbeat_in_flight && scheduler->now_ms >= endpoint->next_heartbeat_ms &&
@@ -419,6 +423,7 @@
   if (attempt_precedes_start (task, endpoint, running))
     {
       endpoint->n_unknown_attempts++;
+      endpoint_count_unknown (scheduler, endpoint, task);
       task_invalidate_start (scheduler, task, "an earlier attempt runs");
       return;
     }
@@ -436,6 +441,7 @@
               scheduler_lease_expiry_ms (scheduler, scheduler->config.lease_ms);
         }
       endpoint->n_unknown_attempts++;
+      endpoint_count_unknown (scheduler, endpoint, task);
       endpoint->calls++;
       scheduler->counts.stops++;
       scheduler->ops.stop (scheduler->ops.ctx, endpoint, running->task, running->attempt, NULL);
@@ -578,6 +584,7 @@
   /* Before the attempts: an earlier one of a task that is released here is adopted. */
   endpoint_release_unlisted (scheduler, endpoint, report, sent_ms);
   endpoint->n_unknown_attempts = 0;
+  endpoint_clear_unknown (endpoint);
   for (size_t i = 0; i < report->n_attempts; i++)
     endpoint_handle_attempt (scheduler, endpoint, &report->attempts[i], sent_ms);
   if (!was_accepted)
--- a/lib/jobs/placement.c
+++ b/lib/jobs/placement.c
@@ -50,6 +50,14 @@
   struct shortage shortage;
   /* Number of starts that this part of the pass may still send. */
   unsigned starts_left;
+  /* Number of starts until another workspace may have its turn; a gang counts as one. */
+  unsigned turn_left;
+  /* A start of the present job was held back by the cap of its workspace. */
+  bool held_by_cap;
+  /* Workspaces share the pool. */
+  bool shared;
+  /* Capacity of the pool, where workspaces have shares in it. */
+  struct resources capacity;
   /* Suspects that are ready, which are placed last. */
   GPtrArray *suspects;
 };
@@ -217,10 +225,26 @@
   return ready && same;
 }
 
+/* Returns whether the cap of a workspace allows the start of n tasks like first at once. */
+static bool
+task_is_within_cap (const struct scheduler *scheduler, const struct task *first, uint32_t n,
+                    struct pass *pass)
+{
+  struct resources one = task_resources (first);
+  struct resources all = { .cpu_milli = one.cpu_milli * n,
+                           .memory_mb = one.memory_mb * n,
+                           .gpus = one.gpus * n };
+
+  if (job_start_is_allowed (scheduler, first->job, &all, &one))
+    return true;
+  pass->held_by_cap = true;
+  return false;
+}
+
 /* Starts all tasks of a gang or none. A gang that should run within one rack is spread over several
  * if no rack has enough free capacity. The tasks share the attempt number and the checkpoint. */
 static void
-gang_place (struct scheduler *scheduler, struct pool *pool, struct task *first)
+gang_place (struct scheduler *scheduler, struct pool *pool, struct task *first, struct pass *pass)
 {
   const Sp__JobStep *step = task_step (first);
   struct endpoint *chosen[GANG_TASKS_MAX];
@@ -235,6 +259,8 @@
       attempt = MAX (attempt, first[i].highest_attempt);
       checkpoint = first[i].checkpoint ? first[i].checkpoint : checkpoint;
     }
+  if (!task_is_within_cap (scheduler, first, step->n_tasks, pass))
+    return;
   gang_set_trial (first, step->n_tasks);
   if (!(step->same_rack && gang_choose_rack (scheduler, pool, first, step->n_tasks, chosen)) &&
       !gang_choose_endpoints (scheduler, pool, first, step->n_tasks, NULL, chosen))
@@ -247,6 +273,8 @@
       task_set_checkpoint (&first[i], checkpoint);
       task_start (scheduler, &first[i], chosen[i], attempt + 1);
     }
+  pool_charge_start (scheduler, pool, first, step->n_tasks, &pass->capacity);
+  pass->turn_left--;
 }
 
 /* Returns whether request is at least as large as other in each resource. */
@@ -311,14 +339,17 @@
   return pool_choose_endpoint (scheduler, pool, task, NULL);
 }
 
-/* Starts a suspect on trial, if an endpoint can be had for it. */
+/* Starts a suspect on trial, if its workspace's cap allows it and an endpoint can be had for it. */
 static void
 suspect_place (struct scheduler *scheduler, struct pool *pool, struct task *task, struct pass *pass)
 {
   struct endpoint *endpoint;
 
   task->on_trial = true;
-  endpoint = suspect_choose_endpoint (scheduler, pool, task);
+  pass->held_by_cap = false;
+  endpoint = task_is_within_cap (scheduler, task, 1, pass)
+                 ? suspect_choose_endpoint (scheduler, pool, task)
+                 : NULL;
   if (!endpoint)
     {
       /* A trial that was prepared before does not take place. */
@@ -332,6 +363,7 @@
     }
   scheduler->counts.trials++;
   task_start (scheduler, task, endpoint, task->highest_attempt + 1);
+  pool_charge_start (scheduler, pool, task, 1, &pass->capacity);
   pass->starts_left--;
   pool_check_limits (scheduler, pool);
 }
@@ -366,22 +398,25 @@
       struct task *task = g_ptr_array_index (pass->suspects, i);
 
       suspect_place (scheduler, pool, task, pass);
-      if (task->phase == TASK_READY)
+      if (task->phase == TASK_READY && !pass->held_by_cap)
         g_hash_table_add (waiting, task->job);
     }
   pool->n_jobs_awaiting_trial = g_hash_table_size (waiting);
 }
 
-/* Starts the ready tasks of one step as far as there is free capacity. */
-static void
-step_place (struct scheduler *scheduler, struct pool *pool, struct task *first, struct pass *pass)
+/* Starts the ready tasks of a step from one on, as far as there is free capacity, the cap of the
+ * workspace allows it and the turn lasts. Returns the number of tasks that need not be considered
+ * again in this pass. */
+static uint32_t
+step_place (struct scheduler *scheduler, struct pool *pool, struct task *from, struct pass *pass)
 {
-  const Sp__JobStep *step = task_step (first);
-  struct resources request = task_resources (first);
+  struct resources request = task_resources (from);
+  uint32_t n = task_step (from)->n_tasks - from->index;
+  uint32_t i;
 
-  for (uint32_t i = 0; i < step->n_tasks && pass->starts_left > 0; i++)
+  for (i = 0; i < n && pass->starts_left > 0 && pass->turn_left > 0; i++)
     {
-      struct task *task = &first[i];
+      struct task *task = &from[i];
       struct endpoint *endpoint;
 
       if (!task_may_start (scheduler, task))
@@ -392,14 +427,17 @@
           continue;
         }
       task->on_trial = false;
-      if (shortage_covers (&pass->shortage, &request))
-        return;
+      if (shortage_covers (&pass->shortage, &request) ||
+          !task_is_within_cap (scheduler, task, 1, pass))
+        return n;
       endpoint = pool_choose_endpoint (scheduler, pool, task, NULL);
       if (endpoint)
         {
           pool_count_exposure (pool, endpoint, task);
           task_start (scheduler, task, endpoint, task->highest_attempt + 1);
+          pool_charge_start (scheduler, pool, task, 1, &pass->capacity);
           pass->starts_left--;
+          pass->turn_left--;
           continue;
         }
       if (task_is_unconstrained (task))
@@ -407,28 +445,34 @@
       /* If the task has no endpoint to avoid, it didn't fit, and the others of its step don't fit
        * either. */
       if (!task->failed_endpoint)
-        return;
+        return n;
     }
+  return i;
 }
 
-/* Starts as many of a job's ready tasks as possible. */
-static void
-job_place (struct scheduler *scheduler, struct pool *pool, struct job *job, struct pass *pass)
+/* Starts as many of a job's ready tasks as possible in one turn, from its task number next on, and
+ * advances next. Returns whether there may be more to start in another turn. */
+static bool
+job_place (struct scheduler *scheduler, struct pool *pool, struct job *job, uint32_t *next,
+           struct pass *pass)
 {
-  uint32_t offset = 0;
-
-  job_check_caution (scheduler, job);
-  while (offset < job->n_tasks && job->n_ready > 0 && pass->starts_left > 0)
+  if (*next == 0)
+    job_check_caution (scheduler, job);
+  pass->held_by_cap = false;
+  while (*next < job->n_tasks && job->n_ready > 0 && pass->starts_left > 0 && pass->turn_left > 0)
     {
-      struct task *first = &job->tasks[offset];
-      const Sp__JobStep *step = task_step (first);
+      struct task *task = &job->tasks[*next];
+      const Sp__JobStep *step = task_step (task);
 
       if (step->gang)
-        gang_place (scheduler, pool, first);
+        {
+          gang_place (scheduler, pool, task, pass);
+          *next += step->n_tasks;
+        }
       else
-        step_place (scheduler, pool, first, pass);
-      offset += step->n_tasks;
+        *next += step_place (scheduler, pool, task, pass);
     }
+  return *next < job->n_tasks && job->n_ready > 0;
 }
 
 /* Returns whether a job's tasks run until it is cancelled. */
@@ -444,6 +488,8 @@
   struct job *job;
   bool long_running;
   bool late;
+  /* Number of the first task that is to be considered in the job's next turn. */
+  uint32_t next_task;
 };
 
 /* Compares jobs by the order in which they are placed: long-running jobs first, as callers notice
@@ -466,6 +512,75 @@
   return 0;
 }
 
+/* Returns whether workspaces share the pool between two jobs, so that these are in the same class
+ * and of the same priority. Long-running jobs come first whatever the shares are. */
+static bool
+job_rank_shares (const struct job_rank *a, const struct job_rank *b)
+{
+  return !a->long_running && !b->long_running && a->late == b->late &&
+         a->job->definition->priority == b->job->definition->priority;
+}
+
+/* Places a job's tasks without an end of its turn. Returns whether it waits for capacity. */
+static bool
+job_place_all (struct scheduler *scheduler, struct pool *pool, struct job_rank *entry,
+               struct pass *pass)
+{
+  pass->turn_left = UINT_MAX;
+  job_place (scheduler, pool, entry->job, &entry->next_task, pass);
+  return entry->job->n_ready > 0 && !pass->held_by_cap;
+}
+
+/* Places n jobs between which workspaces share the pool. Each start is a turn of the workspace with
+ * the lowest service per weight. */
+static void
+pool_place_shares (struct scheduler *scheduler, struct pool *pool, struct job_rank *entries,
+                   guint n, struct pass *pass)
+{
+  struct job_rank *entry;
+
+  if (!pool->shares)
+    pool->shares = share_order_create (scheduler->share_window_ms);
+  share_order_begin (pool->shares, scheduler->now_ms);
+  for (guint i = 0; i < n; i++)
+    {
+      const struct workspace_account *account = entries[i].job->account;
+
+      share_order_add (pool->shares, account->index,
+                       workspace_usage_weight (scheduler->workspaces, account), &entries[i]);
+    }
+  while (pass->starts_left > 0 && (entry = share_order_peek (pool->shares)))
+    {
+      pass->turn_left = 1;
+      share_order_advance (pool->shares,
+                           job_place (scheduler, pool, entry->job, &entry->next_task, pass));
+    }
+}
+
+/* Places ranked jobs. Returns whether a long-running one waits for capacity. */
+static bool
+pool_place_ranked (struct scheduler *scheduler, struct pool *pool, GArray *ranked,
+                   struct pass *pass)
+{
+  bool starved = false;
+  guint i = 0;
+
+  while (i < ranked->len)
+    {
+      struct job_rank *entry = &g_array_index (ranked, struct job_rank, i);
+      guint n = 1;
+
+      while (pass->shared && i + n < ranked->len && job_rank_shares (entry, &entry[n]))
+        n++;
+      if (n > 1)
+        pool_place_shares (scheduler, pool, entry, n, pass);
+      else if (job_place_all (scheduler, pool, entry, pass))
+        starved = starved || entry->long_running;
+      i += n;
+    }
+  return starved;
+}
+
 /* Starts the ready tasks of a pool that fit, in the order of their jobs. Returns the number of
  * starts, starts_max at most. */
 static unsigned
@@ -473,9 +588,11 @@
 {
   g_autoptr (GArray) ranked = g_array_new (FALSE, FALSE, sizeof (struct job_rank));
   g_autoptr (GPtrArray) suspects = g_ptr_array_new ();
-  struct pass pass = { .starts_left = starts_max, .suspects = suspects };
+  struct pass pass = { .starts_left = starts_max,
+                       .suspects = suspects,
+                       .shared = scheduler_has_workspaces (scheduler) };
   struct job *job;
-  bool starved = false;
+  bool starved;
 
   pool->changed = false;
   pool_check_limits (scheduler, pool);
@@ -489,14 +606,10 @@
       entry.late = job_is_late (job, scheduler->now_ms);
       g_array_append_val (ranked, entry);
     }
+  if (pass.shared && ranked->len > 0)
+    pass.capacity = pool_capacity (pool);
   g_array_sort (ranked, job_rank_compare);
-  for (guint i = 0; i < ranked->len; i++)
-    {
-      const struct job_rank *entry = &g_array_index (ranked, struct job_rank, i);
-
-      job_place (scheduler, pool, entry->job, &pass);
-      starved = starved || (entry->long_running && entry->job->n_ready > 0);
-    }
+  starved = pool_place_ranked (scheduler, pool, ranked, &pass);
 
   pool_place_suspects (scheduler, pool, &pass);
   if (!starved)
@@ -538,6 +651,7 @@
 
   if (!scheduler_may_start_tasks (scheduler))
     return;
+  scheduler_assume_unreported (scheduler);
   left = scheduler_place_share (scheduler, scheduler->starts_per_pass);
   if (left > 0)
     scheduler_place_share (scheduler, left);
--- a/lib/jobs/pool_size.c
+++ b/lib/jobs/pool_size.c
@@ -40,18 +40,22 @@
     {
       struct resources suspects = job_suspect_demand (job);
       struct resources now;
-      struct resources at_horizon;
+      struct resources at_horizon = { 0 };
+      bool late;
 
       if (job_is_over (job))
         continue;
       now = job_current_demand (job);
+      late = job_is_late (job, scheduler->now_ms);
+      if (!late)
+        at_horizon = job_demand_at_horizon (job, HOST_READY_MS, scheduler->now_ms);
+      job_limit_demand (scheduler, job, &now, &suspects, &at_horizon);
       resources_add (&pool->suspect_request, &suspects);
-      if (job_is_late (job, scheduler->now_ms))
+      if (late)
         {
           resources_add (&pool->late_request, &now);
           continue;
         }
-      at_horizon = job_demand_at_horizon (job, HOST_READY_MS, scheduler->now_ms);
       resources_add (&pool->request, &now);
       resources_add (&later, &at_horizon);
     }
@@ -359,6 +363,7 @@
   if (!scheduler->host_commands_allowed || !scheduler->hosts_loaded)
     return;
   scheduler_count_hosts (scheduler);
+  scheduler_sum_workspace_demand (scheduler);
   TAILQ_FOREACH (pool, &scheduler->pools, link)
     {
       struct resources size = pool_host_size (scheduler, pool);
--- a/lib/jobs/scheduled_jobs.c
+++ b/lib/jobs/scheduled_jobs.c
@@ -199,10 +199,12 @@
   job_reset_tasks (job);
   if (job->inherited)
     job_reserve_attempts (scheduler, job);
+  job_open_account (scheduler, job);
   job->due_ms = job_due_ms (scheduler, job);
   pool = scheduler_pool (scheduler, job->definition->pool);
   TAILQ_INSERT_TAIL (&pool->jobs, job, pool_link);
-  if (!job->inherited)
+  /* A workspace at its cap starts none of them, and needs no hosts for more. */
+  if (!job->inherited && !(job->account && workspace_account_is_full (job->account)))
     demand_add_arrival (&pool->demand, job, HOST_READY_MS, scheduler->now_ms);
   scheduler->counts.jobs++;
   if (job_has_progress (job, &exhausted))
@@ -276,6 +278,7 @@
         endpoint_remove_task (&job->tasks[i], scheduler->now_ms);
     }
   job->scheduled = false;
+  job_close_account (job);
   job->dirty = false;
   g_hash_table_remove (scheduler->dirty, job);
   TAILQ_REMOVE (&scheduler_pool (scheduler, job->definition->pool)->jobs, job, pool_link);
--- a/lib/jobs/scheduler.c
+++ b/lib/jobs/scheduler.c
@@ -123,6 +123,7 @@
       struct pool *pool = TAILQ_FIRST (&scheduler->pools);
 
       TAILQ_REMOVE (&scheduler->pools, pool, link);
+      share_order_destroy (pool->shares);
       g_free (pool->name);
       g_free (pool);
     }
@@ -137,6 +138,7 @@
     }
   scheduler_clear_crashes (scheduler);
   scheduler_clear_losses (scheduler);
+  scheduler_clear_workspaces (scheduler);
   g_hash_table_destroy (scheduler->cautious_queues);
   g_hash_table_destroy (scheduler->endpoints);
   g_hash_table_destroy (scheduler->hosts_by_id);
@@ -151,6 +153,7 @@
 {
   if (endpoint->member_of)
     TAILQ_REMOVE (&endpoint->member_of->endpoints, endpoint, pool_link);
+  endpoint_clear_unknown (endpoint);
   endpoint_destroy (endpoint);
 }
 
@@ -349,7 +352,8 @@
       endpoint_tick (scheduler, endpoint);
       scheduler->n_unresponsive_with_tasks +=
           endpoint->n_tasks > 0 && endpoint->unresponsive_since_ms > 0;
-      if (!endpoint->listed && endpoint->n_tasks == 0 && endpoint->calls == 0)
+      if (!endpoint->listed && endpoint->n_tasks == 0 && endpoint->calls == 0 &&
+          !endpoint_has_unknown (endpoint))
         {
           g_hash_table_iter_remove (&iter);
           endpoint_remove (endpoint);
@@ -418,6 +422,7 @@
                        pool->name, n_ready, n_running, pool->n_hosts, pool->hosts_wanted,
                        n_unresponsive, pool->takeover_complete);
     }
+  scheduler_log_workspaces (scheduler);
 }
 
 void
--- a/lib/jobs/scheduler_state.h
+++ b/lib/jobs/scheduler_state.h
@@ -3,6 +3,7 @@
 
 #include "lib/jobs/demand.h"
 #include "lib/jobs/scheduler.h"
+#include "lib/workspaces/share_order.h"
 
 /* State and functions that the scheduler's files share. */
 
@@ -52,6 +53,8 @@
   unsigned n_exposures_left;
   /* Since when long-running tasks have waited for free capacity; 0 if none does. */
   int64_t starved_since_ms;
+  /* Service that workspaces got; NULL before the first start for a workspace. */
+  struct share_order *shares;
 };
 
 /* A maintenance wave. */
@@ -154,6 +157,13 @@
   int64_t next_sizing_ms;
   int64_t next_jobs_check_ms;
   int64_t next_pools_log_ms;
+  /* NULL while the configuration has had no workspaces. */
+  struct workspace_usage *workspaces;
+  int64_t share_window_ms;
+  /* For how many pools it was last computed what attempts of earlier leaders may use there, and
+   * when to compute it next. */
+  unsigned n_assumed_pools;
+  int64_t next_assume_ms;
   struct scheduler_counts counts;
 };
 
@@ -259,6 +269,27 @@
 /* placement.c */
 void scheduler_place (struct scheduler *scheduler);
 
+/* scheduled_workspaces.c */
+bool scheduler_has_workspaces (const struct scheduler *scheduler);
+void job_open_account (struct scheduler *scheduler, struct job *job);
+void job_close_account (struct job *job);
+void task_count_unconfirmed (struct task *task, enum task_phase phase);
+void scheduler_assume_unreported (struct scheduler *scheduler);
+void endpoint_count_unknown (struct scheduler *scheduler, struct endpoint *endpoint,
+                             const struct task *task);
+void endpoint_clear_unknown (struct endpoint *endpoint);
+bool endpoint_has_unknown (const struct endpoint *endpoint);
+bool job_start_is_allowed (const struct scheduler *scheduler, struct job *job,
+                           const struct resources *request, const struct resources *one);
+struct resources pool_capacity (const struct pool *pool);
+void pool_charge_start (const struct scheduler *scheduler, struct pool *pool,
+                        const struct task *task, unsigned n, const struct resources *capacity);
+void scheduler_sum_workspace_demand (struct scheduler *scheduler);
+void job_limit_demand (const struct scheduler *scheduler, const struct job *job,
+                       struct resources *now, struct resources *suspects, struct resources *later);
+void scheduler_log_workspaces (struct scheduler *scheduler);
+void scheduler_clear_workspaces (struct scheduler *scheduler);
+
 /* pacing.c */
 void endpoint_adjust_pace (struct scheduler *scheduler, struct endpoint *endpoint);
 
--- a/lib/jobs/task_attempt.c
+++ b/lib/jobs/task_attempt.c
@@ -42,6 +42,7 @@
       task->stops_failed = 0;
       task->fence_raised_ms = 0;
     }
+  task_count_unconfirmed (task, phase);
   job->n_ready -= task->phase == TASK_READY;
   job->n_active -=
       task->phase == TASK_STARTING || task->phase == TASK_RUNNING || task->phase == TASK_STOPPING;
--- a/lib/workspaces/workspace_table.c
+++ b/lib/workspaces/workspace_table.c
@@ -45,6 +45,23 @@
   return copy;
 }
 
+void
+workspace_table_merge (struct workspace_table *table, const struct workspace_table *newer)
+{
+  for (guint i = 0; i < newer->workspaces->len; i++)
+    {
+      const struct workspace *workspace = g_ptr_array_index (newer->workspaces, i);
+      gpointer former = g_hash_table_lookup (table->by_name, workspace->name);
+
+      if (former)
+        {
+          g_hash_table_remove (table->by_name, workspace->name);
+          g_ptr_array_remove (table->workspaces, former);
+        }
+      workspace_table_add (table, workspace);
+    }
+}
+
 const struct workspace *
 workspace_table_find (const struct workspace_table *table, const char *name)
 {
--- a/tests/jobs/job_records.c
+++ b/tests/jobs/job_records.c
@@ -12,6 +12,8 @@
   definition.id = (char *) spec->id;
   definition.pool = (char *) spec->pool;
   definition.queue = (char *) "q";
+  if (spec->workspace)
+    definition.workspace = (char *) spec->workspace;
   definition.max_attempts = spec->max_attempts;
   definition.slack_permille = 2000;
   definition.target_ms = 600;
--- a/tests/jobs/job_records.h
+++ b/tests/jobs/job_records.h
@@ -10,6 +10,8 @@
 {
   const char *id;
   const char *pool;
+  /* NULL for none. */
+  const char *workspace;
   const Sp__JobStep *steps;
   size_t n_steps;
   uint32_t max_attempts;
--- a/tests/jobs/simulation.c
+++ b/tests/jobs/simulation.c
@@ -53,6 +53,9 @@
   simulation->crashing_tasks = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   simulation->failures = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   simulation->work_ms = 1000;
+  simulation->workspaces = workspace_table_create ();
+  simulation->all_workspaces = workspace_table_create ();
+  simulation->caps = g_array_new (FALSE, FALSE, sizeof (struct simulated_cap));
   return simulation;
 }
 
@@ -67,6 +70,9 @@
       g_free (simulation->all_jobs);
     }
   g_ptr_array_free (simulation->endpoints, TRUE);
+  workspace_table_destroy (simulation->workspaces);
+  workspace_table_destroy (simulation->all_workspaces);
+  g_array_free (simulation->caps, TRUE);
   g_hash_table_destroy (simulation->sent_attempts);
   g_hash_table_destroy (simulation->crashing_tasks);
   g_hash_table_destroy (simulation->failures);
@@ -151,6 +157,8 @@
   for (unsigned i = 0; i < simulation->n_hosts; i++)
     scheduler_set_pool (simulation->scheduler, simulation->hosts[i].pool,
                         g_strcmp0 (simulation->hosts[i].pool, simulation->standby) == 0);
+  scheduler_set_workspaces (simulation->scheduler, simulation->all_workspaces, SHARE_WINDOW_MS);
+  scheduler_set_workspaces (simulation->scheduler, simulation->workspaces, SHARE_WINDOW_MS);
   if (simulation->wave_requested)
     scheduler_wave_requested (simulation->scheduler, &simulation->wave, simulation->now_ms);
   simulation_read_lists (simulation);
@@ -186,6 +194,7 @@
 {
   struct job_spec spec = { .id = id,
                            .pool = pool,
+                           .workspace = simulation->workspace,
                            .steps = steps,
                            .n_steps = n_steps,
                            .max_attempts = max_attempts,
@@ -298,7 +307,7 @@
   return simulation->duplicate_starts + simulation->started_after_done + simulation->over_capacity +
          simulation->over_spread + simulation->starts_out_of_order + simulation->over_attempts +
          simulation->over_unavailable_limit + simulation->over_wave_limit +
-         simulation->reused_attempts + simulation->over_crashes;
+         simulation->reused_attempts + simulation->over_crashes + simulation->over_cap;
 }
 
 void
--- a/tests/jobs/simulation.h
+++ b/tests/jobs/simulation.h
@@ -157,6 +157,14 @@
   int host_closed_permille;
   int host_rejected_permille;
   uint64_t last_token;
+  /* Workspaces of the configuration, and all versions of each one's cap, as struct
+   * simulated_cap. */
+  struct workspace_table *workspaces;
+  /* The last version of each workspace that there was. */
+  struct workspace_table *all_workspaces;
+  GArray *caps;
+  /* Workspace of the jobs that are submitted from now on; NULL for none. */
+  const char *workspace;
   /* Duration of batch attempts, and share of attempts that fail. */
   int64_t work_ms;
   int fail_permille;
@@ -179,6 +187,8 @@
   unsigned reused_attempts;
   /* Starts of a task beyond two after three endpoints have crashed under it. */
   unsigned over_crashes;
+  /* Starts that brought what a workspace has running above 1.1 times its cap and one task more. */
+  unsigned over_cap;
   /* Counters. */
   unsigned crashes;
   unsigned starts;
@@ -203,6 +213,10 @@
 struct job *simulation_submit (struct simulation *simulation, const char *id, const char *pool,
                                const Sp__JobStep *steps, size_t n_steps, uint32_t max_attempts);
 void simulation_cancel (struct simulation *simulation, const char *id);
+/* Adds or changes a workspace with a cap in milli-cores and MB, or removes it from the
+ * configuration if the cap is NULL, and passes the configuration to the leader. */
+void simulation_set_workspace (struct simulation *simulation, const char *name,
+                               const struct resources *cap);
 /* Advances the cluster by ms. */
 void simulation_run (struct simulation *simulation, int64_t ms);
 /* Returns the endpoint that runs an attempt of a task, or NULL. Sets found to the attempt unless it
--- a/tests/jobs/simulation_endpoints.c
+++ b/tests/jobs/simulation_endpoints.c
@@ -179,6 +179,7 @@
       used.memory_mb > endpoint->capacity.memory_mb)
     simulation_log (simulation, "OVER CAPACITY: endpoint=%s attempts=%u", endpoint->id,
                     endpoint->attempts->len);
+  simulation_check_cap (simulation, event);
   simulation->over_spread += event->spread_limit > 0 && same_step > event->spread_limit;
 }
 
--- a/tests/jobs/simulation_state.h
+++ b/tests/jobs/simulation_state.h
@@ -47,12 +47,21 @@
   /* Duration of attempts on an endpoint that fails everything. */
   FAILING_ATTEMPT_MS = 50,
   PERMILLE = 1000,
+  SHARE_WINDOW_MS = 5000,
   /* A long-running task is available this long after its start. */
   AVAILABLE_AFTER_MS = 500,
   /* Offset of the start times of incarnations from the time of the simulation. */
   BORN_OFFSET_MS = 1000000,
 };
 
+/* A version of a workspace's cap. name points to a constant. */
+struct simulated_cap
+{
+  const char *name;
+  struct resources cap;
+  int64_t since_ms;
+};
+
 enum event_kind
 {
   EVENT_START,
@@ -139,6 +148,9 @@
 enum command_result endpoint_execute (struct simulation *simulation, struct event *event);
 bool endpoint_receive_heartbeat (struct simulation *simulation, const struct event *event);
 
+/* simulation_workspaces.c */
+void simulation_check_cap (struct simulation *simulation, const struct event *event);
+
 /* simulation_commands.c */
 void event_destroy (gpointer data);
 struct event *simulation_post (struct simulation *simulation, enum event_kind kind,
