jobd: pass workspaces to the scheduler, show them in metrics and explain

The leader passes the workspaces of the newest configuration, after the last version of each workspace that the host has seen, so that a removed one keeps its cap under a new leader too.

--- a/cli/commands/explain.c
+++ b/cli/commands/explain.c
@@ -46,13 +46,15 @@
 static void
 job_print (const json_t *job)
 {
+  const char *workspace = json_field_string (job, "workspace");
   json_t *task;
   size_t i;
 
-  printf ("job %s: %s%s, queue %s, pool %s, %lld of %lld tasks done, at most %lld attempts\n",
+  printf ("job %s: %s%s, queue %s, pool %s%s%s, %lld of %lld tasks done, at most %lld attempts\n",
           json_field_string (job, "job"), json_field_string (job, "state"),
           json_is_true (json_object_get (job, "cancelled")) ? ", cancelled" : "",
           json_field_string (job, "queue"), json_field_string (job, "pool"),
+          workspace[0] ? ", workspace " : "", workspace,
           (long long) json_field_integer (job, "tasks_done"),
           (long long) json_field_integer (job, "tasks_total"),
           (long long) json_field_integer (job, "max_attempts"));
--- a/jobd/inspect.c
+++ b/jobd/inspect.c
@@ -79,10 +79,10 @@
       if (!job->tasks[i].done || job->tasks[i].n_failed > 0 || job->tasks[i].n_crashed > 0)
         json_array_append_new (tasks, inspect_task (&job->tasks[i]));
     }
-  return json_pack ("{s:s, s:s, s:b, s:s, s:s, s:I, s:I, s:I, s:I, s:o}", "job", id, "state",
+  return json_pack ("{s:s, s:s, s:b, s:s, s:s, s:s, s:I, s:I, s:I, s:I, s:o}", "job", id, "state",
                     job_state_name (job->state), "cancelled", job->cancelled, "queue",
-                    definition->queue, "pool", definition->pool, "accepted_ms",
-                    (json_int_t) definition->accepted_ms, "max_attempts",
+                    definition->queue, "pool", definition->pool, "workspace", definition->workspace,
+                    "accepted_ms", (json_int_t) definition->accepted_ms, "max_attempts",
                     (json_int_t) definition->max_attempts, "tasks_total", (json_int_t) job->n_tasks,
                     "tasks_done", n_done, "tasks", tasks);
 }
--- a/jobd/leader.c
+++ b/jobd/leader.c
@@ -69,6 +69,8 @@
       g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify) g_bytes_unref);
   leader->wave_progress =
       g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, (GDestroyNotify) g_bytes_unref);
+  leader->all_workspaces = workspace_table_create ();
+  leader->by_workspace = workspace_metrics_create (metrics);
   leader->claim_delay_fraction = leader_election_draw_fraction (1.0 - g_random_double ());
   metric_add_gauge (metrics, &leader->leading, "sesamepick_jobd_leading", "",
                     "1 while this host leads.");
@@ -174,6 +176,8 @@
       leader_step_down (leader);
     }
   leader_remove_metrics (leader);
+  workspace_metrics_destroy (leader->by_workspace);
+  workspace_table_destroy (leader->all_workspaces);
   g_hash_table_destroy (leader->wave_requests);
   g_hash_table_destroy (leader->wave_progress);
   g_free (leader);
@@ -540,6 +544,9 @@
   leader->trials_survived.value = (int64_t) counts.trials_survived;
   leader->jobs_given_up.value = (int64_t) counts.jobs_given_up;
   leader->endpoints_unresponsive.value = counts.endpoints_unresponsive;
+  workspace_metrics_update (leader->by_workspace,
+                            leader->scheduler ? scheduler_count_workspaces (leader->scheduler)
+                                              : NULL);
   leader->relays_used.value = leader->sender ? command_sender_relays (leader->sender) : 0;
   if (leader->sender)
     command_sender_tick (leader->sender, counts.endpoints,
--- a/jobd/leader_state.h
+++ b/jobd/leader_state.h
@@ -6,6 +6,7 @@
 #include "lib/jobs/leadership_lease.h"
 #include "lib/jobs/scheduler.h"
 #include "platform/command_client.h"
+#include "workspace_metrics.h"
 
 /* State shared by leader.c and scheduling.c. */
 
@@ -95,6 +96,9 @@
   GHashTable *wave_requests;
   /* Packed Sp__WaveProgress of each wave, by wave number. */
   GHashTable *wave_progress;
+  /* The last version of each workspace that this host has seen in a configuration. */
+  struct workspace_table *all_workspaces;
+  struct workspace_metrics *by_workspace;
   struct metric leading;
   struct metric claims;
   struct metric tasks_running;
--- a/jobd/scheduling.c
+++ b/jobd/scheduling.c
@@ -199,14 +199,30 @@
     scheduler_registry_read (leader->scheduler);
 }
 
-/* Passes the pools of the configuration to the scheduler. */
+/* Passes the workspaces of the configuration to the scheduler. Those that were removed go first, so
+ * that they keep their last cap also under a new leader. */
+static void
+leader_apply_workspaces (struct leader *leader)
+{
+  const struct workspace_table *workspaces = leader->jobd->queues->workspaces;
+  int64_t window_ms = leader->jobd->settings->share_window_ms;
+
+  if (!workspace_table_is_empty (workspaces))
+    scheduler_set_workspaces (leader->scheduler, leader->all_workspaces, window_ms);
+  scheduler_set_workspaces (leader->scheduler, workspaces, window_ms);
+}
+
+/* Passes the pools and workspaces of the configuration to the scheduler. */
 void
 leader_config_changed (struct leader *leader)
 {
   const GPtrArray *pools = leader->jobd->queues->pools;
 
+  workspace_table_merge (leader->all_workspaces, leader->jobd->queues->workspaces);
+  workspace_metrics_choose (leader->by_workspace, leader->jobd->queues->workspaces);
   if (!leader->scheduler)
     return;
+  leader_apply_workspaces (leader);
   for (guint i = 0; i < pools->len; i++)
     {
       const struct job_pool_config *pool = g_ptr_array_index (pools, i);
--- a/lib/jobs/scheduled_workspaces.c
+++ b/lib/jobs/scheduled_workspaces.c
@@ -98,8 +98,6 @@
       TAILQ_FOREACH (job, &pool->jobs, pool_link)
         job_open_account (scheduler, job);
     }
-  scheduler_log (scheduler, "workspaces applied: workspaces=%u accounts=%u", table->workspaces->len,
-                 scheduler->workspaces->accounts->len);
 }
 
 /* Assumes for a job of an earlier leader, in a pool whose takeover isn't complete, that its ready
