jobd: pass the configuration and its age on between the hosts

Cause: a host that the store rejects keeps its configuration and can't tell how old it is, so that it would serve keys and routes that were withdrawn long ago.

Batches between leader and relays carry version and age, and the record for a peer that names an older version. An age counts from a message of this host that the peer had received, never from the receipt, so that a delayed batch doesn't look fresh; CommandBatch gets heard_sequence for this. A load of the newest records in several pages counts as read as of its first page, and additional reads count as reads to the end.

--- a/include/lib/jobs/command_message.h
+++ b/include/lib/jobs/command_message.h
@@ -4,6 +4,18 @@
 #include "command.pb-c.h"
 #include "lib/jobs/scheduler.h"
 
+/* The configuration as a host tells it to a peer. */
+struct config_notice
+{
+  /* 0 if the host knows none. */
+  int64_t version;
+  /* How long ago the version was last confirmed to be the newest; negative if it never was. */
+  int64_t age_ms;
+  /* The raw record, or NULL. */
+  const void *record;
+  size_t record_len;
+};
+
 /* Encoding of what a leader and its relays send each other. Batches are built by appending one
  * encoded part after the other, which protobuf defines as merging them. */
 
@@ -18,6 +30,11 @@
 void command_batch_finish (GByteArray *batch, uint64_t sequence, uint64_t epoch,
                            bool takes_records);
 
+/* Appends what the leader knows of the configuration. heard_sequence: highest sequence whose
+ * acknowledgement has arrived from the receiver. */
+void command_batch_add_config (GByteArray *batch, const struct config_notice *notice,
+                               uint64_t heard_sequence);
+
 /* Appends the result of a command to an encoded ResultBatch. report may be NULL. */
 void result_batch_add (GByteArray *batch, uint64_t number, enum command_result result,
                        int64_t clock_ms, const struct endpoint_report *report);
@@ -25,6 +42,8 @@
  * incarnation of this host. */
 void result_batch_add_record (GByteArray *batch, uint64_t incarnation, uint64_t number,
                               const char *key, const void *value, size_t len);
+/* Appends what the relay knows of the configuration. */
+void result_batch_add_config (GByteArray *batch, const struct config_notice *notice);
 /* Ends a batch. confirms_epoch: the host knows of no later epoch and has claimed none. */
 void result_batch_finish (GByteArray *batch, uint64_t acked_sequence, uint64_t epoch, bool stopping,
                           bool confirms_epoch);
--- a/include/platform/documents.h
+++ b/include/platform/documents.h
@@ -24,8 +24,10 @@
                      struct decoded_endpoint *decoded);
 void decoded_endpoint_clear (struct decoded_endpoint *decoded);
 
-/* Decodes the operators' configuration. Returns NULL if it is malformed. */
-struct queue_table *decode_config (const void *data, size_t len);
+/* Decodes the operators' configuration. Digests of keys are computed with the salt. Faulty entries
+ * of workspaces are left out and logged by their place. Returns NULL if the document is malformed,
+ * or if none of its workspaces can be used. */
+struct queue_table *decode_config (const void *data, size_t len, const struct workspace_salt *salt);
 
 /* An operator's request for a wave of maintenance. */
 struct decoded_wave
--- a/jobd/command_sender.c
+++ b/jobd/command_sender.c
@@ -50,6 +50,8 @@
   struct command_sender *sender;
   struct relay *relay;
   struct peer_link *peer;
+  /* What its host knows of the configuration. */
+  struct config_peer config;
   /* Encoded commands to be sent in this iteration of the loop. */
   GByteArray *batch;
   int64_t next_ping_ms;
@@ -81,6 +83,8 @@
   bool relaying;
   /* The other hosts are asked to confirm the leader's epoch. */
   bool confirming;
+  /* Callers need keys, so that the hosts exchange the configuration's age. */
+  bool has_workspaces;
   unsigned relays_logged;
   /* By number, as struct sent_command; the same in the order in which they were sent. */
   GHashTable *commands;
@@ -195,6 +199,22 @@
                  appending_record_on_done, record);
 }
 
+/* Handles what a relay's host says of the configuration. Another version may take the place of the
+ * one in force. */
+static void
+relay_link_on_config (struct relay_link *link, const Sp__ResultBatch *batch)
+{
+  struct config_notice notice = {
+    .version = batch->config_version,
+    .age_ms = batch->config_age_ms,
+    .record = batch->config_record.data,
+    .record_len = batch->config_record.len,
+  };
+
+  config_peer_received (&link->config, &link->sender->jobd->config, &notice, batch->acked_sequence,
+                        link->heard_ms);
+}
+
 /* Handles a message of a relay. */
 static void
 relay_link_on_message (void *ctx, const void *data, size_t len)
@@ -219,22 +239,36 @@
         command_sender_on_result (sender, batch->results[i]);
       for (size_t i = 0; i < batch->n_records; i++)
         relay_link_append (link, batch->records[i]);
+      relay_link_on_config (link, batch);
     }
   sp__result_batch__free_unpacked (batch, NULL);
 }
 
+/* Returns whether relays get a batch each PING_INTERVAL_MS. */
+static bool
+command_sender_pings_often (const struct command_sender *sender)
+{
+  return sender->relaying || sender->confirming || sender->has_workspaces;
+}
+
 /* Sends a link's batch, which may be empty. */
 static void
 relay_link_send (struct relay_link *link, int64_t now_ms)
 {
-  command_batch_finish (link->batch, relay_batch_sent (link->relay, now_ms), link->sender->epoch,
-                        link->sender->relaying);
+  struct jobd *jobd = link->sender->jobd;
+  uint64_t sequence = relay_batch_sent (link->relay, now_ms);
+  struct config_notice notice;
+
+  jobd_confirm_config (jobd);
+  notice = config_peer_prepare (&link->config, &jobd->config, now_ms);
+  command_batch_add_config (link->batch, &notice, link->relay->acked_sequence);
+  command_batch_finish (link->batch, sequence, link->sender->epoch, link->sender->relaying);
+  config_peer_sent (&link->config, sequence, now_ms);
   /* A batch that can't be sent is not acknowledged, so the relay counts as failed soon. */
   peer_link_send (link->peer, link->batch->data, link->batch->len);
   g_byte_array_set_size (link->batch, 0);
-  link->next_ping_ms =
-      now_ms + (link->sender->relaying || link->sender->confirming ? PING_INTERVAL_MS
-                                                                   : IDLE_PING_INTERVAL_MS);
+  link->next_ping_ms = now_ms + (command_sender_pings_often (link->sender) ? PING_INTERVAL_MS
+                                                                           : IDLE_PING_INTERVAL_MS);
 }
 
 /* Sends all batches before the loop waits for events. */
@@ -410,21 +444,22 @@
   sender->relays_logged = sender->relays.n_used;
 }
 
-/* Begins or ends the use of relays as the fleet grows or shrinks, and the confirmations of the
- * epoch. */
+/* Begins or ends the use of relays as the fleet grows or shrinks, the confirmations of the epoch,
+ * and the exchange of the configuration's age. */
 static void
 command_sender_set_use (struct command_sender *sender, bool relaying, bool confirming,
                         int64_t now_ms)
 {
+  bool pinged_often = command_sender_pings_often (sender);
   struct relay *relay;
 
-  if ((relaying || confirming) && !sender->relaying && !sender->confirming)
-    {
-      TAILQ_FOREACH (relay, &sender->relays.relays, link)
-        ((struct relay_link *) relay->data)->next_ping_ms = now_ms;
-    }
   sender->relaying = relaying;
   sender->confirming = confirming;
+  sender->has_workspaces = jobd_has_workspaces (sender->jobd);
+  if (pinged_often || !command_sender_pings_often (sender))
+    return;
+  TAILQ_FOREACH (relay, &sender->relays.relays, link)
+    ((struct relay_link *) relay->data)->next_ping_ms = now_ms;
 }
 
 /* Returns whether each other host that the journal names has a link. */
--- /dev/null
+++ b/jobd/config_state.h
@@ -0,0 +1,78 @@
+#ifndef SESAMEPICK_JOBD_CONFIG_STATE_H
+#define SESAMEPICK_JOBD_CONFIG_STATE_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "lib/jobs/command_message.h"
+
+/* The version of the operators' configuration that is in force on this host, since when it is
+ * certainly the newest, and its exchange with the hosts at the other ends of links. All times are
+ * monotonic ms of this host's clock. */
+
+enum
+{
+  /* The record is not sent to a peer again within this time. */
+  CONFIG_RECORD_INTERVAL_MS = 500,
+  /* A peer gets the record only if it has named an older version this long after this host learned
+   * the newer one. Hosts that reach the store read a version within that time by themselves, so
+   * that a new version doesn't send its record over all links. */
+  CONFIG_RECORD_DELAY_MS = 200,
+};
+
+struct config_state
+{
+  /* 0 if there is no configuration, or it has no version. */
+  int64_t version;
+  /* The record as the store holds it; NULL if there is none. */
+  GBytes *record;
+  int64_t learned_ms;
+  /* Every version that the store acknowledged before this time is not newer than version; 0 if
+   * nothing is known. */
+  int64_t confirmed_ms;
+  /* Handles a record that a peer has passed on: decodes it and, if it is newer, puts it in force
+   * with config_state_replace. */
+  void (*on_record) (void *ctx, const void *data, size_t len);
+  void *ctx;
+};
+
+/* What is known of the host at the other end of a link. Each side numbers something that the other
+ * one acknowledges: the leader its batches, the relay the batches that it has received. */
+struct config_peer
+{
+  /* The version that the peer last named, and when; 0 if it has named none. */
+  int64_t version;
+  int64_t heard_ms;
+  /* When the record was last sent to it; 0 if never. */
+  int64_t record_sent_ms;
+  /* Highest number that was sent to it, and the number whose acknowledgement is awaited, which was
+   * first sent at probe_sent_ms; 0 if none is awaited. */
+  uint64_t sent_number;
+  uint64_t probe_number;
+  int64_t probe_sent_ms;
+};
+
+void config_state_clear (struct config_state *state);
+/* Puts a version in force, unless it is not newer. */
+void config_state_replace (struct config_state *state, int64_t version, const void *record,
+                           size_t len, int64_t now_ms);
+/* Handles that no version newer than one had been acknowledged by the store at a time. Ignored if
+ * this host's version is older. */
+void config_state_confirm (struct config_state *state, int64_t version, int64_t at_ms);
+/* Returns how long ago the version in force was last confirmed to be the newest; INT64_MAX if it
+ * never was. */
+int64_t config_state_age_ms (const struct config_state *state, int64_t now_ms);
+
+/* Returns what a message to the peer is to say, with the record if the peer needs it. The record is
+ * valid until the version changes. */
+struct config_notice config_peer_prepare (struct config_peer *peer,
+                                          const struct config_state *state, int64_t now_ms);
+/* Handles that a message with a number was sent. Numbers may repeat, but not fall. */
+void config_peer_sent (struct config_peer *peer, uint64_t number, int64_t now_ms);
+/* Handles a message of the peer; acked_number is the highest number that it had received. */
+void config_peer_received (struct config_peer *peer, struct config_state *state,
+                           const struct config_notice *notice, uint64_t acked_number,
+                           int64_t now_ms);
+
+#endif
--- a/jobd/jobd.h
+++ b/jobd/jobd.h
@@ -7,6 +7,7 @@
 #include "common/http_client.h"
 #include "common/http_server.h"
 #include "common/metrics.h"
+#include "config_state.h"
 #include "lib/jobs/host_command_guard.h"
 #include "lib/jobs/job_table.h"
 #include "lib/jobs/queue_table.h"
@@ -43,6 +44,10 @@
   struct store *store;
   struct job_table jobs;
   struct queue_table *queues;
+  /* Version and raw record of queues, and since when it is certainly the newest. */
+  struct config_state config;
+  /* Salt of the digests of callers' keys, drawn at each start. */
+  struct workspace_salt key_salt;
   /* Readers of the journal and of the operators' topic. */
   struct topic_reader *journal;
   struct topic_reader *operators;
@@ -68,6 +73,12 @@
 
 /* Updates the clock and returns the monotonic time in milliseconds; ctx is the struct jobd. */
 int64_t jobd_now_ms (void *ctx);
+/* Notes up to when this host has read the configuration itself. */
+void jobd_confirm_config (struct jobd *jobd);
+/* Returns how long before now_ms the configuration in force was last confirmed to be the newest. */
+int64_t jobd_config_age_ms (struct jobd *jobd, int64_t now_ms);
+/* Returns whether there is a configuration with workspaces, so that callers need keys. */
+bool jobd_has_workspaces (const struct jobd *jobd);
 
 /* leader.c */
 struct leader *leader_create (struct jobd *jobd);
--- a/jobd/main.c
+++ b/jobd/main.c
@@ -142,15 +142,16 @@
     ingress_on_journal_record (jobd->ingress, record->key);
 }
 
-/* Applies a configuration, unless it is older than the current one or the same. */
+/* Applies a raw record of the configuration that was read from the store (offset 0 or more) or
+ * passed on by another host (offset -1), unless it is older than the current one or the same. */
 static void
-jobd_apply_config (struct jobd *jobd, const struct store_record *record)
+jobd_apply_config (struct jobd *jobd, const void *data, size_t len, int64_t offset)
 {
-  struct queue_table *queues = decode_config (record->value, record->len);
+  struct queue_table *queues = decode_config (data, len, &jobd->key_salt);
 
   if (!queues)
     {
-      log_warning ("config", "record cannot be decoded: offset=%" G_GINT64_FORMAT, record->offset);
+      log_warning ("config", "record cannot be used: offset=%" G_GINT64_FORMAT, offset);
       return;
     }
   if (jobd->queues && queues->version <= jobd->queues->version)
@@ -158,13 +159,46 @@
       queue_table_destroy (queues);
       return;
     }
-  log_info ("config", "configuration applied: version=%" G_GINT64_FORMAT " queues=%u pools=%u",
-            queues->version, queues->queues->len, queues->pools->len);
+  log_info ("config",
+            "configuration applied: version=%" G_GINT64_FORMAT
+            " queues=%u pools=%u workspaces=%u keys=%u offset=%" G_GINT64_FORMAT,
+            queues->version, queues->queues->len, queues->pools->len,
+            queues->workspaces->workspaces->len, g_hash_table_size (queues->workspaces->keys),
+            offset);
   queue_table_destroy (jobd->queues);
   jobd->queues = queues;
+  config_state_replace (&jobd->config, queues->version, data, len, jobd_now_ms (jobd));
   leader_config_changed (jobd->leader);
 }
 
+/* Handles a record that another host has passed on. */
+static void
+jobd_on_passed_config (void *ctx, const void *data, size_t len)
+{
+  jobd_apply_config (ctx, data, len, -1);
+}
+
+/* What this host has read itself counts from when the read was sent. */
+void
+jobd_confirm_config (struct jobd *jobd)
+{
+  config_state_confirm (&jobd->config, jobd->config.version,
+                        topic_reader_read_to_end_ms (jobd->operators));
+}
+
+int64_t
+jobd_config_age_ms (struct jobd *jobd, int64_t now_ms)
+{
+  jobd_confirm_config (jobd);
+  return config_state_age_ms (&jobd->config, now_ms);
+}
+
+bool
+jobd_has_workspaces (const struct jobd *jobd)
+{
+  return jobd->queues && !workspace_table_is_empty (jobd->queues->workspaces);
+}
+
 /* Handles a record of the operators' topic: a configuration or a wave. */
 static void
 jobd_on_operator_record (void *ctx, const struct store_record *record)
@@ -172,7 +206,7 @@
   struct jobd *jobd = ctx;
 
   if (strcmp (record->key, STORE_KEY_CONFIG) == 0 && record->len > 0)
-    jobd_apply_config (jobd, record);
+    jobd_apply_config (jobd, record->value, record->len, record->offset);
   else
     leader_handle_operator_record (jobd->leader, record);
 }
@@ -320,7 +354,8 @@
   int error;
 
   if (getrandom (&jobd->incarnation, sizeof jobd->incarnation, 0) !=
-      (ssize_t) sizeof jobd->incarnation)
+          (ssize_t) sizeof jobd->incarnation ||
+      getrandom (&jobd->key_salt, sizeof jobd->key_salt, 0) != (ssize_t) sizeof jobd->key_salt)
     {
       error = -errno;
       log_error ("main", "can't read random bytes: %s", g_strerror (-error));
@@ -339,6 +374,8 @@
   jobd->jobs.on_host = jobd_on_host_record;
   jobd->jobs.on_host_commands = jobd_on_host_commands;
   jobd->jobs.ctx = jobd;
+  jobd->config.on_record = jobd_on_passed_config;
+  jobd->config.ctx = jobd;
   jobd->ample_hosts = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   jobd->relays = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   jobd->records = record_sender_create (jobd);
@@ -376,6 +413,7 @@
   g_hash_table_destroy (jobd->ample_hosts);
   host_command_guard_finish (&jobd->host_guard);
   queue_table_destroy (jobd->queues);
+  config_state_clear (&jobd->config);
   metrics_finish (&jobd->metrics);
 }
 
--- a/jobd/relay_server.c
+++ b/jobd/relay_server.c
@@ -34,6 +34,8 @@
   uint64_t acked_sequence;
   bool takes_records;
   int64_t heard_ms;
+  /* What the leader knows of the configuration. */
+  struct config_peer config;
   /* Encoded results that wait for the timer. */
   GByteArray *results;
   ev_timer timer;
@@ -115,13 +117,20 @@
 {
   gsize len;
   const void *reply_to = g_bytes_get_data (session->reply_to, &len);
-
-  result_batch_finish (session->results, session->acked_sequence, session->epoch,
-                       session->server->jobd->stopping, relay_session_confirms (session));
+  struct jobd *jobd = session->server->jobd;
+  int64_t now_ms = jobd_now_ms (jobd);
+  struct config_notice notice;
+
+  jobd_confirm_config (jobd);
+  notice = config_peer_prepare (&session->config, &jobd->config, now_ms);
+  result_batch_add_config (session->results, &notice);
+  result_batch_finish (session->results, session->acked_sequence, session->epoch, jobd->stopping,
+                       relay_session_confirms (session));
   /* A message that can't be sent is lost like one in transit; the leader repeats its commands. */
   peer_node_reply (session->server->node, reply_to, len, session->results->data,
                    session->results->len);
   g_byte_array_set_size (session->results, 0);
+  config_peer_sent (&session->config, session->acked_sequence, now_ms);
 }
 
 static void
@@ -220,6 +229,22 @@
   return true;
 }
 
+/* Handles what the leader says of the configuration. Another version may take the place of the one
+ * in force. */
+static void
+relay_session_on_config (struct relay_session *session, const Sp__CommandBatch *batch)
+{
+  struct config_notice notice = {
+    .version = batch->config_version,
+    .age_ms = batch->config_age_ms,
+    .record = batch->config_record.data,
+    .record_len = batch->config_record.len,
+  };
+
+  config_peer_received (&session->config, &session->server->jobd->config, &notice,
+                        batch->heard_sequence, session->heard_ms);
+}
+
 /* Handles a batch of commands. */
 static void
 relay_server_on_batch (void *ctx, const void *reply_to, size_t reply_to_len, const void *data,
@@ -238,6 +263,9 @@
   if (!session)
     session = relay_session_create (server, key);
   session->heard_ms = jobd_now_ms (server->jobd);
+  /* A later leadership numbers its batches anew. */
+  if (session->epoch != batch->epoch)
+    session->config = (struct config_peer){ 0 };
   session->epoch = batch->epoch;
   session->acked_sequence = batch->sequence;
   session->takes_records = batch->takes_records;
@@ -247,6 +275,7 @@
     relay_session_send (session, batch->commands[i]);
   for (size_t i = 0; i < batch->n_appended; i++)
     record_sender_on_appended (server->jobd->records, batch->appended[i]);
+  relay_session_on_config (session, batch);
   relay_session_schedule (session);
   sp__command_batch__free_unpacked (batch, NULL);
 }
--- a/jobd/topic_reader.c
+++ b/jobd/topic_reader.c
@@ -58,6 +58,7 @@
    * the partition when the first page was read. */
   char *page_key;
   int64_t first_page_end;
+  int64_t first_page_sent_ms;
   /* Offset of the next record to pass on; regular and additional reads advance it. */
   int64_t next_offset;
   /* Offset of the regular read in progress, and when it was sent. */
@@ -122,6 +123,14 @@
     }
 }
 
+/* Handles that all records up to the end as of a read have been passed. Responses may overtake each
+ * other. */
+static void
+topic_reader_read_reached_end (struct topic_reader *reader, int64_t sent_ms)
+{
+  reader->read_to_end_ms = MAX (reader->read_to_end_ms, sent_ms);
+}
+
 /* Returns whether a response to a read can't continue at the offset that was asked for: it begins
  * later, or the partition ends before. */
 static bool
@@ -189,7 +198,10 @@
   /* The pages are not a consistent snapshot. Reading continues from the end as of the first page,
    * which repeats what changed since. */
   if (!reader->page_key)
-    reader->first_page_end = response->end;
+    {
+      reader->first_page_end = response->end;
+      reader->first_page_sent_ms = reader->sent_ms;
+    }
   topic_reader_deliver_page (reader, response);
   if (response->has_more)
     {
@@ -202,7 +214,8 @@
   reader->next_offset = reader->first_page_end;
   reader->loaded = true;
   reader->caught_up_ms = reader->sent_ms;
-  reader->read_to_end_ms = reader->sent_ms;
+  /* A record may have changed after its page, so that only the first page shows the end. */
+  topic_reader_read_reached_end (reader, reader->first_page_sent_ms);
   if (reader->config.on_loaded)
     reader->config.on_loaded (reader->config.ctx);
   topic_reader_schedule (reader, 0);
@@ -235,7 +248,7 @@
   if (reader->next_offset >= response->end)
     {
       reader->caught_up_ms = now_ms;
-      reader->read_to_end_ms = reader->sent_ms;
+      topic_reader_read_reached_end (reader, reader->sent_ms);
     }
   if (reader->next_offset < response->end)
     topic_reader_schedule (reader, 0);
@@ -306,7 +319,10 @@
   if (extra->end < 0)
     extra->end = response->end;
   if (reader->next_offset >= extra->end)
-    extra_reads_finish (reader, true);
+    {
+      topic_reader_read_reached_end (reader, extra->begun_ms);
+      extra_reads_finish (reader, true);
+    }
   else if (response->n_records == 0 ||
            topic_reader_now_ms (reader) - extra->begun_ms >= EXTRA_READS_TIMEOUT_MS)
     extra_reads_finish (reader, false);
--- a/lib/jobs/command_message.c
+++ b/lib/jobs/command_message.c
@@ -48,6 +48,20 @@
   append_message (batch, &part.base);
 }
 
+void
+command_batch_add_config (GByteArray *batch, const struct config_notice *notice,
+                          uint64_t heard_sequence)
+{
+  Sp__CommandBatch part = SP__COMMAND_BATCH__INIT;
+
+  part.config_version = notice->version;
+  part.config_age_ms = notice->age_ms;
+  part.config_record.data = (uint8_t *) notice->record;
+  part.config_record.len = notice->record_len;
+  part.heard_sequence = heard_sequence;
+  append_message (batch, &part.base);
+}
+
 /* Returns the message of a report, whose strings belong to the report. */
 static Sp__ReportMessage *
 report_message_create (const struct endpoint_report *report)
@@ -150,6 +164,18 @@
   append_message (batch, &part.base);
 }
 
+void
+result_batch_add_config (GByteArray *batch, const struct config_notice *notice)
+{
+  Sp__ResultBatch part = SP__RESULT_BATCH__INIT;
+
+  part.config_version = notice->version;
+  part.config_age_ms = notice->age_ms;
+  part.config_record.data = (uint8_t *) notice->record;
+  part.config_record.len = notice->record_len;
+  append_message (batch, &part.base);
+}
+
 /* A value that this version doesn't know says nothing about what was done. */
 enum command_result
 command_result_decode (uint32_t value)
--- a/protocols/command.pb-c.c
+++ b/protocols/command.pb-c.c
@@ -1171,7 +1171,7 @@
   (ProtobufCMessageInit) sp__appended_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sp__command_batch__field_descriptors[10] =
+static const ProtobufCFieldDescriptor sp__command_batch__field_descriptors[11] =
 {
   {
     "sequence",
@@ -1293,6 +1293,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "heard_sequence",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sp__CommandBatch, heard_sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sp__command_batch__field_indices_by_name[] = {
   3,   /* field[3] = appended */
@@ -1302,6 +1314,7 @@
   5,   /* field[5] = config_version */
   9,   /* field[9] = durations */
   1,   /* field[1] = epoch */
+  10,   /* field[10] = heard_sequence */
   8,   /* field[8] = outlooks */
   0,   /* field[0] = sequence */
   4,   /* field[4] = takes_records */
@@ -1309,7 +1322,7 @@
 static const ProtobufCIntRange sp__command_batch__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor sp__command_batch__descriptor =
 {
@@ -1319,7 +1332,7 @@
   "Sp__CommandBatch",
   "sp",
   sizeof(Sp__CommandBatch),
-  10,
+  11,
   sp__command_batch__field_descriptors,
   sp__command_batch__field_indices_by_name,
   1,  sp__command_batch__number_ranges,
--- a/protocols/command.pb-c.h
+++ b/protocols/command.pb-c.h
@@ -237,10 +237,15 @@
   Sp__PoolOutlook **outlooks;
   size_t n_durations;
   Sp__QueueDurations **durations;
+  /*
+   * Highest sequence whose acknowledgement the leader has received from this relay, so that the relay
+   * knows a time before which the batch can't have been sent.
+   */
+  uint64_t heard_sequence;
 };
 #define SP__COMMAND_BATCH__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sp__command_batch__descriptor) \
-    , 0, 0, 0,NULL, 0,NULL, 0, 0, 0, {0,NULL}, 0,NULL, 0,NULL }
+    , 0, 0, 0,NULL, 0,NULL, 0, 0, 0, {0,NULL}, 0,NULL, 0,NULL, 0 }
 
 
 /*
--- a/tests/jobd/test_handed_records.c
+++ b/tests/jobd/test_handed_records.c
@@ -93,6 +93,20 @@
   g_ptr_array_add (leader_appends, append);
 }
 
+/* Stand in for the configuration: the hosts of this test have none. */
+void
+jobd_confirm_config (struct jobd *jobd)
+{
+  (void) jobd;
+}
+
+bool
+jobd_has_workspaces (const struct jobd *jobd)
+{
+  (void) jobd;
+  return false;
+}
+
 /* Stands in for the leadership: the hosts of this test have claimed nothing. */
 uint64_t
 leader_claimed_epoch (const struct leader *of)
