jobd: check callers' keys on submit, state, cancel and count

Cause: calls with withdrawn or unknown keys are served.

Change: a call is decided by its key and the configuration's age at its arrival. Refusals are 401 (unknown key), 403 (job of another workspace) and 503 (configuration too old). Before a refusal by a configuration that was not confirmed within a second the operators' topic is read once. An accepted job names its workspace. Each refusal is logged without the key and counted by reason. Without workspaces in the configuration nothing changes.

--- a/jobd/ingress.c
+++ b/jobd/ingress.c
@@ -3,6 +3,7 @@
 #include "common/log.h"
 #include "common/settings.h"
 #include "jobd.h"
+#include "lib/workspaces/caller_access.h"
 #include "platform/callers.h"
 #include "record_sender.h"
 
@@ -21,6 +22,19 @@
   RETRY_AFTER_S = 1,
 };
 
+/* Why calls are refused because of their key. */
+enum key_refusal
+{
+  REFUSED_UNKNOWN_KEY,
+  REFUSED_OTHER_WORKSPACE,
+  REFUSED_OLD_CONFIG,
+  N_KEY_REFUSALS,
+};
+
+/* In the order of enum key_refusal. */
+static const char *const key_refusal_names[] = { "unknown_key", "other_workspace",
+                                                 "old_configuration" };
+
 struct ingress
 {
   struct jobd *jobd;
@@ -32,10 +46,29 @@
   struct metric unknown;
   struct metric states;
   struct metric cancels;
+  /* By enum key_refusal. */
+  struct metric key_refusals[N_KEY_REFUSALS];
+  struct caller_access_limits access_limits;
   struct metric_histogram durable_time;
 };
 
-/* A request that waits for an append to the journal or a read of it. */
+/* A caller's request, as it arrived. */
+struct call
+{
+  struct http_request *request;
+  /* Queue by host and path, and the rest of the path. */
+  const struct job_queue *queue;
+  const char *id;
+  int64_t arrived_ms;
+  /* The operators' topic was read to its end after the arrival. */
+  bool config_read;
+  /* Age of the configuration at the arrival, or after that read. */
+  int64_t config_age_ms;
+  /* Name of the workspace of the request's key; NULL for none. */
+  const char *workspace;
+};
+
+/* A request that waits for an append to the journal, or a read of it or of the configuration. */
 struct pending_request
 {
   LIST_ENTRY (pending_request) link;
@@ -43,6 +76,12 @@
   /* NULL once the request has been answered or its caller has disconnected. */
   struct http_request *request;
   char *id;
+  /* Name of the workspace of the caller's key at the arrival; NULL for none. */
+  char *workspace;
+  /* Age of the configuration at the arrival. */
+  int64_t config_age_ms;
+  /* Waits for the configuration; nothing has been done for the request. */
+  bool awaits_config;
   /* Key and value of the appended record. */
   char *key;
   GBytes *value;
@@ -51,6 +90,8 @@
   bool appended;
 };
 
+static void pending_request_on_config (void *ctx, bool success);
+
 /* Answers with a JSON string. */
 static void
 answer_json (struct http_request *request, int status, const char *body)
@@ -96,6 +137,7 @@
   if (pending->request)
     http_request_set_data (pending->request, NULL);
   g_free (pending->id);
+  g_free (pending->workspace);
   g_free (pending->key);
   if (pending->value)
     g_bytes_unref (pending->value);
@@ -113,21 +155,23 @@
   return request;
 }
 
-/* Creates a pending request. Its deadline is the caller's, limited to DEADLINE_MAX_MS, less the
- * margin. */
+/* Creates a pending request. Its deadline is the caller's, counted from the arrival and limited to
+ * DEADLINE_MAX_MS, less the margin. */
 static struct pending_request *
-pending_request_create (struct ingress *ingress, struct http_request *request, const char *id)
+pending_request_create (struct ingress *ingress, const struct call *call)
 {
   struct pending_request *pending = g_new0 (struct pending_request, 1);
-  int64_t wait_ms = caller_deadline_ms (request, DEFAULT_DEADLINE_MS);
+  int64_t wait_ms = caller_deadline_ms (call->request, DEFAULT_DEADLINE_MS);
 
   wait_ms = CLAMP (wait_ms, DEADLINE_MARGIN_MS, DEADLINE_MAX_MS) - DEADLINE_MARGIN_MS;
   pending->ingress = ingress;
-  pending->request = request;
-  pending->id = g_strdup (id);
-  pending->created_ms = jobd_now_ms (ingress->jobd);
-  pending->deadline_ms = jobd_now_ms (ingress->jobd) + wait_ms;
-  http_request_set_data (request, pending);
+  pending->request = call->request;
+  pending->id = g_strdup (call->id);
+  pending->workspace = g_strdup (call->workspace);
+  pending->config_age_ms = call->config_age_ms;
+  pending->created_ms = call->arrived_ms;
+  pending->deadline_ms = call->arrived_ms + wait_ms;
+  http_request_set_data (call->request, pending);
   LIST_INSERT_HEAD (&ingress->pending_requests, pending, link);
   return pending;
 }
@@ -260,6 +304,128 @@
   return true;
 }
 
+/* Counts and logs a refusal because of a key. workspace is that of the key, NULL if it has none. */
+static void
+log_key_refusal (struct ingress *ingress, enum key_refusal reason, const char *method,
+                 const char *id, const char *queue, const char *workspace, int64_t age_ms)
+{
+  ingress->key_refusals[reason].value++;
+  log_info ("ingress",
+            "call refused: reason=%s method=%s job=%s queue=%s workspace=%s"
+            " version=%" G_GINT64_FORMAT " age_ms=%" G_GINT64_FORMAT,
+            key_refusal_names[reason], method, id_is_valid (id) ? id : "-", queue,
+            workspace ? workspace : "-", ingress->jobd->config.version,
+            age_ms == INT64_MAX ? -1 : age_ms);
+}
+
+/* Answers 503 because the configuration may be out of date. The request has had no effect. What an
+ * earlier request for the job has stored is no refusal's to deny. */
+static void
+answer_old_config (struct ingress *ingress, struct http_request *request, const char *id)
+{
+  const struct job *job = job_table_find (&ingress->jobd->jobs, id);
+  const char *method = http_request_method (request);
+  bool stored =
+      job && job->definition &&
+      (strcmp (method, "POST") == 0 || (strcmp (method, "DELETE") == 0 && job->cancelled));
+
+  if (strcmp (method, "GET") != 0 && (stored || ingress_has_appended (ingress, id, NULL)))
+    answer_error (request, 504, "the configuration is too old; an earlier request may be stored");
+  else
+    answer_unavailable (request, "the configuration is too old; the request was not run");
+}
+
+/* Refuses a request because of its key. */
+static void
+refuse_key (struct ingress *ingress, struct http_request *request, enum key_refusal reason,
+            const char *id)
+{
+  if (reason == REFUSED_UNKNOWN_KEY)
+    answer_error (request, 401, "no valid key");
+  else if (reason == REFUSED_OTHER_WORKSPACE)
+    answer_error (request, 403, "the job belongs to another workspace");
+  else
+    answer_old_config (ingress, request, id);
+}
+
+/* Returns whether the queue that a job was submitted to needs no key now. */
+static bool
+job_queue_is_public (const struct queue_table *queues, const struct job *job)
+{
+  for (guint i = 0; i < queues->queues->len; i++)
+    {
+      const struct job_queue *queue = g_ptr_array_index (queues->queues, i);
+      g_autofree char *name = queue->is_public ? queue_name (queue) : NULL;
+
+      if (name && strcmp (name, job->definition->queue) == 0)
+        return true;
+    }
+  return false;
+}
+
+/* Returns why a request may not concern a job, or N_KEY_REFUSALS if it may. A key may be another
+ * workspace's by now, so that an old configuration can't tell. */
+static enum key_refusal
+ingress_check_job (const struct ingress *ingress, const char *workspace, int64_t config_age_ms,
+                   const struct job *job)
+{
+  const struct queue_table *queues = ingress->jobd->queues;
+  enum caller_job_access access;
+
+  if (workspace_table_is_empty (queues->workspaces))
+    return N_KEY_REFUSALS;
+  access = caller_job_access (queues->workspaces, workspace, job->definition->workspace,
+                              job_queue_is_public (queues, job));
+  if (access == CALLER_JOB_ALLOWED)
+    return N_KEY_REFUSALS;
+  if (config_age_ms > ingress->access_limits.refusal_age_ms)
+    return REFUSED_OLD_CONFIG;
+  return access == CALLER_JOB_NEEDS_KEY ? REFUSED_UNKNOWN_KEY : REFUSED_OTHER_WORKSPACE;
+}
+
+/* Reads the configuration to its end before a call is refused: its key may have been added a moment
+ * ago. Returns false if that is of no use, as the call has waited for it before or the store
+ * rejects reads. One read serves all calls of the next second, so that calls with unknown keys cost
+ * the store one read a second and host at most. */
+static bool
+call_await_config (struct ingress *ingress, const struct call *call)
+{
+  struct topic_reader *operators = ingress->jobd->operators;
+  struct pending_request *pending;
+
+  if (call->config_read || topic_reader_healthy_since_ms (operators) == 0)
+    return false;
+  pending = pending_request_create (ingress, call);
+  pending->awaits_config = true;
+  topic_reader_read_to_end (operators, pending_request_on_config, pending);
+  return true;
+}
+
+/* Refuses a call because of its key, unless the configuration is to be read first. */
+static void
+call_refuse (struct ingress *ingress, const struct call *call, enum key_refusal reason)
+{
+  g_autofree char *queue = NULL;
+
+  if (reason == REFUSED_OLD_CONFIG && call_await_config (ingress, call))
+    return;
+  queue = queue_name (call->queue);
+  log_key_refusal (ingress, reason, http_request_method (call->request), call->id, queue,
+                   call->workspace, call->config_age_ms);
+  refuse_key (ingress, call->request, reason, call->id);
+}
+
+/* Returns whether a call may concern a job; refuses it if not. */
+static bool
+call_may_concern_job (struct ingress *ingress, const struct call *call, const struct job *job)
+{
+  enum key_refusal reason = ingress_check_job (ingress, call->workspace, call->config_age_ms, job);
+
+  if (reason != N_KEY_REFUSALS)
+    call_refuse (ingress, call, reason);
+  return reason == N_KEY_REFUSALS;
+}
+
 /* Replaces a string of a protobuf message. */
 static void
 set_string (char **field, const char *value)
@@ -270,14 +436,15 @@
 
 /* Fills in the fields that come from the queue and from the acceptance. */
 static void
-definition_fill (const struct jobd *jobd, Sp__JobDefinition *definition,
-                 const struct job_queue *queue, const char *id)
+definition_fill (const struct jobd *jobd, Sp__JobDefinition *definition, const struct call *call)
 {
+  const struct job_queue *queue = call->queue;
   g_autofree char *name = queue_name (queue);
 
-  set_string (&definition->id, id);
+  set_string (&definition->id, call->id);
   set_string (&definition->queue, name);
   set_string (&definition->pool, queue->pool);
+  set_string (&definition->workspace, call->workspace ? call->workspace : "");
   definition->priority = queue->priority;
   definition->max_attempts = queue->max_attempts;
   definition->slack_permille = queue->slack_permille;
@@ -290,10 +457,11 @@
 /* Handles a submitted job: validates it and answers once its record is durable. A job that is
  * already known is answered at once. */
 static void
-handle_submit (struct ingress *ingress, struct http_request *request, const struct job_queue *queue,
-               const char *id)
+handle_submit (struct ingress *ingress, const struct call *call)
 {
   struct jobd *jobd = ingress->jobd;
+  struct http_request *request = call->request;
+  const char *id = call->id;
   const struct job *known = job_table_find (&jobd->jobs, id);
   Sp__JobRecord record = SP__JOB_RECORD__INIT;
   Sp__JobDefinition *definition;
@@ -303,7 +471,8 @@
 
   if (known && known->definition)
     {
-      answer_json (request, 200, EMPTY_RESPONSE_BODY);
+      if (call_may_concern_job (ingress, call, known))
+        answer_json (request, 200, EMPTY_RESPONSE_BODY);
       return;
     }
   if (writer_is_stuck (jobd->writer))
@@ -321,10 +490,10 @@
         sp__job_definition__free_unpacked (definition, NULL);
       return;
     }
-  definition_fill (jobd, definition, queue, id);
+  definition_fill (jobd, definition, call);
   record.body_case = SP__JOB_RECORD__BODY_DEFINITION;
   record.definition = definition;
-  pending_request_append (pending_request_create (ingress, request, id), &record);
+  pending_request_append (pending_request_create (ingress, call), &record);
   sp__job_definition__free_unpacked (definition, NULL);
 }
 
@@ -357,6 +526,25 @@
   pending_request_append (pending, &record);
 }
 
+/* Returns whether a request may concern the job for which it has waited, by its key at its arrival;
+ * refuses it if not. */
+static bool
+pending_request_may_concern_job (struct pending_request *pending, const struct job *job)
+{
+  struct ingress *ingress = pending->ingress;
+  enum key_refusal reason =
+      ingress_check_job (ingress, pending->workspace, pending->config_age_ms, job);
+  struct http_request *request;
+
+  if (reason == N_KEY_REFUSALS)
+    return true;
+  request = pending_request_detach (pending);
+  log_key_refusal (ingress, reason, http_request_method (request), pending->id,
+                   job->definition->queue, pending->workspace, pending->config_age_ms);
+  refuse_key (ingress, request, reason, pending->id);
+  return false;
+}
+
 /* Handles the end of a journal read for a job that was unknown here; success is false if the
  * journal could not be read. */
 static void
@@ -367,6 +555,11 @@
   const struct job *job = job_table_find (&ingress->jobd->jobs, pending->id);
   struct http_request *request;
 
+  if (pending->request && job && job->definition && !pending_request_may_concern_job (pending, job))
+    {
+      pending_request_destroy (pending);
+      return;
+    }
   if (pending->request && job && job->definition &&
       strcmp (http_request_method (pending->request), "DELETE") == 0 &&
       !job_state_is_final (job->state))
@@ -394,75 +587,114 @@
 
 /* Answers a state query. If the job is not known here, reads the journal to its end first. */
 static void
-handle_state (struct ingress *ingress, struct http_request *request, const char *id)
+handle_state (struct ingress *ingress, const struct call *call)
 {
-  const struct job *job = job_table_find (&ingress->jobd->jobs, id);
+  const struct job *job = job_table_find (&ingress->jobd->jobs, call->id);
 
   if (job && job->definition)
-    answer_state (ingress, request, job);
+    {
+      if (call_may_concern_job (ingress, call, job))
+        answer_state (ingress, call->request, job);
+    }
   else
     topic_reader_read_to_end (ingress->jobd->journal, pending_request_on_read,
-                              pending_request_create (ingress, request, id));
+                              pending_request_create (ingress, call));
 }
 
 /* Cancels a job and answers once the cancellation is durable. If the job is not known here, reads
  * the journal to its end first. */
 static void
-handle_cancel (struct ingress *ingress, struct http_request *request, const char *id)
+handle_cancel (struct ingress *ingress, const struct call *call)
 {
-  const struct job *job = job_table_find (&ingress->jobd->jobs, id);
+  const struct job *job = job_table_find (&ingress->jobd->jobs, call->id);
 
   if (!job || !job->definition)
     topic_reader_read_to_end (ingress->jobd->journal, pending_request_on_read,
-                              pending_request_create (ingress, request, id));
+                              pending_request_create (ingress, call));
+  else if (!call_may_concern_job (ingress, call, job))
+    return;
   else if (job->cancelled || job_state_is_final (job->state))
-    answer_json (request, 200, EMPTY_RESPONSE_BODY);
+    answer_json (call->request, 200, EMPTY_RESPONSE_BODY);
   else if (writer_is_stuck (ingress->jobd->writer))
-    answer_unresponsive (ingress, request, id);
+    answer_unresponsive (ingress, call->request, call->id);
   else
-    pending_request_cancel (pending_request_create (ingress, request, id));
+    pending_request_cancel (pending_request_create (ingress, call));
 }
 
 /* Answers with the number of pending jobs of a queue. */
 static void
-handle_count (struct ingress *ingress, struct http_request *request, const struct job_queue *queue)
+handle_count (struct ingress *ingress, const struct call *call)
 {
-  g_autofree char *name = queue_name (queue);
+  g_autofree char *name = queue_name (call->queue);
   g_autofree char *body = encode_job_count (job_table_count_pending (&ingress->jobd->jobs, name));
 
-  answer_json (request, 200, body);
+  answer_json (call->request, 200, body);
 }
 
 /* Dispatches a request for a queue by its method and id. */
 static void
-handle_job (struct ingress *ingress, struct http_request *request, const struct job_queue *queue,
-            const char *id)
+handle_job (struct ingress *ingress, const struct call *call)
 {
+  struct http_request *request = call->request;
   const char *method = http_request_method (request);
+  const char *id = call->id;
 
   if (id[0] == '\0' && strcmp (method, "GET") == 0)
-    handle_count (ingress, request, queue);
+    handle_count (ingress, call);
   else if (!id_is_valid (id))
     answer_error (request, 400, "an id has 16 hexadecimal digits");
   else if (strcmp (method, "POST") == 0)
-    handle_submit (ingress, request, queue, id);
+    handle_submit (ingress, call);
   else if (strcmp (method, "GET") == 0)
-    handle_state (ingress, request, id);
+    handle_state (ingress, call);
   else if (strcmp (method, "DELETE") == 0)
-    handle_cancel (ingress, request, id);
+    handle_cancel (ingress, call);
   else
     answer_error (request, 405, "POST, GET or DELETE");
 }
 
-/* Handles a caller's request: finds the queue by the Host header and the path. */
+/* Decides about a call by its key, and handles it if it is allowed. */
 static void
-ingress_on_request (void *ctx, struct http_request *request)
+handle_call (struct ingress *ingress, struct call *call)
+{
+  struct jobd *jobd = ingress->jobd;
+  struct caller_access access =
+      caller_access_decide (call->queue->is_public, jobd->queues->workspaces,
+                            http_request_header (call->request, "X-Credential"),
+                            call->config_age_ms, &ingress->access_limits);
+
+  call->workspace = access.workspace ? access.workspace->name : NULL;
+  if (access.result == CALLER_UNKNOWN_KEY)
+    call_refuse (ingress, call, REFUSED_UNKNOWN_KEY);
+  else if (access.result == CALLER_OLD_CONFIG)
+    call_refuse (ingress, call, REFUSED_OLD_CONFIG);
+  else
+    handle_job (ingress, call);
+}
+
+/* Returns whether the configuration is so old that a queue that it lacks may exist by now. */
+static bool
+ingress_config_is_old (const struct ingress *ingress, int64_t age_ms)
+{
+  int64_t max_age_ms = ingress->access_limits.max_age_ms;
+
+  return jobd_has_workspaces (ingress->jobd) && max_age_ms > 0 && age_ms >= max_age_ms;
+}
+
+/* Handles a caller's request: finds the queue by the Host header and the path. config_read: the
+ * operators' topic was read to its end since the request arrived. */
+static void
+ingress_dispatch (struct ingress *ingress, struct http_request *request, int64_t arrived_ms,
+                  bool config_read)
 {
-  struct ingress *ingress = ctx;
   struct jobd *jobd = ingress->jobd;
   const char *host = http_request_header (request, "Host");
-  const struct job_queue *queue;
-  const char *rest;
+  struct call call = {
+    .request = request,
+    .arrived_ms = arrived_ms,
+    .config_read = config_read,
+    .config_age_ms = jobd_config_age_ms (jobd, jobd_now_ms (jobd)),
+  };
 
   http_request_set_data (request, NULL);
   if (!jobd->queues || !topic_reader_is_loaded (jobd->journal))
@@ -475,11 +707,41 @@
       answer_error (request, 400, "no Host");
       return;
     }
-  queue = queue_table_find (jobd->queues, host, http_request_path (request), &rest);
-  if (!queue)
+  call.queue = queue_table_find (jobd->queues, host, http_request_path (request), &call.id);
+  if (!call.queue && ingress_config_is_old (ingress, call.config_age_ms))
+    {
+      log_key_refusal (ingress, REFUSED_OLD_CONFIG, http_request_method (request), "", "-", NULL,
+                       call.config_age_ms);
+      answer_unavailable (request, "the configuration is too old; the request was not run");
+    }
+  else if (!call.queue)
     answer_error (request, 404, "no such queue");
   else
-    handle_job (ingress, request, queue, rest);
+    handle_call (ingress, &call);
+}
+
+/* Handles the end of a read of the configuration for a request that was to be refused. Whatever was
+ * read, the request is decided now. */
+static void
+pending_request_on_config (void *ctx, bool success)
+{
+  struct pending_request *pending = ctx;
+  struct ingress *ingress = pending->ingress;
+  struct http_request *request = pending_request_detach (pending);
+  int64_t arrived_ms = pending->created_ms;
+
+  (void) success;
+  pending_request_destroy (pending);
+  if (request)
+    ingress_dispatch (ingress, request, arrived_ms, true);
+}
+
+static void
+ingress_on_request (void *ctx, struct http_request *request)
+{
+  struct ingress *ingress = ctx;
+
+  ingress_dispatch (ingress, request, jobd_now_ms (ingress->jobd), false);
 }
 
 /* Handles a caller that disconnected before its response. A record that was appended for it
@@ -494,6 +756,16 @@
     pending->request = NULL;
 }
 
+/* Refuses a request that has waited in vain for the configuration. */
+static void
+ingress_refuse_at_deadline (struct ingress *ingress, struct http_request *request,
+                            const struct pending_request *pending)
+{
+  log_key_refusal (ingress, REFUSED_OLD_CONFIG, http_request_method (request), pending->id, "-",
+                   pending->workspace, pending->config_age_ms);
+  refuse_key (ingress, request, REFUSED_OLD_CONFIG, pending->id);
+}
+
 /* Answers the requests whose deadline is near with 504: their record may or may not become
  * durable. */
 void
@@ -509,6 +781,11 @@
       if (!pending->request || now_ms < pending->deadline_ms)
         continue;
       request = pending_request_detach (pending);
+      if (pending->awaits_config)
+        {
+          ingress_refuse_at_deadline (ingress, request, pending);
+          continue;
+        }
       ingress->unknown.value++;
       log_warning ("ingress", "outcome not known at the deadline: job=%s appended=%d", pending->id,
                    pending->appended);
@@ -516,6 +793,20 @@
     }
 }
 
+/* Adds a counter for each reason for which calls are refused because of their key. */
+static void
+ingress_add_key_metrics (struct ingress *ingress)
+{
+  for (unsigned i = 0; i < N_KEY_REFUSALS; i++)
+    {
+      g_autofree char *labels = g_strdup_printf ("reason=\"%s\"", key_refusal_names[i]);
+
+      metric_add_counter (&ingress->jobd->metrics, &ingress->key_refusals[i],
+                          "sesamepick_jobd_calls_refused_total", labels,
+                          "Calls that were refused because of their key.");
+    }
+}
+
 /* Opens the callers' port. Returns 0 or a negative error number. */
 int
 ingress_create (struct jobd *jobd)
@@ -534,6 +825,8 @@
   int error = settings_parse_endpoint (jobd->settings->frontend, ip, &port);
 
   ingress->jobd = jobd;
+  ingress->access_limits =
+      caller_access_limits (jobd->settings->config_ms, jobd->settings->config_skew_ms);
   LIST_INIT (&ingress->pending_requests);
   config.port = port;
   ingress->server = error == 0 ? http_server_create (jobd->loop, &config) : NULL;
@@ -553,6 +846,7 @@
                       "States of jobs that were told.");
   metric_add_counter (&jobd->metrics, &ingress->cancels, "sesamepick_jobd_cancels_total", "",
                       "Cancellations that were recorded.");
+  ingress_add_key_metrics (ingress);
   metric_histogram_add (&jobd->metrics, &ingress->durable_time,
                         "sesamepick_jobd_record_durable_seconds",
                         "Time until a caller's record was durable.");
@@ -582,6 +876,8 @@
   metric_remove (&ingress->unknown);
   metric_remove (&ingress->states);
   metric_remove (&ingress->cancels);
+  for (unsigned i = 0; i < N_KEY_REFUSALS; i++)
+    metric_remove (&ingress->key_refusals[i]);
   metric_histogram_remove (&ingress->durable_time);
   while (!LIST_EMPTY (&ingress->pending_requests))
     {
