tests: callers' keys with real processes

Cause: who is served, and what a host does that the store rejects while keys are withdrawn, was only tested without processes.

--- a/tests/jobd/hosts.c
+++ b/tests/jobd/hosts.c
@@ -21,16 +21,19 @@
   LINK_PORT_OFFSET = 80,
   PROXY_PORT_OFFSET = 79,
   PROXY_START_MS = 5000,
+  FIRST_VERSION = 7,
 };
 
+/* A version of the configuration, whether its second queue is public, and its workspaces. */
 #define CONFIG                                                                                     \
-  "{\"key\":\"config\",\"value\":{\"version\":7,\"routes\":["                                      \
+  "{\"key\":\"config\",\"value\":{\"version\":%u,\"routes\":["                                     \
   "{\"name\":\"a\",\"host\":\"jobs.example\",\"path_prefix\":\"/one/\",\"service\":\"one\","       \
   "\"priority\":0,\"max_attempts\":3,\"slack_factor\":2.0,\"target_latency_ms\":600},"             \
   "{\"name\":\"b\",\"host\":\"jobs.example\",\"path_prefix\":\"/two/\",\"service\":\"two\","       \
+  "\"public\":%s,"                                                                                 \
   "\"priority\":0,\"max_attempts\":3,\"slack_factor\":2.0,\"target_latency_ms\":600}],"            \
   "\"services\":[{\"name\":\"one\",\"standby\":false},{\"name\":\"two\",\"standby\":false},"       \
-  "{\"name\":\"spare\",\"standby\":true}]}}"
+  "{\"name\":\"spare\",\"standby\":true}],\"tenants\":%s}}"
 
 /* Returns the callers' port of a host. The readiness port is the next one. */
 static uint16_t
@@ -65,7 +68,7 @@
 void
 hosts_start_jobd (struct hosts *hosts, unsigned n)
 {
-  char args[9][64];
+  char args[11][64];
   const char *list[G_N_ELEMENTS (args) + 1] = { NULL };
   size_t n_list = 0;
   char name[16];
@@ -81,6 +84,8 @@
   snprintf (args[7], sizeof args[7], "--relay-endpoints-min=%u",
             MAX (hosts->relay_endpoints_min, 1));
   snprintf (args[8], sizeof args[8], "--status-ms=%u", hosts->status_ms);
+  snprintf (args[9], sizeof args[9], "--config-ms=%u", hosts->config_ms);
+  snprintf (args[10], sizeof args[10], "--config-skew-ms=%u", hosts->config_skew_ms);
   for (size_t i = 0; i < G_N_ELEMENTS (args); i++)
     {
       if ((i == 6 && !hosts->relays) || (i == 8 && hosts->status_ms == 0))
@@ -206,6 +211,15 @@
     }
 }
 
+void
+hosts_configure (struct hosts *hosts, unsigned version, const char *tenants)
+{
+  g_autofree char *body =
+      g_strdup_printf (CONFIG, version, hosts->second_is_public ? "true" : "false", tenants);
+
+  hosts_post (hosts, "/operator", body);
+}
+
 void
 hosts_start (struct hosts *hosts, unsigned port_block)
 {
@@ -223,7 +237,7 @@
   for (unsigned n = 0; n < HOSTS; n++)
     hosts_start_jobd (hosts, n);
   test_sleep_ms (300);
-  hosts_post (hosts, "/operator", CONFIG);
+  hosts_configure (hosts, FIRST_VERSION, hosts->tenants ? hosts->tenants : "[]");
 }
 
 void
@@ -284,8 +298,9 @@
   struct fetched fetched;
   char url[URL_BYTES];
   g_autofree char *deadline = g_strdup_printf ("X-Deadline-Ms: %u", deadline_ms);
+  g_autofree char *key = g_strdup_printf ("X-Credential: %s", hosts->key ? hosts->key : "");
   const char *headers[] = { "Host: jobs.example", "Content-Type: application/json", deadline,
-                            NULL };
+                            hosts->key ? key : NULL, NULL };
   int status;
 
   snprintf (url, sizeof url, "http://127.0.0.1:%u%s", hosts_port (hosts, n), path);
--- a/tests/jobd/hosts.h
+++ b/tests/jobd/hosts.h
@@ -31,6 +31,14 @@
   bool separable;
   /* Number of endpoints from which on the leader uses relays; 0 for 1. Set before hosts_start. */
   unsigned relay_endpoints_min;
+  /* Workspaces of the first configuration as a JSON list, NULL for none; whether the queue of pool
+   * two needs no key; the settings of the daemons. Set before hosts_start. */
+  const char *tenants;
+  bool second_is_public;
+  unsigned config_ms;
+  unsigned config_skew_ms;
+  /* Key that is sent with calls; NULL for none. */
+  const char *key;
   struct process *cluster;
   struct process *jobds[HOSTS];
 };
@@ -38,6 +46,8 @@
 /* Starts the simulated platform and the daemons, and writes a configuration with the pools one, two
  * and spare. */
 void hosts_start (struct hosts *hosts, unsigned port_block);
+/* Writes another version of the configuration. */
+void hosts_configure (struct hosts *hosts, unsigned version, const char *tenants);
 void hosts_stop (struct hosts *hosts);
 void hosts_start_jobd (struct hosts *hosts, unsigned n);
 /* Waits until a host reports ready; limit_ms 0 means the default limit. */
