--- a/lib/jobs/endpoint_heartbeats.c
+++ b/lib/jobs/endpoint_heartbeats.c
@@ -423,7 +423,7 @@
   if (attempt_precedes_start (task, endpoint, running))
     {
       endpoint->n_unknown_attempts++;
-      endpoint_count_unknown (scheduler, endpoint, task);
+      endpoint_count_unknown (scheduler, endpoint, running->task);
       task_invalidate_start (scheduler, task, "an earlier attempt runs");
       return;
     }
@@ -441,7 +441,7 @@
               scheduler_lease_expiry_ms (scheduler, scheduler->config.lease_ms);
         }
       endpoint->n_unknown_attempts++;
-      endpoint_count_unknown (scheduler, endpoint, task);
+      endpoint_count_unknown (scheduler, endpoint, running->task);
       endpoint->calls++;
       scheduler->counts.stops++;
       scheduler->ops.stop (scheduler->ops.ctx, endpoint, running->task, running->attempt, NULL);
--- a/lib/jobs/scheduled_workspaces.c
+++ b/lib/jobs/scheduled_workspaces.c
@@ -1,5 +1,7 @@
 #include "scheduler_state.h"
 
+#include <string.h>
+
 /* Caps and shares of workspaces, as far as they concern the scheduler's jobs and endpoints. Nothing
  * is computed until the configuration has workspaces. */
 
@@ -9,9 +11,6 @@
   WORKSPACES_LOGGED_MAX = 32,
   /* How often it is computed what attempts of earlier leaders may use. */
   ASSUME_INTERVAL_MS = 100,
-  /* How long attempts of a job that has ended may last, which is the longest lease that an endpoint
-   * takes. */
-  ENDED_LATELY_MS = 10000,
 };
 
 /* An attempt that an endpoint reports and that isn't the current one of a task there. */
@@ -104,7 +103,7 @@
  * tasks run. That leader may have known of steps that are done without a durable record, so a later
  * step may run instead: the largest step that isn't done counts if it requests more. */
 static void
-job_assume_running (const struct job *job, struct workspace_account *account)
+job_assume_running (struct job *job)
 {
   struct resources ready = { 0 };
   struct resources largest = { 0 };
@@ -135,20 +134,25 @@
       offset += n;
     }
   largest = resources_max (&largest, &ready);
-  workspace_account_assume (account, &largest, MAX (n_largest, n_ready));
+  workspace_account_assume (job->account, &largest, MAX (n_largest, n_ready));
 }
 
-/* Returns whether an earlier leader may have started tasks of a job that run still: the job isn't
- * finished, or was stopped as failed or cancelled a short while ago. A process that has just read
- * the journal doesn't know when a job ended, and takes it for ended lately. */
+/* Returns whether an earlier leader may have started tasks of a job in a pool whose takeover isn't
+ * complete. They run on for a while also if the job has been cancelled or has failed. */
 static bool
-job_may_run_unreported (const struct scheduler *scheduler, const struct job *job)
+job_may_run_unreported (struct scheduler *scheduler, const struct job *job)
+{
+  return job->scheduled && job->inherited && job->account &&
+         !scheduler_pool (scheduler, job->definition->pool)->takeover_complete;
+}
+
+/* Returns whether a job that is over is still needed, because what it may run counts for its
+ * workspace. */
+bool
+job_counts_unreported (struct scheduler *scheduler, const struct job *job)
 {
-  if (job->scheduled)
-    return job->inherited;
-  return job->definition &&
-         (job->state == SP__JOB_STATE__JOB_FAILED || job->state == SP__JOB_STATE__JOB_CANCELLED) &&
-         job->ended_ms >= scheduler->leading_since_ms - ENDED_LATELY_MS;
+  return scheduler_has_workspaces (scheduler) && job->state != SP__JOB_STATE__JOB_COMPLETED &&
+         job_may_run_unreported (scheduler, job);
 }
 
 /* Returns the number of pools whose takeover isn't complete. */
@@ -169,8 +173,8 @@
 scheduler_assume_unreported (struct scheduler *scheduler)
 {
   unsigned n_pools = scheduler_count_unreported_pools (scheduler);
-  GHashTableIter iter;
-  gpointer value;
+  struct pool *pool;
+  struct job *job;
 
   if (!scheduler_has_workspaces (scheduler) ||
       (n_pools == scheduler->n_assumed_pools &&
@@ -181,33 +185,43 @@
   workspace_usage_clear_assumed (scheduler->workspaces);
   if (n_pools == 0)
     return;
-  g_hash_table_iter_init (&iter, scheduler->all_jobs->jobs);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
+  TAILQ_FOREACH (pool, &scheduler->pools, link)
     {
-      const struct job *job = value;
-      struct workspace_account *account;
-
-      if (!job_may_run_unreported (scheduler, job))
-        continue;
-      account = scheduler_account (scheduler, job);
-      if (workspace_account_has_cap (account) &&
-          !scheduler_pool (scheduler, job->definition->pool)->takeover_complete)
-        job_assume_running (job, account);
+      TAILQ_FOREACH (job, &pool->jobs, pool_link)
+        {
+          if (job_may_run_unreported (scheduler, job) && workspace_account_has_cap (job->account))
+            job_assume_running (job);
+        }
     }
 }
 
+/* Returns the job of a task by the task's name, or NULL. */
+static const struct job *
+scheduler_find_job (const struct scheduler *scheduler, const char *task)
+{
+  g_autofree char *id = g_strndup (task, strcspn (task, "."));
+
+  return job_table_find (scheduler->all_jobs, id);
+}
+
 /* Counts an attempt that an endpoint reports and that isn't the current one of a task there, until
- * the next report. task is NULL if the attempt belongs to no known task: its size isn't known. */
+ * the next report. Of a job that is over only its largest task is known, and of one that is deleted
+ * nothing, so that it doesn't count. */
 void
-endpoint_count_unknown (struct scheduler *scheduler, struct endpoint *endpoint,
-                        const struct task *task)
+endpoint_count_unknown (struct scheduler *scheduler, struct endpoint *endpoint, const char *name)
 {
+  const struct task *task;
+  const struct job *job;
   struct unknown_attempt unknown;
 
-  if (!scheduler->workspaces || !task)
+  if (!scheduler->workspaces)
+    return;
+  task = scheduler_find_task (scheduler, name);
+  job = task ? task->job : scheduler_find_job (scheduler, name);
+  if (!job || !job->definition)
     return;
-  unknown.account = scheduler_account (scheduler, task->job);
-  unknown.request = task_resources (task);
+  unknown.account = scheduler_account (scheduler, job);
+  unknown.request = task ? task_resources (task) : job->largest_request;
   if (!endpoint->unknown_attempts)
     endpoint->unknown_attempts = g_array_new (FALSE, FALSE, sizeof unknown);
   g_array_append_val (endpoint->unknown_attempts, unknown);
--- a/lib/jobs/scheduler_state.h
+++ b/lib/jobs/scheduler_state.h
@@ -275,8 +275,9 @@
 void job_close_account (struct job *job);
 void task_count_unconfirmed (struct task *task, enum task_phase phase);
 void scheduler_assume_unreported (struct scheduler *scheduler);
+bool job_counts_unreported (struct scheduler *scheduler, const struct job *job);
 void endpoint_count_unknown (struct scheduler *scheduler, struct endpoint *endpoint,
-                             const struct task *task);
+                             const char *name);
 void endpoint_clear_unknown (struct endpoint *endpoint);
 bool endpoint_has_unknown (const struct endpoint *endpoint);
 bool job_start_is_allowed (const struct scheduler *scheduler, struct job *job,
