--- a/include/lib/jobs/job.h
+++ b/include/lib/jobs/job.h
@@ -170,6 +170,7 @@
 struct job *job_create (const char *id);
 void job_destroy (struct job *job);
 void job_define (struct job *job, Sp__JobDefinition *definition);
+void job_define_ended (struct job *job, const char *queue, const char *workspace);
 /* Creates the tasks if they don't exist yet. */
 void job_create_tasks (struct job *job);
 /* Frees all that a job which is over doesn't need. It must not be scheduled, and no command that
--- a/include/lib/jobs/job_table.h
+++ b/include/lib/jobs/job_table.h
@@ -6,6 +6,15 @@
 #include "lib/jobs/job.h"
 
 /* All jobs of the journal. Every entry host maintains this table by reading the journal. */
+/* Keys of the records of a job, in the order in which they are deleted. */
+enum job_key
+{
+  JOB_KEY_DEFINITION,
+  JOB_KEY_CANCEL,
+  JOB_KEY_PROGRESS,
+  JOB_KEYS,
+};
+
 struct job_table
 {
   /* Id to struct job. */
--- a/include/lib/jobs/scheduler.h
+++ b/include/lib/jobs/scheduler.h
@@ -100,6 +100,8 @@
   /* A wave has started or, if completed is true, each of its hosts has been maintained, is in
    * maintenance or has left the machine list. */
   void (*wave_state) (void *ctx, uint32_t wave, bool completed);
+  /* The final state of a job is durable and the scheduler holds it no longer. May be NULL. */
+  void (*job_ended) (void *ctx, const struct job *job);
   /* Logs a decision or a change in what the scheduler assumes, with its reason. */
   void (*log) (void *ctx, const char *line);
   /* Another leader has taken over. The owner destroys the scheduler later, not within this call. */
--- a/jobd/ingress.c
+++ b/jobd/ingress.c
@@ -455,7 +455,8 @@
 }
 
 /* Handles a submitted job: validates it and answers once its record is durable. A job that is
- * already known is answered at once. */
+ * already known is answered at once. Jobs are accepted before the journal has been read: of two
+ * definitions of a job the first one counts. */
 static void
 handle_submit (struct ingress *ingress, const struct call *call)
 {
@@ -625,8 +626,16 @@
 static void
 handle_count (struct ingress *ingress, const struct call *call)
 {
+  struct jobd *jobd = ingress->jobd;
   g_autofree char *name = queue_name (call->queue);
-  g_autofree char *body = encode_job_count (job_table_count_pending (&ingress->jobd->jobs, name));
+  g_autofree char *body = NULL;
+
+  if (!topic_reader_is_loaded (jobd->journal))
+    {
+      answer_unavailable (call->request, "the journal has not been read yet");
+      return;
+    }
+  body = encode_job_count (job_table_count_pending (&jobd->jobs, name));
 
   answer_json (call->request, 200, body);
 }
@@ -697,7 +706,7 @@
   };
 
   http_request_set_data (request, NULL);
-  if (!jobd->queues || !topic_reader_is_loaded (jobd->journal))
+  if (!jobd->queues)
     {
       answer_unavailable (request, "no configuration yet");
       return;
--- a/jobd/scheduling.c
+++ b/jobd/scheduling.c
@@ -150,6 +150,20 @@
   free (value);
 }
 
+/* Deletes the records of a job that is over, but for that of its final state. A host that starts
+ * reads the newest record of each key before it serves callers; with the definitions of all jobs of
+ * the last minutes this took a host with 10 Mbit/s several seconds. */
+static void
+leader_on_job_ended (void *ctx, const struct job *job)
+{
+  struct leader *leader = ctx;
+  g_auto (GStrv) keys = job_record_keys (job->id);
+
+  writer_append (leader->writer, keys[JOB_KEY_DEFINITION], "", 0, NULL, NULL);
+  if (job->cancelled)
+    writer_append (leader->writer, keys[JOB_KEY_CANCEL], "", 0, NULL, NULL);
+}
+
 /* Logs a decision of the scheduler. */
 static void
 leader_log_decision (void *ctx, const char *line)
@@ -351,6 +365,7 @@
     .maintain_host = leader_maintain_host,
     .host_busy_until_ms = leader_host_busy_until_ms,
     .wave_state = leader_publish_wave_status,
+    .job_ended = leader_on_job_ended,
     .log = leader_log_decision,
     .superseded = leader_on_superseded,
     .ctx = leader,
--- a/lib/jobs/job.c
+++ b/lib/jobs/job.c
@@ -142,6 +142,18 @@
   job->n_tasks = job->tasks_per_occurrence * job->n_occurrences;
 }
 
+/* Gives a job that is over, and whose definition is deleted, what is still needed of it. */
+void
+job_define_ended (struct job *job, const char *queue, const char *workspace)
+{
+  Sp__JobDefinition *definition = malloc (sizeof *definition);
+
+  sp__job_definition__init (definition);
+  definition->queue = strdup (queue);
+  definition->workspace = strdup (workspace);
+  job->definition = definition;
+}
+
 /* Replaces a string of a protobuf message by the empty one. */
 static void
 message_clear_string (char **field)
--- a/lib/jobs/job_table.c
+++ b/lib/jobs/job_table.c
@@ -76,6 +76,8 @@
   if (!job_merge_progress (job, progress) || !job_state_is_final (job->state))
     return;
   job->ended_ms = now_ms;
+  if (!job->definition && progress->queue[0] != '\0')
+    job_define_ended (job, progress->queue, progress->workspace);
   /* The scheduler reduces its jobs when it removes them. */
   if (!job->scheduled)
     job_reduce (job);
@@ -252,7 +254,11 @@
   progress->id = job->id;
   progress->state = state;
   if (final)
-    return progress;
+    {
+      progress->queue = job->definition->queue;
+      progress->workspace = job->definition->workspace;
+      return progress;
+    }
   progress->tasks = g_new (Sp__TaskProgress *, MAX (job->n_tasks, 1));
   for (uint32_t i = 0; i < job->n_tasks; i++)
     {
@@ -299,10 +305,10 @@
 char **
 job_record_keys (const char *id)
 {
-  char **keys = g_new0 (char *, 4);
+  char **keys = g_new0 (char *, JOB_KEYS + 1);
 
-  keys[0] = g_strconcat ("d/", id, NULL);
-  keys[1] = g_strconcat ("c/", id, NULL);
-  keys[2] = g_strconcat ("p/", id, NULL);
+  keys[JOB_KEY_DEFINITION] = g_strconcat ("d/", id, NULL);
+  keys[JOB_KEY_CANCEL] = g_strconcat ("c/", id, NULL);
+  keys[JOB_KEY_PROGRESS] = g_strconcat ("p/", id, NULL);
   return keys;
 }
--- a/lib/jobs/scheduled_jobs.c
+++ b/lib/jobs/scheduled_jobs.c
@@ -349,7 +349,11 @@
 
           if (job_state_is_final (job->state) && job->n_active == 0 && job->n_commands == 0 &&
               !job->dirty)
-            scheduler_remove_job (scheduler, job);
+            {
+              scheduler_remove_job (scheduler, job);
+              if (scheduler->ops.job_ended)
+                scheduler->ops.job_ended (scheduler->ops.ctx, job);
+            }
           job = next;
         }
     }
--- a/protocols/job.pb-c.c
+++ b/protocols/job.pb-c.c
@@ -1130,7 +1130,7 @@
   (ProtobufCMessageInit) sp__task_progress__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sp__job_progress__field_descriptors[3] =
+static const ProtobufCFieldDescriptor sp__job_progress__field_descriptors[5] =
 {
   {
     "id",
@@ -1168,16 +1168,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "queue",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sp__JobProgress, queue),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "workspace",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sp__JobProgress, workspace),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sp__job_progress__field_indices_by_name[] = {
   0,   /* field[0] = id */
+  3,   /* field[3] = queue */
   1,   /* field[1] = state */
   2,   /* field[2] = tasks */
+  4,   /* field[4] = workspace */
 };
 static const ProtobufCIntRange sp__job_progress__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor sp__job_progress__descriptor =
 {
@@ -1187,7 +1213,7 @@
   "Sp__JobProgress",
   "sp",
   sizeof(Sp__JobProgress),
-  3,
+  5,
   sp__job_progress__field_descriptors,
   sp__job_progress__field_indices_by_name,
   1,  sp__job_progress__number_ranges,
--- a/protocols/job.pb-c.h
+++ b/protocols/job.pb-c.h
@@ -201,10 +201,16 @@
   Sp__JobState state;
   size_t n_tasks;
   Sp__TaskProgress **tasks;
+  /*
+   * Queue and workspace of a job in a final state. Its definition is deleted before this record, and
+   * callers may ask for its state until then.
+   */
+  char *queue;
+  char *workspace;
 };
 #define SP__JOB_PROGRESS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sp__job_progress__descriptor) \
-    , (char *)protobuf_c_empty_string, SP__JOB_STATE__JOB_QUEUED, 0,NULL }
+    , (char *)protobuf_c_empty_string, SP__JOB_STATE__JOB_QUEUED, 0,NULL, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
 
 
 struct  Sp__JobCancel
--- a/tests/jobs/test_job.c
+++ b/tests/jobs/test_job.c
@@ -160,6 +160,45 @@
   job_table_finish (&all_jobs);
 }
 
+/* The definition of a job that is over is deleted before its final state. A host that starts then
+ * has to answer for the job, check the key of its caller, and ignore a repeated submission that
+ * arrives late; otherwise the job would be unknown or run again. */
+static void
+test_ended_without_definition (void)
+{
+  struct job_table all_jobs;
+  struct job_table started;
+  Sp__JobProgress *progress;
+  Sp__JobRecord record = SP__JOB_RECORD__INIT;
+  g_autoptr (GBytes) value = NULL;
+  g_autofree char *key = NULL;
+  const struct job *job;
+
+  job_table_init (&all_jobs);
+  job_table_init (&started);
+  apply_definition (&all_jobs, "a", 3, 5);
+  progress = job_progress_create (job_table_find (&all_jobs, "a"), SP__JOB_STATE__JOB_COMPLETED);
+  record.body_case = SP__JOB_RECORD__BODY_PROGRESS;
+  record.progress = progress;
+  key = job_record_key (&record);
+  value = job_record_pack (&record);
+  CU_ASSERT_EQUAL (job_table_apply (&started, key, g_bytes_get_data (value, NULL),
+                                    g_bytes_get_size (value), 9, NOW_MS),
+                   0);
+  job_progress_destroy (progress);
+  job = job_table_find (&started, "a");
+  CU_ASSERT_PTR_NOT_NULL_FATAL (job);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (job->definition);
+  CU_ASSERT_STRING_EQUAL (job->definition->queue, "q");
+  CU_ASSERT_STRING_EQUAL (job->definition->workspace, "");
+  CU_ASSERT_EQUAL (job->state, SP__JOB_STATE__JOB_COMPLETED);
+  apply_definition (&started, "a", 3, 12);
+  CU_ASSERT_EQUAL (job->n_tasks, 0);
+  CU_ASSERT_EQUAL (job->state, SP__JOB_STATE__JOB_COMPLETED);
+  job_table_finish (&all_jobs);
+  job_table_finish (&started);
+}
+
 /* Returns the bytes of heap in use after n jobs of 12 tasks were defined and, if over is true,
  * completed, less those in use before. */
 static size_t
@@ -346,6 +385,7 @@
   { "progress is never undone", test_progress_never_goes_back },
   { "pending", test_pending },
   { "over", test_over },
+  { "over without a definition", test_ended_without_definition },
   { "memory", test_memory },
   { "removed", test_removed },
   { "older deletion", test_older_deletion },
