jobd: withdraw records that were never sent at their caller's deadline

A caller's record that waited behind a call without a response was answered 504 at the deadline, and was stored later. Such a record has certainly not been sent: it is now withdrawn from the writer and the answer is 503 with Retry-After. A record that was handed to the leader, or is part of a call in progress, stays 504. So does a request for a job of which another record may still be stored.

--- a/jobd/ingress.c
+++ b/jobd/ingress.c
@@ -494,25 +494,52 @@
     pending->request = NULL;
 }
 
-/* Answers the requests whose deadline is near with 504: their record may or may not become
- * durable. */
+/* Answers a request at its deadline. A record that was never sent is withdrawn, and a cancellation
+ * may not have been appended yet: such a request has had no effect and never will have. Otherwise
+ * its record may or may not become durable. Frees the pending request if nothing refers to it any
+ * more. */
+static void
+pending_request_expire (struct pending_request *pending)
+{
+  struct ingress *ingress = pending->ingress;
+  struct http_request *request = pending_request_detach (pending);
+  bool withdrawn = pending->appended && record_sender_withdraw (ingress->jobd->records,
+                                                                pending_request_on_append, pending);
+  bool without_effect = (withdrawn || (!pending->appended &&
+                                       strcmp (http_request_method (request), "DELETE") == 0)) &&
+                        !ingress_has_appended (ingress, pending->id, pending);
+
+  log_warning ("ingress", "%s at the deadline: job=%s appended=%d withdrawn=%d",
+               without_effect ? "request not carried out" : "outcome not known", pending->id,
+               pending->appended, withdrawn);
+  if (without_effect)
+    {
+      ingress->refused.value++;
+      answer_unavailable (request, "the store has not answered in time; nothing was stored");
+    }
+  else
+    {
+      ingress->unknown.value++;
+      answer_error (request, 504, "the store has not answered in time");
+    }
+  if (withdrawn)
+    pending_request_destroy (pending);
+}
+
+/* Answers the requests whose deadline is near. */
 void
 ingress_tick (struct ingress *ingress)
 {
-  struct pending_request *pending;
+  struct pending_request *pending = LIST_FIRST (&ingress->pending_requests);
   int64_t now_ms = jobd_now_ms (ingress->jobd);
 
-  LIST_FOREACH (pending, &ingress->pending_requests, link)
+  while (pending)
     {
-      struct http_request *request;
+      struct pending_request *next = LIST_NEXT (pending, link);
 
-      if (!pending->request || now_ms < pending->deadline_ms)
-        continue;
-      request = pending_request_detach (pending);
-      ingress->unknown.value++;
-      log_warning ("ingress", "outcome not known at the deadline: job=%s appended=%d", pending->id,
-                   pending->appended);
-      answer_error (request, 504, "the store has not answered in time");
+      if (pending->request && now_ms >= pending->deadline_ms)
+        pending_request_expire (pending);
+      pending = next;
     }
 }
 
--- a/jobd/record_sender.c
+++ b/jobd/record_sender.c
@@ -89,6 +89,14 @@
   TAILQ_INSERT_TAIL (&sender->records, record, link);
 }
 
+/* A handed record that is appended here as well is in the writer under another callback, so it is
+ * not found there. */
+bool
+record_sender_withdraw (struct record_sender *sender, writer_done *done, const void *ctx)
+{
+  return writer_withdraw (sender->jobd->writer, done, ctx);
+}
+
 /* Reports a record's outcome and frees the record. */
 static void
 handed_record_finish (struct handed_record *record, const struct writer_outcome *outcome)
--- a/jobd/record_sender.h
+++ b/jobd/record_sender.h
@@ -15,6 +15,9 @@
 /* Reports the result like writer_append, and WRITER_UNKNOWN if the record may become durable. */
 void record_sender_append (struct record_sender *sender, const char *key, const void *value,
                            size_t len, writer_done *done, void *ctx);
+/* Withdraws a record that was neither handed to the leader nor sent to the store; done is not
+ * called then. Returns false if either may have happened. */
+bool record_sender_withdraw (struct record_sender *sender, writer_done *done, const void *ctx);
 /* The leader has appended a record that was handed to it. A confirmation for another incarnation of
  * this host is ignored. */
 void record_sender_on_appended (struct record_sender *sender, const Sp__AppendedRecord *appended);
--- a/jobd/writer.c
+++ b/jobd/writer.c
@@ -354,6 +354,24 @@
                      writer->sent_ms + writer->config.min_interval_ms - writer_now_ms (writer));
 }
 
+/* Only a record that waits has certainly never been sent: one of the call in progress may have left
+ * this process. */
+bool
+writer_withdraw (struct writer *writer, writer_done *done, const void *ctx)
+{
+  for (GList *link = writer->waiting.head; link; link = link->next)
+    {
+      struct pending_record *pending = link->data;
+
+      if (pending->done != done || pending->ctx != ctx)
+        continue;
+      g_queue_delete_link (&writer->waiting, link);
+      pending_record_destroy (pending);
+      return true;
+    }
+  return false;
+}
+
 bool
 writer_is_stuck (const struct writer *writer)
 {
--- a/jobd/writer.h
+++ b/jobd/writer.h
@@ -72,6 +72,9 @@
 /* Copies the value; an empty one drops the key. done may be NULL. */
 void writer_append (struct writer *writer, const char *key, const void *value, size_t len,
                     writer_done *done, void *ctx);
+/* Withdraws the record that was added with done and ctx, if it has never been sent: it never will
+ * be, and done is not called. Returns false if its send may have happened. */
+bool writer_withdraw (struct writer *writer, writer_done *done, const void *ctx);
 /* Returns whether a call has had no response for so long that new records should not be added. */
 bool writer_is_stuck (const struct writer *writer);
 /* Returns how long the last call took, or the current one so far if that is longer, in
--- a/tests/jobd/test_handed_records.c
+++ b/tests/jobd/test_handed_records.c
@@ -93,6 +93,15 @@
   g_ptr_array_add (leader_appends, append);
 }
 
+bool
+writer_withdraw (struct writer *writer, writer_done *done, const void *ctx)
+{
+  (void) writer;
+  (void) done;
+  (void) ctx;
+  return false;
+}
+
 /* Stands in for the leadership: the hosts of this test have claimed nothing. */
 uint64_t
 leader_claimed_epoch (const struct leader *of)
--- a/tests/jobd/test_writer.c
+++ b/tests/jobd/test_writer.c
@@ -455,6 +455,47 @@
   ev_loop_destroy (fixture->loop);
 }
 
+/* Guards against the answer 504 for a record that was certainly not stored, and against a record
+ * that is stored after its withdrawal: one that waits behind a call without a response can be
+ * withdrawn and is never sent; the one of the call can't. */
+static void
+test_withdrawn (void)
+{
+  static const enum store_behaviour behaviours[] = { BEHAVIOUR_SILENT_DONE };
+  enum store_behaviour script[] = { BEHAVIOUR_RESPOND, BEHAVIOUR_SILENT_LATE };
+  g_autofree struct writer_fixture *fixture = g_new0 (struct writer_fixture, 1);
+  struct trial *trial = &fixture->trials[0];
+
+  fixture->behaviours = behaviours;
+  fixture->n_behaviours = 1;
+  fixture->loop = ev_loop_new (EVFLAG_AUTO);
+  fixture->store = scripted_store_create (fixture->loop, process_port_block (PORT_BLOCK));
+  SUITE_REQUIRE (fixture->store != NULL);
+  trial_start (fixture, trial, 0);
+  trial->topic->script = script;
+  trial->topic->script_len = G_N_ELEMENTS (script);
+  trial_append (trial);
+  run_for (fixture, 50);
+  trial_append (trial);
+  run_for (fixture, 50);
+  trial_append (trial);
+  trial_append (trial);
+  CU_ASSERT_FALSE (writer_withdraw (trial->writer, trial_record_on_done, &trial->records[1]));
+  CU_ASSERT_TRUE (writer_withdraw (trial->writer, trial_record_on_done, &trial->records[2]));
+  CU_ASSERT_FALSE (writer_withdraw (trial->writer, trial_record_on_done, &trial->records[2]));
+  run_for (fixture, 2500);
+  trial_append (trial);
+  run_for (fixture, 100);
+  CU_ASSERT_EQUAL (trial_count_stored (trial, &trial->records[1]), 1);
+  CU_ASSERT_EQUAL (trial_count_stored (trial, &trial->records[2]), 0);
+  CU_ASSERT_EQUAL (trial->records[2].n_reports, 0);
+  CU_ASSERT_EQUAL (trial->records[3].n_reports, 1);
+  CU_ASSERT_EQUAL (trial->records[4].outcome.result, WRITER_DURABLE);
+  trial_stop (trial);
+  scripted_store_destroy (fixture->store);
+  ev_loop_destroy (fixture->loop);
+}
+
 static const struct suite_test tests[] = {
   { "refused or durable", test_refused_or_durable },
   { "leader's records", test_leader_records },
@@ -462,6 +503,7 @@
   { "rejected after unknown", test_rejected_after_unknown },
   { "waiting refused", test_waiting_refused },
   { "append given up", test_append_given_up },
+  { "withdrawn", test_withdrawn },
 };
 
 int
