host_demand: move arrival rates and host counts into a leaf module

The forecast of a pool's demand and the number of hosts that it fills were part of lib/jobs, which knows jobs and tasks. They are now in lib/host_demand with small structs of their own. lib/jobs/demand.c keeps what reads jobs and tasks.

--- a/lib/jobs/pool_size.c
+++ b/lib/jobs/pool_size.c
@@ -8,10 +8,6 @@
 
 enum
 {
-  PERMILLE = 1000,
-  /* Share of a host's capacity that is expected to be filled. A task uses about a tenth of a host,
-   * so what is left is often too small for another one. */
-  PACKING_PERMILLE = 850,
   /* Minimum number of hosts that a pool keeps, so that long-running tasks can be placed. */
   POOL_HOSTS_MIN = 2,
   /* How long a host must have been idle before it moves to another pool, or to the standby pool. A
@@ -80,21 +76,6 @@
     }
 }
 
-/* Returns the number of hosts of the given size that a request fills. GPUs don't count. */
-static unsigned
-hosts_needed_for (const struct resources *request, const struct resources *size)
-{
-  int64_t cpu = size->cpu_milli * PACKING_PERMILLE / PERMILLE;
-  int64_t memory = size->memory_mb * PACKING_PERMILLE / PERMILLE;
-  int64_t n = 0;
-
-  if (cpu > 0)
-    n = MAX (n, (request->cpu_milli + cpu - 1) / cpu);
-  if (memory > 0)
-    n = MAX (n, (request->memory_mb + memory - 1) / memory);
-  return (unsigned) n;
-}
-
 /* Returns whether a host counts for the pool that it is in or moves to: it serves there, or soon
  * will. */
 static bool
@@ -362,15 +343,17 @@
   TAILQ_FOREACH (pool, &scheduler->pools, link)
     {
       struct resources size = pool_host_size (scheduler, pool);
+      struct host_request request;
+      struct host_need need;
 
       pool_sum_demand (scheduler, pool);
       pool_add_lost_capacity (scheduler, pool);
-      pool->hosts_urgent = hosts_needed_for (&pool->request, &size);
+      request = (struct host_request){ pool->request, pool->late_request, pool->suspect_request };
+      need = host_demand_count (&request, &size);
       resources_add (&pool->request, &pool->late_request);
-      pool->hosts_wanted = hosts_needed_for (&pool->request, &size);
-      pool->hosts_beside_suspects =
-          pool->hosts_wanted -
-          MIN (pool->hosts_wanted, hosts_needed_for (&pool->suspect_request, &size));
+      pool->hosts_urgent = need.urgent;
+      pool->hosts_wanted = need.wanted;
+      pool->hosts_beside_suspects = need.beside_suspects;
       /* Free capacity may be fragmented, or be on endpoints that a step's spread limit excludes. */
       if (pool_is_starved (scheduler, pool))
         pool->hosts_urgent = MAX (pool->hosts_urgent, pool->n_hosts + 1);
--- a/tests/jobs/test_demand.c
+++ b/tests/jobs/test_demand.c
@@ -43,42 +43,6 @@
   return job;
 }
 
-/* A queue's busy period begins: demand rises at once from a twentieth of the mean to five times the
- * mean. Half a second later the forecast is within a tenth of what the pool will need. */
-static void
-test_demand_rise (void)
-{
-  struct demand demand = { 0 };
-  struct job *job = make_job (1, 1000);
-  struct resources request;
-  int64_t now_ms = 10000;
-
-  for (unsigned i = 0; i <= 15; i++)
-    {
-      now_ms = 10000 + i * 1000 / 30;
-      demand_add_arrival (&demand, job, HORIZON_MS, now_ms);
-    }
-  request = demand_forecast (&demand, now_ms);
-  /* 30 jobs per second, each with 6 cores for a second. */
-  CU_ASSERT (ABS (request.cpu_milli - 180 * CORE_MILLI) <= 18 * CORE_MILLI);
-}
-
-/* A single job, or a few that come together, give no high rate, and arrivals are forgotten after a
- * second. */
-static void
-test_few_arrivals (void)
-{
-  struct demand demand = { 0 };
-  struct job *job = make_job (1, 1000);
-
-  demand_add_arrival (&demand, job, HORIZON_MS, 10000);
-  CU_ASSERT_EQUAL (demand_forecast (&demand, 10000).cpu_milli, 0);
-  demand_add_arrival (&demand, job, HORIZON_MS, 10000);
-  /* Two jobs arrived, one of which counts: 6 core-seconds over the minimum of 0.3 s. */
-  CU_ASSERT_EQUAL (demand_forecast (&demand, 10000).cpu_milli, 20 * CORE_MILLI);
-  CU_ASSERT_EQUAL (demand_forecast (&demand, 11001).cpu_milli, 0);
-}
-
 /* Later steps count as far as they begin within the horizon. */
 static void
 test_dependent_steps (void)
@@ -92,20 +56,6 @@
   CU_ASSERT_EQUAL (demand_forecast (&demand, 10000).cpu_milli, 10800);
 }
 
-/* With more arrivals than the ring buffer holds, the newest determine the rate. */
-static void
-test_arrival_overflow (void)
-{
-  struct demand demand = { 0 };
-  struct job *job = make_job (1, 1000);
-
-  for (unsigned i = 0; i <= 400; i++)
-    demand_add_arrival (&demand, job, HORIZON_MS, 10000 + i * 5 / 2);
-  /* 400 jobs per second, each with 6 cores for a second. */
-  CU_ASSERT (ABS (demand_forecast (&demand, 11000).cpu_milli - 2400 * CORE_MILLI) <=
-             120 * CORE_MILLI);
-}
-
 /* Tasks that end before the horizon don't count there, tasks that depend on them do. */
 static void
 test_demand_at_horizon (void)
@@ -124,10 +74,7 @@
 }
 
 static const struct suite_test tests[] = {
-  { "demand rise", test_demand_rise },
-  { "no rate", test_few_arrivals },
   { "dependent steps", test_dependent_steps },
-  { "arrival overflow", test_arrival_overflow },
   { "demand at horizon", test_demand_at_horizon },
 };
 
