host_demand: request hosts for rising arrival rates, share them by lack

The mean over a second shows the rate of a turn only after most of that second, and a host needs 1.5 s to move. With the new setting demand_trend (field 31, off by default) the arrivals of the last 300 ms are compared with those of the 700 ms before. While they show a rise, the pool requests hosts for their rate. A rise that the mean does not follow is false: the next ones are ignored for 5 s, so that a wrong guess costs one move per host.

With the setting, pools that lack hosts for timely jobs get them in proportion to what each lacks instead of in the order of the list.

Unit tests of tests/jobs and tests/host_demand pass.

--- a/include/lib/host_demand/host_demand.h
+++ b/include/lib/host_demand/host_demand.h
@@ -37,12 +37,24 @@
   struct resources work;
 };
 
+/* A rise of the arrival rate that the mean doesn't show yet. */
+struct demand_rise
+{
+  /* When it was noticed; 0 while there is none. */
+  int64_t since_ms;
+  /* Highest number of arrivals in the short window since then. */
+  unsigned peak;
+  /* It ended before the mean followed, so that rises are ignored until then. */
+  int64_t ignored_until_ms;
+};
+
 /* Ring buffer of a pool's newest arrivals. */
 struct demand
 {
   struct demand_arrival arrivals[DEMAND_ARRIVALS_MAX];
   unsigned next;
   unsigned n;
+  struct demand_rise rise;
 };
 
 /* What the jobs of a pool request. */
@@ -55,6 +67,13 @@
   struct resources suspects;
 };
 
+/* A pool that lacks hosts for its timely jobs: how many, and how many are on their way to it. */
+struct host_lack
+{
+  unsigned lacking;
+  unsigned coming;
+};
+
 /* Numbers of hosts that a pool needs: for the jobs that can still meet their objective, for all
  * jobs, and for all jobs without their suspects. */
 struct host_need
@@ -75,8 +94,13 @@
 /* Forecasts the resources that jobs yet to arrive will use at the end of the horizon, if they
  * continue to arrive at the recent rate. */
 struct resources demand_forecast (const struct demand *demand, int64_t now_ms);
+/* The same, with the rate of the newest arrivals while they show that it rises. */
+struct resources demand_forecast_rising (struct demand *demand, int64_t now_ms);
 /* Returns how many hosts of the given size a pool needs. */
 struct host_need host_demand_count (const struct host_request *request,
                                     const struct resources *size);
+/* Returns the index of the pool that gets the next host, so that pools get hosts in proportion to
+ * what each lacks; n if none lacks any. */
+size_t host_demand_next (const struct host_lack *lacks, size_t n);
 
 #endif
--- a/include/lib/jobs/scheduler.h
+++ b/include/lib/jobs/scheduler.h
@@ -122,6 +122,9 @@
   int64_t earlier_grants_until_ms;
   /* How long a task may take to end after it is stopped. */
   int64_t stop_ms;
+  /* Whether hosts are requested for an arrival rate as soon as it rises, and divided among pools
+   * that all lack some by what each lacks. */
+  bool demand_trend;
 };
 
 struct scheduler *scheduler_create (const struct scheduler_config *config,
--- a/lib/host_demand/host_demand.c
+++ b/lib/host_demand/host_demand.c
@@ -11,6 +11,18 @@
   /* Shortest time that arrivals are averaged over, so that a few that come together don't look like
    * a high rate. */
   ARRIVAL_WINDOW_MIN_MS = 300,
+  /* Window whose arrivals show a rise, compared with those of the rest of ARRIVAL_WINDOW_MS. */
+  RISE_WINDOW_MS = 300,
+  /* Fewest arrivals in it that show a rise, and by which factor and how many standard deviations
+   * they exceed the rate before. Two or three would often come together by chance. */
+  RISE_ARRIVALS_MIN = 6,
+  RISE_FACTOR = 2,
+  RISE_DEVIATIONS = 3,
+  /* After this time the mean shows the new rate. */
+  RISE_MS = ARRIVAL_WINDOW_MS,
+  /* How long rises are ignored after one that did not last. A host that came for it goes back to
+   * the standby pool within that time, and is not moved again for the next one. */
+  FALSE_RISE_MS = 5000,
   /* Share of a host's capacity that is expected to be filled. A task uses about a tenth of a host,
    * so what is left is often too small for another one. */
   PACKING_PERMILLE = 850,
@@ -89,6 +101,83 @@
   return resources_scale (&sum, 1, MAX (now_ms - since_ms, ARRIVAL_WINDOW_MIN_MS));
 }
 
+/* Arrivals of the rise window, and those before it over before_ms. */
+struct arrival_counts
+{
+  unsigned n;
+  struct resources work;
+  unsigned n_before;
+  int64_t before_ms;
+};
+
+/* Counts the arrivals of ARRIVAL_WINDOW_MS. */
+static struct arrival_counts
+demand_count (const struct demand *demand, int64_t now_ms)
+{
+  struct arrival_counts counts = { .before_ms = ARRIVAL_WINDOW_MS - RISE_WINDOW_MS };
+
+  for (unsigned i = 1; i <= demand->n; i++)
+    {
+      const struct demand_arrival *arrival =
+          &demand->arrivals[(demand->next + DEMAND_ARRIVALS_MAX - i) % DEMAND_ARRIVALS_MAX];
+      int64_t age_ms = now_ms - arrival->at_ms;
+
+      if (age_ms > ARRIVAL_WINDOW_MS)
+        return counts;
+      if (age_ms <= RISE_WINDOW_MS)
+        {
+          counts.n++;
+          resources_add (&counts.work, &arrival->work);
+        }
+      else
+        counts.n_before++;
+      /* The ring buffer holds no older ones. */
+      if (i == DEMAND_ARRIVALS_MAX)
+        counts.before_ms = MAX (age_ms - RISE_WINDOW_MS, 0);
+    }
+  return counts;
+}
+
+/* Returns whether the newest arrivals are more than chance would bring at the rate before. */
+static bool
+counts_show_rise (const struct arrival_counts *counts)
+{
+  double expected;
+  double excess;
+
+  if (counts->n < RISE_ARRIVALS_MIN || counts->before_ms < RISE_WINDOW_MS)
+    return false;
+  expected = (double) counts->n_before * RISE_WINDOW_MS / (double) counts->before_ms;
+  excess = counts->n - expected;
+  return counts->n >= RISE_FACTOR * expected &&
+         excess * excess >= RISE_DEVIATIONS * RISE_DEVIATIONS * MAX (expected, 1);
+}
+
+/* A rise lasts until the mean has followed. It is false if the arrivals fall to less than half of
+ * its peak before. */
+struct resources
+demand_forecast_rising (struct demand *demand, int64_t now_ms)
+{
+  struct resources mean = demand_forecast (demand, now_ms);
+  struct arrival_counts counts = demand_count (demand, now_ms);
+  struct demand_rise *rise = &demand->rise;
+  struct resources newest;
+
+  if (rise->since_ms == 0 && now_ms >= rise->ignored_until_ms && counts_show_rise (&counts))
+    *rise = (struct demand_rise){ .since_ms = now_ms };
+  if (rise->since_ms == 0)
+    return mean;
+  rise->peak = MAX (rise->peak, counts.n);
+  if (counts.n < rise->peak / 2)
+    *rise = (struct demand_rise){ .ignored_until_ms = now_ms + FALSE_RISE_MS };
+  else if (now_ms - rise->since_ms >= RISE_MS)
+    *rise = (struct demand_rise){ 0 };
+  if (rise->since_ms == 0)
+    return mean;
+  newest = resources_scale (&counts.work, 1, RISE_WINDOW_MS);
+  return resources_max (&mean, &newest);
+}
+
 /* Returns the number of hosts of the given size that a request fills. GPUs don't count. */
 static unsigned
 hosts_needed_for (const struct resources *request, const struct resources *size)
@@ -116,3 +205,24 @@
       need.wanted - MIN (need.wanted, hosts_needed_for (&request->suspects, size));
   return need;
 }
+
+/* Divides the hosts by the highest averages of what each pool lacked before any were on their way
+ * to it, so that the result doesn't depend on whether hosts become free one by one or together. */
+size_t
+host_demand_next (const struct host_lack *lacks, size_t n)
+{
+  size_t next = n;
+
+  for (size_t i = 0; i < n; i++)
+    {
+      uint64_t mine = (uint64_t) lacks[i].lacking + lacks[i].coming;
+
+      if (lacks[i].lacking == 0)
+        continue;
+      if (next == n ||
+          mine * (lacks[next].coming + 1) >
+              ((uint64_t) lacks[next].lacking + lacks[next].coming) * (lacks[i].coming + 1))
+        next = i;
+    }
+  return next;
+}
--- a/lib/jobs/pool_size.c
+++ b/lib/jobs/pool_size.c
@@ -20,13 +20,33 @@
   HOST_STAY_MIN_MS = 1500,
 };
 
+/* Forecasts what jobs yet to arrive will use, and logs the beginning and the end of a rise. */
+static struct resources
+pool_forecast (struct scheduler *scheduler, struct pool *pool)
+{
+  bool was_rising = pool->demand.rise.since_ms > 0;
+  struct resources later;
+
+  if (!scheduler->config.demand_trend)
+    return demand_forecast (&pool->demand, scheduler->now_ms);
+  later = demand_forecast_rising (&pool->demand, scheduler->now_ms);
+  if (was_rising != (pool->demand.rise.since_ms > 0))
+    scheduler_log (scheduler, "arrivals %s: pool=%s forecast_cpu_milli=%" G_GINT64_FORMAT,
+                   !was_rising ? "rise"
+                   : pool->demand.rise.ignored_until_ms > scheduler->now_ms
+                       ? "rise no more, the rise was false"
+                       : "have risen",
+                   pool->name, later.cpu_milli);
+  return later;
+}
+
 /* Sums the resource requests of a pool's jobs. Jobs that can still meet their objective count with
  * what they request now or at the time when a host requested now would be ready, whichever is more.
  * Late jobs are summed separately. */
 static void
-pool_sum_demand (const struct scheduler *scheduler, struct pool *pool)
+pool_sum_demand (struct scheduler *scheduler, struct pool *pool)
 {
-  struct resources later = demand_forecast (&pool->demand, scheduler->now_ms);
+  struct resources later = pool_forecast (scheduler, pool);
   const struct job *job;
 
   pool->request = (struct resources){ 0 };
@@ -241,6 +261,62 @@
     }
 }
 
+/* Returns whether a host is on its way to a pool. */
+static bool
+host_is_on_its_way (const struct scheduler *scheduler, const struct host *host,
+                    const struct pool *pool)
+{
+  bool on_its_way = host->target_pool || host->state == HOST_MOVING ||
+                    (host->state == HOST_UP && !host_endpoint (scheduler, host));
+
+  return on_its_way && host_counts_in_pool (scheduler, host) &&
+         strcmp (host->target_pool ? host->target_pool : host->pool, pool->name) == 0;
+}
+
+/* Returns what a pool lacks for its timely jobs. */
+static struct host_lack
+pool_lack (const struct scheduler *scheduler, const struct pool *pool)
+{
+  const struct host *host;
+  struct host_lack lack = { 0 };
+
+  if (pool->standby || pool->n_hosts >= pool->hosts_urgent)
+    return lack;
+  lack.lacking = pool->hosts_urgent - pool->n_hosts;
+  TAILQ_FOREACH (host, &scheduler->hosts, link)
+    lack.coming += host_is_on_its_way (scheduler, host, pool);
+  return lack;
+}
+
+/* Moves hosts to the pools that lack some for their timely jobs, in proportion to what each lacks,
+ * as far as other pools can spare them. */
+static void
+scheduler_share_hosts (struct scheduler *scheduler)
+{
+  g_autoptr (GPtrArray) pools = g_ptr_array_new ();
+  g_autofree struct host_lack *lacks = NULL;
+  struct pool *pool;
+  size_t next;
+
+  TAILQ_FOREACH (pool, &scheduler->pools, link)
+    g_ptr_array_add (pools, pool);
+  lacks = g_new0 (struct host_lack, pools->len);
+  for (guint i = 0; i < pools->len; i++)
+    lacks[i] = pool_lack (scheduler, g_ptr_array_index (pools, i));
+  while ((next = host_demand_next (lacks, pools->len)) < pools->len)
+    {
+      struct host *host;
+
+      pool = g_ptr_array_index (pools, next);
+      host = scheduler_find_spare_host (scheduler, pool, true);
+      if (!host)
+        return;
+      host_move (scheduler, host, pool);
+      lacks[next].lacking--;
+      lacks[next].coming++;
+    }
+}
+
 /* Returns whether a long-running task of a pool has waited for STARVED_MS and no host is on its way
  * to the pool. */
 static bool
@@ -252,11 +328,7 @@
     return false;
   TAILQ_FOREACH (host, &scheduler->hosts, link)
     {
-      bool on_its_way = host->target_pool || host->state == HOST_MOVING ||
-                        (host->state == HOST_UP && !host_endpoint (scheduler, host));
-
-      if (on_its_way && host_counts_in_pool (scheduler, host) &&
-          strcmp (host->target_pool ? host->target_pool : host->pool, pool->name) == 0)
+      if (host_is_on_its_way (scheduler, host, pool))
         return false;
     }
   return true;
@@ -362,8 +434,13 @@
         standby = pool;
     }
   scheduler->hosts_are_short = false;
-  TAILQ_FOREACH (pool, &scheduler->pools, link)
-    pool_grow (scheduler, pool, true);
+  if (scheduler->config.demand_trend)
+    scheduler_share_hosts (scheduler);
+  else
+    {
+      TAILQ_FOREACH (pool, &scheduler->pools, link)
+        pool_grow (scheduler, pool, true);
+    }
   scheduler_choose_released (scheduler);
   TAILQ_FOREACH (pool, &scheduler->pools, link)
     {
--- a/protocols/settings.pb-c.c
+++ b/protocols/settings.pb-c.c
@@ -1859,7 +1859,8 @@
 static const uint32_t sp__jobd_settings__load_admission__default_value = 0u;
 static const double sp__jobd_settings__far_factor__default_value = 1;
 static const uint32_t sp__jobd_settings__locality_wait_max_ms__default_value = 1000u;
-static const ProtobufCFieldDescriptor sp__jobd_settings__field_descriptors[26] =
+static const uint32_t sp__jobd_settings__demand_trend__default_value = 0u;
+static const ProtobufCFieldDescriptor sp__jobd_settings__field_descriptors[27] =
 {
   {
     "name",
@@ -2173,12 +2174,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "demand_trend",
+    31,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Sp__JobdSettings, has_demand_trend),
+    offsetof(Sp__JobdSettings, demand_trend),
+    NULL,
+    &sp__jobd_settings__demand_trend__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sp__jobd_settings__field_indices_by_name[] = {
   9,   /* field[9] = body_limit_bytes */
   8,   /* field[8] = caller_connection_limit */
   18,   /* field[18] = config_ms */
   19,   /* field[19] = config_skew_ms */
+  26,   /* field[26] = demand_trend */
   24,   /* field[24] = far_factor */
   1,   /* field[1] = frontend */
   7,   /* field[7] = grace_ms */
@@ -2207,7 +2221,7 @@
   { 1, 0 },
   { 7, 5 },
   { 18, 13 },
-  { 0, 26 }
+  { 0, 27 }
 };
 const ProtobufCMessageDescriptor sp__jobd_settings__descriptor =
 {
@@ -2217,7 +2231,7 @@
   "Sp__JobdSettings",
   "sp",
   sizeof(Sp__JobdSettings),
-  26,
+  27,
   sp__jobd_settings__field_descriptors,
   sp__jobd_settings__field_indices_by_name,
   3,  sp__jobd_settings__number_ranges,
--- a/protocols/settings_table.c
+++ b/protocols/settings_table.c
@@ -10,35 +10,18 @@
   { "admin_port", "Port for health checks and metrics.", "port", 1u, 65535u },
   { "peer_port", "Port for messages of the other entryds.", "port", 1u, 65535u },
   { "peers", "The other entryds, as NAME=IP:PORT, separated by commas.", "", 0u, 0u },
-  { "fleetds",
-    "Feeds of the fleetds, as IP:PORT, separated by commas; the first one is that of this host's "
-    "own fleetd.",
-    "", 0u, 0u },
+  { "fleetds", "Feeds of the fleetds, as IP:PORT, separated by commas; the first one is that of this host's own fleetd.", "", 0u, 0u },
   { "body_limit_bytes", "Maximum size of a request or response body.", "bytes", 1024u, 67108864u },
-  { "queue_limit", "Maximum number of requests in the queue of one service.", "requests", 1u,
-    100000u },
-  { "caller_connection_limit", "Maximum number of open connections of callers.", "connections", 1u,
-    60000u },
-  { "stop_notice_ms",
-    "At a planned stop, time from the health check's first \"not ready\" until new connections are "
-    "refused.",
-    "ms", 0u, 60000u },
+  { "queue_limit", "Maximum number of requests in the queue of one service.", "requests", 1u, 100000u },
+  { "caller_connection_limit", "Maximum number of open connections of callers.", "connections", 1u, 60000u },
+  { "stop_notice_ms", "At a planned stop, time from the health check's first \"not ready\" until new connections are refused.", "ms", 0u, 60000u },
   { "connect_timeout_ms", "Timeout for connecting to an endpoint.", "ms", 50u, 60000u },
-  { "idle_reuse_ms", "Maximum idle time after which a connection to an endpoint is still reused.",
-    "ms", 0u, 600000u },
-  { "peer_secret_key",
-    "Secret key shared by the entryds, 40 characters in Z85 encoding; if empty, messages between "
-    "them are not encrypted.",
-    "", 0u, 0u },
+  { "idle_reuse_ms", "Maximum idle time after which a connection to an endpoint is still reused.", "ms", 0u, 600000u },
+  { "peer_secret_key", "Secret key shared by the entryds, 40 characters in Z85 encoding; if empty, messages between them are not encrypted.", "", 0u, 0u },
   { "peer_public_key", "Public key of the entryds, 40 characters in Z85 encoding.", "", 0u, 0u },
-  { "slot_policy",
-    "Policy by which entry hosts share the slots of workers: lend, own-count, fixed-share or "
-    "random.",
-    "", 0u, 0u },
-  { "log_level", "Minimum level of the messages that are logged: debug, info, warning or error.",
-    "", 0u, 0u },
-  { "seed", "Seed of the random number generator; 0 draws one from the system.", "seed", 0u,
-    4294967295u },
+  { "slot_policy", "Policy by which entry hosts share the slots of workers: lend, own-count, fixed-share or random.", "", 0u, 0u },
+  { "log_level", "Minimum level of the messages that are logged: debug, info, warning or error.", "", 0u, 0u },
+  { "seed", "Seed of the random number generator; 0 draws one from the system.", "seed", 0u, 4294967295u },
 };
 
 const struct settings_schema entryd_schema = {
@@ -57,39 +40,22 @@
   { "peers", "Feeds of the other fleetds, as IP:PORT, separated by commas.", "", 0u, 0u },
   { "platform", "Address of the platform, as IP:PORT.", "", 0u, 0u },
   { "platform_timeout_ms", "Timeout of one call to the platform.", "ms", 100u, 60000u },
-  { "append_gather_ms",
-    "Time during which records are collected before they are appended to the log as one batch.",
-    "ms", 1u, 1000u },
+  { "append_gather_ms", "Time during which records are collected before they are appended to the log as one batch.", "ms", 1u, 1000u },
   { "host_list_period_ms", "Interval between reads of the host list.", "ms", 50u, 60000u },
   { "claim_ms", "Duration of the executor's claim unless it is renewed.", "ms", 500u, 600000u },
   { "snapshot_every", "Number of log entries between two snapshots.", "entries", 10u, 10000000u },
   { "snapshot_chunk_bytes", "Maximum size of one chunk of a snapshot.", "bytes", 1024u, 1000000u },
-  { "log_level", "Minimum level of the messages that are logged: debug, info, warning or error.",
-    "", 0u, 0u },
-  { "seed", "Seed of the random number generator; 0 draws one from the system.", "seed", 0u,
-    4294967295u },
-  { "drain_notice_ms",
-    "Minimum time for which a host stays in the state \"leaving\" before its next step, so that "
-    "the entry hosts stop sending it requests.",
-    "ms", 0u, 600000u },
-  { "operator_wait_ms",
-    "Maximum time that an operator's request waits until its change has been read back from the "
-    "log.",
-    "ms", 500u, 60000u },
-  { "usage_period_ms", "Interval between reads of usage reports and invoices.", "ms", 50u,
-    3600000u },
-  { "move_ms", "Time that the planner assumes for the move or the drain of one host.", "ms", 1u,
-    86400000u },
-  { "peer_wait_ms", "Time at startup during which peers are asked for their log offset.", "ms",
-    100u, 60000u },
-  { "log_wait_ms", "Maximum time that one read waits at the end of the log for new entries.", "ms",
-    100u, 60000u },
-  { "feed_secret_key",
-    "Secret key of the feed, 40 characters in Z85 encoding; if empty, the feed is not encrypted.",
-    "", 0u, 0u },
+  { "log_level", "Minimum level of the messages that are logged: debug, info, warning or error.", "", 0u, 0u },
+  { "seed", "Seed of the random number generator; 0 draws one from the system.", "seed", 0u, 4294967295u },
+  { "drain_notice_ms", "Minimum time for which a host stays in the state \"leaving\" before its next step, so that the entry hosts stop sending it requests.", "ms", 0u, 600000u },
+  { "operator_wait_ms", "Maximum time that an operator's request waits until its change has been read back from the log.", "ms", 500u, 60000u },
+  { "usage_period_ms", "Interval between reads of usage reports and invoices.", "ms", 50u, 3600000u },
+  { "move_ms", "Time that the planner assumes for the move or the drain of one host.", "ms", 1u, 86400000u },
+  { "peer_wait_ms", "Time at startup during which peers are asked for their log offset.", "ms", 100u, 60000u },
+  { "log_wait_ms", "Maximum time that one read waits at the end of the log for new entries.", "ms", 100u, 60000u },
+  { "feed_secret_key", "Secret key of the feed, 40 characters in Z85 encoding; if empty, the feed is not encrypted.", "", 0u, 0u },
   { "feed_public_key", "Public key of the feeds, 40 characters in Z85 encoding.", "", 0u, 0u },
-  { "task_period_ms", "Interval between scheduling passes over the batch tasks.", "ms", 10u,
-    60000u },
+  { "task_period_ms", "Interval between scheduling passes over the batch tasks.", "ms", 10u, 60000u },
   { "task_lease_ms", "Duration of a batch task's lease.", "ms", 500u, 3600000u },
 };
 
@@ -100,14 +66,11 @@
 };
 
 static const struct setting_info cli_fields[] = {
-  { "operator_ports", "Operator addresses of the fleetds, as IP:PORT, separated by commas.", "", 0u,
-    0u },
+  { "operator_ports", "Operator addresses of the fleetds, as IP:PORT, separated by commas.", "", 0u, 0u },
   { "operator", "Operator's name under which changes are recorded.", "", 0u, 0u },
   { "timeout_ms", "Timeout of one command.", "ms", 100u, 600000u },
   { "output", "Output format: text or json.", "", 0u, 0u },
-  { "entry_ports",
-    "Readiness addresses of the entry hosts that schedule jobs, as IP:PORT, separated by commas.",
-    "", 0u, 0u },
+  { "entry_ports", "Readiness addresses of the entry hosts that schedule jobs, as IP:PORT, separated by commas.", "", 0u, 0u },
 };
 
 const struct settings_schema cli_schema = {
@@ -121,20 +84,14 @@
   { "port", "Port of the platform.", "port", 1u, 65535u },
   { "retention", "Number of log entries that are kept.", "entries", 1u, 10000000u },
   { "append_rate", "Maximum number of appends accepted per second.", "appends", 1u, 100000u },
-  { "host_list_lag_ms", "Time by which the host list lags behind the hosts' real state.", "ms", 0u,
-    600000u },
+  { "host_list_lag_ms", "Time by which the host list lags behind the hosts' real state.", "ms", 0u, 600000u },
   { "operation_ms", "Duration of an operation on a host.", "ms", 0u, 600000u },
   { "hosts", "Hosts, as NAME/CLASS/POOL/RACK/DC/REGION/IP/PORT, separated by commas.", "", 0u, 0u },
-  { "log_level", "Minimum level of the messages that are logged: debug, info, warning or error.",
-    "", 0u, 0u },
+  { "log_level", "Minimum level of the messages that are logged: debug, info, warning or error.", "", 0u, 0u },
   { "usage_lag_ms", "Delay until a usage report can be read.", "ms", 0u, 86400000u },
   { "usage_period_ms", "Interval between two usage reports of a host.", "ms", 50u, 86400000u },
-  { "usage_speed", "Seconds of usage that are reported for each second of wall time.", "times", 1u,
-    10000000u },
-  { "prices",
-    "Prices of the host classes in millionths of the currency per hour, as CLASS=MICROS_PER_HOUR, "
-    "separated by commas.",
-    "", 0u, 0u },
+  { "usage_speed", "Seconds of usage that are reported for each second of wall time.", "times", 1u, 10000000u },
+  { "prices", "Prices of the host classes in millionths of the currency per hour, as CLASS=MICROS_PER_HOUR, separated by commas.", "", 0u, 0u },
   { "seed", "Seed of the injected faults.", "seed", 0u, 4294967295u },
 };
 
@@ -146,18 +103,13 @@
 
 static const struct setting_info worker_fields[] = {
   { "listen_address", "IP address to listen on.", "", 0u, 0u },
-  { "port", "Port of the first worker; the others listen on the ports that follow.", "port", 1u,
-    65535u },
+  { "port", "Port of the first worker; the others listen on the ports that follow.", "port", 1u, 65535u },
   { "count", "Number of workers in this process.", "workers", 1u, 200u },
-  { "slots",
-    "Number of slots of each worker; requests that run beyond it are counted as \"overfilled\".",
-    "slots", 1u, 1000u },
+  { "slots", "Number of slots of each worker; requests that run beyond it are counted as \"overfilled\".", "slots", 1u, 1000u },
   { "connections", "Maximum number of connections of each worker.", "connections", 1u, 10000u },
   { "service_ms", "Mean processing time of a request.", "ms", 0u, 60000u },
-  { "log_level", "Minimum level of the messages that are logged: debug, info, warning or error.",
-    "", 0u, 0u },
-  { "seed", "Seed of the random number generator; 0 draws one from the system.", "seed", 0u,
-    4294967295u },
+  { "log_level", "Minimum level of the messages that are logged: debug, info, warning or error.", "", 0u, 0u },
+  { "seed", "Seed of the random number generator; 0 draws one from the system.", "seed", 0u, 4294967295u },
 };
 
 const struct settings_schema worker_schema = {
@@ -171,8 +123,7 @@
   { "listen_address", "IP address to listen on.", "", 0u, 0u },
   { "admin_port", "Port for requests that inject faults.", "port", 1u, 65535u },
   { "delay_ms", "Delay added in each direction.", "ms", 0u, 60000u },
-  { "log_level", "Minimum level of the messages that are logged: debug, info, warning or error.",
-    "", 0u, 0u },
+  { "log_level", "Minimum level of the messages that are logged: debug, info, warning or error.", "", 0u, 0u },
 };
 
 const struct settings_schema faults_schema = {
@@ -183,29 +134,16 @@
 
 static const struct setting_info load_fields[] = {
   { "entries", "Entry hosts, as IP:PORT, separated by commas.", "", 0u, 0u },
-  { "admins",
-    "Admin addresses of the entry hosts in the same order, as IP:PORT, separated by commas; an "
-    "entry host that is not ready gets no requests.",
-    "", 0u, 0u },
-  { "cut_limit",
-    "Maximum number of requests that may get no complete response; with more, the exit status is "
-    "that of a violation. For runs in which an entry host is killed.",
-    "requests", 0u, 1000000u },
-  { "services",
-    "Services and their mean request rates, as NAME=REQUESTS_PER_SECOND, separated by commas.", "",
-    0u, 0u },
+  { "admins", "Admin addresses of the entry hosts in the same order, as IP:PORT, separated by commas; an entry host that is not ready gets no requests.", "", 0u, 0u },
+  { "cut_limit", "Maximum number of requests that may get no complete response; with more, the exit status is that of a violation. For runs in which an entry host is killed.", "requests", 0u, 1000000u },
+  { "services", "Services and their mean request rates, as NAME=REQUESTS_PER_SECOND, separated by commas.", "", 0u, 0u },
   { "seconds", "Duration of the run.", "s", 1u, 86400u },
   { "deadline_ms", "Deadline of each request.", "ms", 1u, 600000u },
   { "charge_permille", "Share of the requests that are not idempotent.", "permille", 0u, 1000u },
-  { "burst",
-    "Factor by which one service after the other exceeds its mean rate while the others send a "
-    "twentieth of theirs; 1 keeps all rates steady.",
-    "times", 1u, 20u },
+  { "burst", "Factor by which one service after the other exceeds its mean rate while the others send a twentieth of theirs; 1 keeps all rates steady.", "times", 1u, 20u },
   { "burst_ms", "Duration of one service's burst.", "ms", 100u, 60000u },
-  { "workers", "Workers whose counters are checked at the end, as IP:PORT, separated by commas.",
-    "", 0u, 0u },
-  { "seed", "Seed of the random number generator; 0 draws one from the system.", "seed", 0u,
-    4294967295u },
+  { "workers", "Workers whose counters are checked at the end, as IP:PORT, separated by commas.", "", 0u, 0u },
+  { "seed", "Seed of the random number generator; 0 draws one from the system.", "seed", 0u, 4294967295u },
   { "output", "Output format: text or json.", "", 0u, 0u },
   { "open_limit", "Maximum number of concurrent requests.", "requests", 1u, 60000u },
 };
@@ -219,68 +157,31 @@
 static const struct setting_info jobd_fields[] = {
   { "name", "Name of this entry host.", "", 0u, 0u },
   { "frontend", "Address for requests of callers, as IP:PORT.", "", 0u, 0u },
-  { "readiness", "Address for health checks, readiness checks and metrics, as IP:PORT.", "", 0u,
-    0u },
+  { "readiness", "Address for health checks, readiness checks and metrics, as IP:PORT.", "", 0u, 0u },
   { "store", "Address of the platform's store, as IP:PORT.", "", 0u, 0u },
   { "machines", "Address of the platform's machine list, as IP:PORT.", "", 0u, 0u },
-  { "lease_ms",
-    "Time that a task may run without a heartbeat from the scheduler. Must exceed the time that a "
-    "change of leader takes.",
-    "ms", 1000u, 60000u },
-  { "leader_timeout_ms",
-    "Time without a journal record of the leader after which another host becomes the leader.",
-    "ms", 500u, 60000u },
+  { "lease_ms", "Time that a task may run without a heartbeat from the scheduler. Must exceed the time that a change of leader takes.", "ms", 1000u, 60000u },
+  { "leader_timeout_ms", "Time without a journal record of the leader after which another host becomes the leader.", "ms", 500u, 60000u },
   { "grace_ms", "Maximum time from SIGTERM until the process exits.", "ms", 100u, 600000u },
-  { "caller_connection_limit", "Maximum number of open connections of callers.", "connections", 1u,
-    60000u },
+  { "caller_connection_limit", "Maximum number of open connections of callers.", "connections", 1u, 60000u },
   { "body_limit_bytes", "Maximum size of a request body.", "bytes", 1024u, 67108864u },
   { "stop_ms", "Time that a task has to end after it was told to stop.", "ms", 10u, 60000u },
-  { "status_ms",
-    "Minimum time that the state of a finished job is kept; it is deleted after twice this time.",
-    "ms", 1000u, 86400000u },
-  { "log_level", "Minimum level of the messages that are logged: debug, info, warning or error.",
-    "", 0u, 0u },
-  { "seed", "Seed of the random number generator; 0 draws one from the system.", "seed", 0u,
-    4294967295u },
-  { "processor_share",
-    "Share of a CPU core that this process may use. A host with less than a quarter of a core "
-    "waits longer before it claims the leadership, so that a host with a larger share becomes the "
-    "leader.",
-    "cores", 0u, 1024u },
-  { "host_tokens_checked",
-    "Whether the platform checks the fencing tokens of host commands: 1 if it does. If it does "
-    "not, a new leader waits until every host command of the former one has ended.",
-    "flag", 0u, 1u },
-  { "relay",
-    "Address for commands of the leader that this host passes on to endpoints, as IP:PORT; empty "
-    "if it passes on none.",
-    "", 0u, 0u },
-  { "relay_endpoints_min",
-    "Number of endpoints from which on a leader sends its commands through other hosts' relays.",
-    "endpoints", 0u, 1000000u },
-  { "config_ms",
-    "Time within which a version of the configuration must be in force, and by how much it is "
-    "stretched while the store rejects some hosts only. A host whose configuration was not "
-    "confirmed for about the sum serves no calls that need a key; 0 and 0 turn this off.",
-    "ms", 0u, 600000u },
+  { "status_ms", "Minimum time that the state of a finished job is kept; it is deleted after twice this time.", "ms", 1000u, 86400000u },
+  { "log_level", "Minimum level of the messages that are logged: debug, info, warning or error.", "", 0u, 0u },
+  { "seed", "Seed of the random number generator; 0 draws one from the system.", "seed", 0u, 4294967295u },
+  { "processor_share", "Share of a CPU core that this process may use. A host with less than a quarter of a core waits longer before it claims the leadership, so that a host with a larger share becomes the leader.", "cores", 0u, 1024u },
+  { "host_tokens_checked", "Whether the platform checks the fencing tokens of host commands: 1 if it does. If it does not, a new leader waits until every host command of the former one has ended.", "flag", 0u, 1u },
+  { "relay", "Address for commands of the leader that this host passes on to endpoints, as IP:PORT; empty if it passes on none.", "", 0u, 0u },
+  { "relay_endpoints_min", "Number of endpoints from which on a leader sends its commands through other hosts' relays.", "endpoints", 0u, 1000000u },
+  { "config_ms", "Time within which a version of the configuration must be in force, and by how much it is stretched while the store rejects some hosts only. A host whose configuration was not confirmed for about the sum serves no calls that need a key; 0 and 0 turn this off.", "ms", 0u, 600000u },
   { "config_skew_ms", "The second part of that time.", "ms", 0u, 600000u },
-  { "share_window_ms", "Window over which the service that workspaces get is compared.", "ms", 100u,
-    600000u },
-  { "learned_durations",
-    "Whether task durations are predicted from those that ended (1) or taken from the jobs (0).",
-    "flag", 0u, 1u },
-  { "prospect_order",
-    "Whether jobs are placed by their prospect of meeting their objective (1) or by due time (0).",
-    "flag", 0u, 1u },
-  { "load_admission", "Whether jobs that can't be served in time are refused (1).", "flag", 0u,
-    1u },
-  { "far_factor",
-    "Factor by which a task takes longer away from the rack of its data or its gang; 1 if "
-    "placement makes no difference, so that no task waits for a rack.",
-    "factor", 1u, 1000u },
-  { "locality_wait_max_ms",
-    "Longest time that a task waits for free capacity on its rack; 0 if it never waits.", "ms", 0u,
-    60000u },
+  { "share_window_ms", "Window over which the service that workspaces get is compared.", "ms", 100u, 600000u },
+  { "learned_durations", "Whether task durations are predicted from those that ended (1) or taken from the jobs (0).", "flag", 0u, 1u },
+  { "prospect_order", "Whether jobs are placed by their prospect of meeting their objective (1) or by due time (0).", "flag", 0u, 1u },
+  { "load_admission", "Whether jobs that can't be served in time are refused (1).", "flag", 0u, 1u },
+  { "far_factor", "Factor by which a task takes longer away from the rack of its data or its gang; 1 if placement makes no difference, so that no task waits for a rack.", "factor", 1u, 1000u },
+  { "locality_wait_max_ms", "Longest time that a task waits for free capacity on its rack; 0 if it never waits.", "ms", 0u, 60000u },
+  { "demand_trend", "Whether hosts are requested for the rate at which jobs arrive as soon as it rises, and divided among pools that lack some by what each lacks (1), or for the mean rate and in turn (0).", "flag", 0u, 1u },
 };
 
 const struct settings_schema jobd_schema = {
@@ -291,20 +192,12 @@
 
 static const struct setting_info cluster_fields[] = {
   { "listen_address", "IP address to listen on.", "", 0u, 0u },
-  { "port",
-    "Port of the store; the machine list listens on the next port, the endpoints on the ports from "
-    "this one plus 10.",
-    "port", 1u, 65000u },
-  { "pools",
-    "Pools and their numbers of hosts, as NAME=NUMBER, separated by commas. The last one is the "
-    "standby pool.",
-    "", 0u, 0u },
+  { "port", "Port of the store; the machine list listens on the next port, the endpoints on the ports from this one plus 10.", "port", 1u, 65000u },
+  { "pools", "Pools and their numbers of hosts, as NAME=NUMBER, separated by commas. The last one is the standby pool.", "", 0u, 0u },
   { "work_ms", "Duration of a task.", "ms", 1u, 600000u },
   { "move_ms", "Duration of a move or of the maintenance of a host.", "ms", 1u, 600000u },
-  { "heartbeat_ms", "Interval at which an endpoint renews its entry in the registry.", "ms", 10u,
-    60000u },
-  { "log_level", "Minimum level of the messages that are logged: debug, info, warning or error.",
-    "", 0u, 0u },
+  { "heartbeat_ms", "Interval at which an endpoint renews its entry in the registry.", "ms", 10u, 60000u },
+  { "log_level", "Minimum level of the messages that are logged: debug, info, warning or error.", "", 0u, 0u },
 };
 
 const struct settings_schema cluster_schema = {
@@ -312,3 +205,4 @@
   cluster_fields,
   sizeof cluster_fields / sizeof cluster_fields[0],
 };
+
--- a/tests/host_demand/test_host_demand.c
+++ b/tests/host_demand/test_host_demand.c
@@ -112,10 +112,128 @@
   CU_ASSERT_EQUAL (need.beside_suspects, 3);
 }
 
+/* Adds the arrivals of a span at a rate a second, each of 1 core for a second. */
+static void
+add_arrivals (struct demand *demand, int64_t from_ms, int64_t until_ms, unsigned rate)
+{
+  enum
+  {
+    TASK_MS = 1000,
+  };
+  const struct resources work = { .cpu_milli = (int64_t) CORE_MILLI * TASK_MS };
+
+  for (int64_t i = from_ms * rate / 1000 + 1; i <= until_ms * rate / 1000; i++)
+    demand_add_work (demand, &work, i * 1000 / rate);
+}
+
+/* Plays 6 arrivals a second, 30 a second from 10 s until end_ms, and 6 a second again until 25 s.
+ * Returns for how long after 10 s the forecast was below 27 cores in steps of 100 ms, and the time
+ * for which it was above 12 cores after end_ms. */
+static int64_t
+play_turn (bool trend, int64_t end_ms, int64_t *above_ms)
+{
+  g_autofree struct demand *demand = g_new0 (struct demand, 1);
+  int64_t reached_ms = -1;
+
+  *above_ms = 0;
+  for (int64_t now_ms = 100; now_ms <= 25000; now_ms += 100)
+    {
+      struct resources request;
+
+      add_arrivals (demand, now_ms - 100, now_ms, now_ms > 10000 && now_ms <= end_ms ? 30 : 6);
+      request = trend ? demand_forecast_rising (demand, now_ms) : demand_forecast (demand, now_ms);
+      CU_ASSERT (now_ms > 10000 || request.cpu_milli <= 8 * CORE_MILLI);
+      if (reached_ms < 0 && request.cpu_milli >= 27 * CORE_MILLI)
+        reached_ms = now_ms - 10000;
+      if (now_ms > end_ms && request.cpu_milli > 12 * CORE_MILLI)
+        *above_ms = now_ms - end_ms;
+    }
+  return reached_ms;
+}
+
+/* Hosts take 1.5 s to move, so what is asked for late in the first second of a turn is there only
+ * when half of the turn is over. A turn that ends must not hold the hosts for longer. */
+static void
+test_turn (void)
+{
+  int64_t mean_above_ms;
+  int64_t above_ms;
+  int64_t mean_ms = play_turn (false, 15000, &mean_above_ms);
+  int64_t ms = play_turn (true, 15000, &above_ms);
+
+  printf ("mean %" G_GINT64_FORMAT " ms, trend %" G_GINT64_FORMAT " ms ", mean_ms, ms);
+  CU_ASSERT (ms <= 400);
+  CU_ASSERT (ms + 400 <= mean_ms);
+  CU_ASSERT (above_ms <= mean_above_ms);
+}
+
+/* A burst of 300 ms is no turn: hosts are asked for once, for less than a second, and not again for
+ * the bursts that follow within 5 s, when the first host may not even have come back. */
+static void
+test_false_start (void)
+{
+  g_autofree struct demand *demand = g_new0 (struct demand, 1);
+  unsigned n_requests = 0;
+  unsigned n_begun = 0;
+  bool asked = false;
+
+  for (int64_t now_ms = 100; now_ms <= 16000; now_ms += 100)
+    {
+      bool burst = now_ms > 10000 && now_ms <= 14000 && now_ms % 1000 > 0 && now_ms % 1000 <= 300;
+      struct resources mean;
+      struct resources request;
+
+      add_arrivals (demand, now_ms - 100, now_ms, burst ? 30 : 6);
+      mean = demand_forecast (demand, now_ms);
+      request = demand_forecast_rising (demand, now_ms);
+      n_begun += !asked && request.cpu_milli > mean.cpu_milli;
+      asked = request.cpu_milli > mean.cpu_milli;
+      n_requests += asked;
+    }
+  CU_ASSERT_EQUAL (n_begun, 1);
+  CU_ASSERT (n_requests < 10);
+}
+
+/* Divides hosts that become free one by one among two pools, and counts those that each got. */
+static void
+divide_hosts (struct host_lack *lacks, unsigned n_hosts, unsigned *given)
+{
+  for (unsigned i = 0; i < n_hosts; i++)
+    {
+      size_t next = host_demand_next (lacks, 2);
+
+      if (next == 2)
+        return;
+      lacks[next].lacking--;
+      lacks[next].coming++;
+      given[next]++;
+    }
+}
+
+/* Two pools lack hosts: neither may get all of them because it comes first in the list, and none
+ * gets more than it lacks. */
+static void
+test_two_pools (void)
+{
+  struct host_lack lacks[] = { { .lacking = 10 }, { .lacking = 5 } };
+  struct host_lack small[] = { { .lacking = 1 }, { .lacking = 2 } };
+  unsigned given[2] = { 0 };
+
+  divide_hosts (lacks, 4, given);
+  divide_hosts (lacks, 2, given);
+  CU_ASSERT_EQUAL (given[0], 4);
+  CU_ASSERT_EQUAL (given[1], 2);
+  given[0] = given[1] = 0;
+  divide_hosts (small, 9, given);
+  CU_ASSERT_EQUAL (given[0], 1);
+  CU_ASSERT_EQUAL (given[1], 2);
+}
+
 static const struct suite_test tests[] = {
   { "demand rise", test_demand_rise },         { "no rate", test_few_arrivals },
   { "dependent steps", test_dependent_steps }, { "arrival overflow", test_arrival_overflow },
-  { "counts of hosts", test_counts },
+  { "counts of hosts", test_counts },          { "turn", test_turn },
+  { "false start", test_false_start },         { "two pools", test_two_pools },
 };
 
 int
--- a/tests/jobs/simulation.c
+++ b/tests/jobs/simulation.c
@@ -179,6 +179,7 @@
     .lease_ms = LEASE_MS,
     .earlier_grants_until_ms = simulation->now_ms,
     .stop_ms = STOP_MS,
+    .demand_trend = simulation->demand_trend,
   };
 
   simulation_log (simulation, "leader: epoch=%" G_GUINT64_FORMAT, simulation->epoch);
--- a/tests/jobs/test_pools.c
+++ b/tests/jobs/test_pools.c
@@ -1,3 +1,4 @@
+#include <stdio.h>
 #include <string.h>
 
 #include "suite.h"
@@ -239,6 +240,90 @@
     }
 }
 
+/* Submits jobs of one core for a second to a pool at a rate a second, for 100 ms. */
+static void
+submit_at_rate (struct simulation *simulation, const char *pool, unsigned rate)
+{
+  Sp__JobStep step = simulation_job_step (1);
+  unsigned n =
+      (unsigned) (simulation->now_ms * rate / 1000 - (simulation->now_ms - 100) * rate / 1000);
+
+  step.cpu_milli = 3000;
+  for (unsigned i = 0; i < n; i++)
+    {
+      g_autofree char *id =
+          g_strdup_printf ("%s-%" G_GINT64_FORMAT "-%u", pool, simulation->now_ms, i);
+
+      simulation_submit (simulation, id, pool, &step, 1, 3);
+    }
+}
+
+/* Plays bursts of 300 ms in two pools in turns, which look like the beginning of a turn, and
+ * returns the number of moves until all hosts are back in the standby pool. */
+static unsigned
+count_moves_in_bursts (bool trend)
+{
+  struct simulation *simulation = simulation_create (1);
+  unsigned moves;
+
+  simulation->demand_trend = trend;
+  simulation_add_pool (simulation, "spare", true);
+  simulation_add_hosts (simulation, "one", 3);
+  simulation_add_hosts (simulation, "two", 3);
+  simulation_add_hosts (simulation, "spare", 8);
+  simulation_start_new_leader (simulation);
+  simulation_run (simulation, 3000);
+  simulation->moves = 0;
+  for (unsigned i = 0; i < 40; i++)
+    {
+      submit_at_rate (simulation, "one", i % 10 < 3 ? 30 : 3);
+      submit_at_rate (simulation, "two", (i + 5) % 10 < 3 ? 30 : 3);
+      simulation_run (simulation, 100);
+    }
+  simulation_run (simulation, 8000);
+  CU_ASSERT (count_hosts (simulation, "one") <= 3);
+  CU_ASSERT (count_hosts (simulation, "two") <= 3);
+  CU_ASSERT_EQUAL (simulation_violations (simulation), 0);
+  moves = simulation->moves;
+  simulation_destroy (simulation);
+  return moves;
+}
+
+/* Each wrong guess may move a host once more than the mean forecast does. Hosts must not go to and
+ * fro between the pools with the bursts. */
+static void
+test_bursts (void)
+{
+  unsigned with_trend = count_moves_in_bursts (true);
+  unsigned with_mean = count_moves_in_bursts (false);
+
+  printf ("moves: trend %u, mean %u ", with_trend, with_mean);
+  CU_ASSERT (with_trend <= with_mean + 8);
+}
+
+/* Two pools need three times the hosts that are there. The first in the list doesn't get all. */
+static void
+test_shared_hosts (void)
+{
+  struct simulation *simulation = simulation_create (1);
+  Sp__JobStep step = make_step (100);
+
+  simulation->demand_trend = true;
+  simulation_add_pool (simulation, "spare", true);
+  simulation_add_hosts (simulation, "one", 2);
+  simulation_add_hosts (simulation, "two", 2);
+  simulation_add_hosts (simulation, "spare", 6);
+  simulation->work_ms = 3000;
+  simulation_start_new_leader (simulation);
+  simulation_run (simulation, 100);
+  simulation_submit (simulation, "first", "one", &step, 1, 3);
+  simulation_submit (simulation, "second", "two", &step, 1, 3);
+  simulation_run (simulation, 300);
+  CU_ASSERT_EQUAL (count_hosts (simulation, "one"), 5);
+  CU_ASSERT_EQUAL (count_hosts (simulation, "two"), 5);
+  simulation_destroy (simulation);
+}
+
 static const struct suite_test tests[] = {
   { "demand shift", test_demand_shift },
   { "fragmented capacity", test_fragmented_capacity },
@@ -246,6 +331,8 @@
   { "timely first", test_timely_first },
   { "late pool releases hosts", test_late_pool_releases_hosts },
   { "lost moves", test_lost_moves },
+  { "bursts", test_bursts },
+  { "shared hosts", test_shared_hosts },
   { "late moves end no tasks", test_late_moves_end_no_tasks },
 };
 
