--- a/tests/jobd/test_handed_records.c
+++ b/tests/jobd/test_handed_records.c
@@ -102,6 +102,20 @@
   return false;
 }
 
+/* Stand in for the configuration: the hosts of this test have none. */
+void
+jobd_confirm_config (struct jobd *jobd)
+{
+  (void) jobd;
+}
+
+bool
+jobd_has_workspaces (const struct jobd *jobd)
+{
+  (void) jobd;
+  return false;
+}
+
 /* Stands in for the leadership: the hosts of this test have claimed nothing. */
 uint64_t
 leader_claimed_epoch (const struct leader *of)
