Show the number of tasks of a completed job that hosts keep in short form

Cause: explain printed no tasks for a job that is over; the test "explained" of test-jobd failed.

Change: the number of tasks is kept, and of a completed job all were done.

--- a/cli/commands/explain.c
+++ b/cli/commands/explain.c
@@ -42,14 +42,16 @@
 }
 
 /* Prints a job and the tasks that the host listed: those that are unfinished or have failed
- * attempts. Hosts keep no tasks of a job that is over. */
+ * attempts. Hosts keep no tasks of a job that is over; of one that is completed all were done. */
 static void
 job_print (const json_t *job)
 {
   json_t *task;
   size_t i;
 
-  if (json_is_true (json_object_get (job, "reduced")))
+  if (json_is_true (json_object_get (job, "reduced")) &&
+      (strcmp (json_field_string (job, "state"), "completed") != 0 ||
+       json_field_integer (job, "tasks_total") == 0))
     {
       printf ("job %s: %s%s, queue %s, pool %s\n", json_field_string (job, "job"),
               json_field_string (job, "state"),
--- a/jobd/inspect.c
+++ b/jobd/inspect.c
@@ -62,18 +62,21 @@
 }
 
 /* Reports a job's state and its tasks that are unfinished or have failed attempts. Of a job that is
- * over the tasks are no longer known: 'reduced' is true and the counts are 0. */
+ * over the tasks are no longer known and 'reduced' is true; their number is 0 if its definition is
+ * not known either. */
 json_t *
 inspect_job (const struct job_table *table, const char *id)
 {
   struct job *job = job_table_find (table, id);
   const Sp__JobDefinition *definition;
   json_t *tasks;
+  json_int_t n_total;
   json_int_t n_done = 0;
 
   if (!job || !job->definition)
     return NULL;
   definition = job->definition;
+  n_total = (json_int_t) job->tasks_per_occurrence * job->n_occurrences;
   tasks = json_array ();
   job_create_tasks (job);
   for (uint32_t i = 0; i < job->n_tasks; i++)
@@ -82,10 +85,12 @@
       if (!job->tasks[i].done || job->tasks[i].n_failed > 0 || job->tasks[i].n_crashed > 0)
         json_array_append_new (tasks, inspect_task (&job->tasks[i]));
     }
+  if (job->state == SP__JOB_STATE__JOB_COMPLETED)
+    n_done = n_total;
   return json_pack ("{s:s, s:s, s:b, s:s, s:s, s:I, s:I, s:I, s:I, s:b, s:o}", "job", id, "state",
                     job_state_name (job->state), "cancelled", job->cancelled, "queue",
                     definition->queue, "pool", definition->pool, "accepted_ms",
                     (json_int_t) definition->accepted_ms, "max_attempts",
-                    (json_int_t) definition->max_attempts, "tasks_total", (json_int_t) job->n_tasks,
-                    "tasks_done", n_done, "reduced", job->n_tasks == 0, "tasks", tasks);
+                    (json_int_t) definition->max_attempts, "tasks_total", n_total, "tasks_done",
+                    n_done, "reduced", job->n_tasks == 0, "tasks", tasks);
 }
