soak: workspaces, and calls with withdrawn and wrong keys

Cause: no random test changes keys while the store and the hosts fail.

Change: each version of the soak's configuration withdraws the key of the one before. Callers send the key of their job's workspace; some ask with a key of an earlier version, one that never was, or another workspace's. The new rule KEY is violated if a withdrawn key is served later than config_ms + config_skew_ms, which are 1.5 s each here. Keys with a literal text have names in the tests, so that a failed check prints none.

--- a/tests/jobd/test_caller_keys.c
+++ b/tests/jobd/test_caller_keys.c
@@ -28,6 +28,15 @@
 #define TENANTS(keys)                                                                              \
   "[{\"name\":\"a\",\"api_keys\":[" keys "]},{\"name\":\"b\",\"api_keys\":[\"sesame-b\"]}]"
 
+/* Named, so that a failed check prints no key. */
+#define KEY_A "sesame-a"
+#define KEY_B "sesame-b"
+#define KEY_C "sesame-c"
+#define KEY_D "sesame-d"
+#define KEY_NEW "sesame-new"
+#define KEY_OLD "sesame-old"
+#define KEY_X "sesame-x"
+
 static struct hosts hosts = {
   .relays = true,
   .separable = true,
@@ -101,16 +110,16 @@
   g_autofree char *path = new_path ("one");
 
   CU_ASSERT_EQUAL (call (0, NULL, "POST", path, JOB), 401);
-  CU_ASSERT_EQUAL (call (0, "sesame-x", "POST", path, JOB), 401);
-  CU_ASSERT_EQUAL (call (0, "sesame-x", "DELETE", path, NULL), 401);
-  CU_ASSERT_EQUAL (call (0, "sesame-x", "GET", path, NULL), 401);
+  CU_ASSERT_EQUAL (call (0, KEY_X, "POST", path, JOB), 401);
+  CU_ASSERT_EQUAL (call (0, KEY_X, "DELETE", path, NULL), 401);
+  CU_ASSERT_EQUAL (call (0, KEY_X, "GET", path, NULL), 401);
   CU_ASSERT_EQUAL (count (0, NULL), 401);
-  CU_ASSERT_EQUAL (count (0, "sesame-b"), 200);
+  CU_ASSERT_EQUAL (count (0, KEY_B), 200);
   for (unsigned n = 0; n < HOSTS; n++)
-    CU_ASSERT_EQUAL (call (n, "sesame-a", "GET", path, NULL), 410);
-  CU_ASSERT_EQUAL (call (0, "sesame-a", "POST", path, JOB), 200);
-  CU_ASSERT_EQUAL (call (0, "sesame-x", "POST", path, JOB), 401);
-  CU_ASSERT_EQUAL (call (0, "sesame-a", "POST", path, JOB), 200);
+    CU_ASSERT_EQUAL (call (n, KEY_A, "GET", path, NULL), 410);
+  CU_ASSERT_EQUAL (call (0, KEY_A, "POST", path, JOB), 200);
+  CU_ASSERT_EQUAL (call (0, KEY_X, "POST", path, JOB), 401);
+  CU_ASSERT_EQUAL (call (0, KEY_A, "POST", path, JOB), 200);
   CU_ASSERT_EQUAL (
       hosts_metric (&hosts, 0, "sesamepick_jobd_calls_refused_total{reason=\"unknown_key\"}"), 6);
 }
@@ -125,13 +134,13 @@
     {
       g_free (path);
       path = new_path ("one");
-      CU_ASSERT_EQUAL (call (i % HOSTS, "sesame-a", "POST", path, JOB), 200);
-      CU_ASSERT_EQUAL (
-          call ((i + 1) % HOSTS, "sesame-b", i % 2 == 0 ? "GET" : "DELETE", path, NULL), 403);
+      CU_ASSERT_EQUAL (call (i % HOSTS, KEY_A, "POST", path, JOB), 200);
+      CU_ASSERT_EQUAL (call ((i + 1) % HOSTS, KEY_B, i % 2 == 0 ? "GET" : "DELETE", path, NULL),
+                       403);
     }
-  CU_ASSERT_EQUAL (call (1, "sesame-b", "POST", path, JOB), 403);
-  CU_ASSERT_EQUAL (call (1, "sesame-a", "GET", path, NULL), 200);
-  CU_ASSERT_EQUAL (call (2, "sesame-a", "DELETE", path, NULL), 200);
+  CU_ASSERT_EQUAL (call (1, KEY_B, "POST", path, JOB), 403);
+  CU_ASSERT_EQUAL (call (1, KEY_A, "GET", path, NULL), 200);
+  CU_ASSERT_EQUAL (call (2, KEY_A, "DELETE", path, NULL), 200);
 }
 
 /* A public queue needs no key, but a job that was submitted with one is its workspace's. */
@@ -143,11 +152,11 @@
 
   CU_ASSERT_EQUAL (call (0, NULL, "POST", open, JOB), 200);
   CU_ASSERT_EQUAL (call (1, NULL, "GET", open, NULL), 200);
-  CU_ASSERT_EQUAL (call (1, "sesame-b", "GET", open, NULL), 200);
-  CU_ASSERT_EQUAL (call (1, "sesame-x", "GET", open, NULL), 401);
-  CU_ASSERT_EQUAL (call (0, "sesame-a", "POST", owned, JOB), 200);
+  CU_ASSERT_EQUAL (call (1, KEY_B, "GET", open, NULL), 200);
+  CU_ASSERT_EQUAL (call (1, KEY_X, "GET", open, NULL), 401);
+  CU_ASSERT_EQUAL (call (0, KEY_A, "POST", owned, JOB), 200);
   CU_ASSERT_EQUAL (call (1, NULL, "GET", owned, NULL), 401);
-  CU_ASSERT_EQUAL (call (1, "sesame-b", "GET", owned, NULL), 403);
+  CU_ASSERT_EQUAL (call (1, KEY_B, "GET", owned, NULL), 403);
 }
 
 /* A host that the store rejects gets the version that withdraws a key over the link, and goes on
@@ -160,12 +169,12 @@
   hosts_set_store (&hosts, host, "busy");
   test_sleep_ms (READ_LIMIT_MS);
   hosts_configure (&hosts, 8, TENANTS ("\"sesame-a\",\"sesame-new\""));
-  CU_ASSERT_TRUE (wait_count (host, "sesame-new", 200, PASSED_LIMIT_MS));
-  CU_ASSERT_EQUAL (count (host, "sesame-old"), 503);
+  CU_ASSERT_TRUE (wait_count (host, KEY_NEW, 200, PASSED_LIMIT_MS));
+  CU_ASSERT_EQUAL (count (host, KEY_OLD), 503);
   test_sleep_ms (CONFIG_MS + SKEW_MS);
-  CU_ASSERT_EQUAL (count (host, "sesame-a"), 200);
+  CU_ASSERT_EQUAL (count (host, KEY_A), 200);
   hosts_set_store (&hosts, host, "up");
-  CU_ASSERT_TRUE (wait_count (host, "sesame-old", 401, READ_LIMIT_MS));
+  CU_ASSERT_TRUE (wait_count (host, KEY_OLD, 401, READ_LIMIT_MS));
 }
 
 /* A host without the store and the other hosts serves no key after the bound, as any may have been
@@ -180,14 +189,14 @@
   hosts_cut_links (&hosts, host, true);
   hosts_configure (&hosts, 9, TENANTS ("\"sesame-a\""));
   withdrawn_ms = test_now_ms ();
-  CU_ASSERT_TRUE (wait_count (host, "sesame-new", 503, CONFIG_MS + SKEW_MS));
+  CU_ASSERT_TRUE (wait_count (host, KEY_NEW, 503, CONFIG_MS + SKEW_MS));
   CU_ASSERT (test_now_ms () < withdrawn_ms + CONFIG_MS + SKEW_MS);
-  CU_ASSERT_EQUAL (count (host, "sesame-a"), 503);
+  CU_ASSERT_EQUAL (count (host, KEY_A), 503);
   CU_ASSERT_EQUAL (call (host, NULL, "GET", "/two/", NULL), 200);
   hosts_cut_links (&hosts, host, false);
   hosts_set_store (&hosts, host, "up");
-  CU_ASSERT_TRUE (wait_count (host, "sesame-a", 200, PASSED_LIMIT_MS));
-  CU_ASSERT (count (host, "sesame-new") != 200);
+  CU_ASSERT_TRUE (wait_count (host, KEY_A, 200, PASSED_LIMIT_MS));
+  CU_ASSERT (count (host, KEY_NEW) != 200);
 }
 
 /* A process that stood still doesn't take its configuration for fresh. */
@@ -196,13 +205,13 @@
 {
   unsigned host = follower ();
 
-  CU_ASSERT_EQUAL (count (host, "sesame-b"), 200);
+  CU_ASSERT_EQUAL (count (host, KEY_B), 200);
   process_signal (hosts.jobds[host], SIGSTOP);
   hosts_configure (&hosts, 10, TENANTS ("\"sesame-c\""));
   test_sleep_ms (CONFIG_MS + SKEW_MS);
   process_signal (hosts.jobds[host], SIGCONT);
-  CU_ASSERT (count (host, "sesame-a") != 200);
-  CU_ASSERT_TRUE (wait_count (host, "sesame-c", 200, PASSED_LIMIT_MS));
+  CU_ASSERT (count (host, KEY_A) != 200);
+  CU_ASSERT_TRUE (wait_count (host, KEY_C, 200, PASSED_LIMIT_MS));
 }
 
 /* A restarted host serves nobody before it has a configuration, and then the newest. */
@@ -215,11 +224,11 @@
   hosts_set_store (&hosts, host, "busy");
   hosts_configure (&hosts, 11, TENANTS ("\"sesame-d\""));
   hosts_start_jobd (&hosts, host);
-  CU_ASSERT_TRUE (wait_count (host, "sesame-c", 503, ELECTION_LIMIT_MS));
-  CU_ASSERT_EQUAL (count (host, "sesame-d"), 503);
+  CU_ASSERT_TRUE (wait_count (host, KEY_C, 503, ELECTION_LIMIT_MS));
+  CU_ASSERT_EQUAL (count (host, KEY_D), 503);
   hosts_set_store (&hosts, host, "up");
-  CU_ASSERT_TRUE (wait_count (host, "sesame-d", 200, ELECTION_LIMIT_MS));
-  CU_ASSERT_EQUAL (count (host, "sesame-c"), 401);
+  CU_ASSERT_TRUE (wait_count (host, KEY_D, 200, ELECTION_LIMIT_MS));
+  CU_ASSERT_EQUAL (count (host, KEY_C), 401);
 }
 
 /* No log that a daemon has written so far holds a key. */
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -24,6 +24,11 @@
   SOAK_FINISH_MS = 14000,
   SOAK_TRIES_MAX = 4,
   SOAK_CALL_MS = 3000,
+  /* Settings of the daemons, and the time after which no withdrawn key may be served. */
+  SOAK_CONFIG_MS = 1500,
+  SOAK_CONFIG_SKEW_MS = 1500,
+  SOAK_CONFIG_BOUND_MS = SOAK_CONFIG_MS + SOAK_CONFIG_SKEW_MS,
+  SOAK_VERSIONS_MAX = 32,
 };
 
 /* Response to a caller's request. */
@@ -60,6 +65,8 @@
   bool long_running;
   /* Its task crashes each endpoint that starts it. */
   bool crashes;
+  /* 0 or 1. */
+  unsigned workspace;
   /* Requests for the job, without states as expected. */
   GArray *tries;
   /* When a submission and a cancellation were answered 2xx; 0 if none was. */
@@ -90,6 +97,11 @@
   GMutex mutex;
   GPtrArray *jobs;
   unsigned n_crashing_jobs;
+  /* Version of the configuration in force, and when the key of each earlier one was withdrawn. */
+  unsigned version;
+  int64_t withdrawn_ms[SOAK_VERSIONS_MAX];
+  /* Calls with a withdrawn key after the bound. */
+  unsigned n_calls_withdrawn;
   unsigned n_violations;
   /* Endpoints that crashed, by the platform's count. */
   unsigned n_crashes;
@@ -102,7 +114,7 @@
 /* Sends a request and waits for its response. Opens the connection if it is closed; closes it
  * unless a response arrived. body may be NULL. */
 void soak_call (struct soak_connection *connection, const char *method, const char *path,
-                const char *body, struct soak_answer *answer);
+                const char *key, const char *body, struct soak_answer *answer);
 void soak_connection_close (struct soak_connection *connection);
 
 /* soak_hosts.c */
@@ -128,6 +140,23 @@
 /* Returns a JSON object of the platform, or NULL. */
 json_t *soak_hosts_get (struct soak *soak, const char *path);
 
+/* soak_keys.c */
+
+/* Returns the key that a workspace has in all versions. */
+const char *soak_workspace_key (unsigned workspace);
+/* Returns the workspaces of a version as a JSON list: each version has a key of its own, which the
+ * next one withdraws. Free with g_free. */
+char *soak_keys_tenants (unsigned version);
+/* Handles that the platform has stored a version. */
+void soak_keys_version_stored (struct soak *soak, unsigned version);
+/* Asks a host for the count with the key of a drawn earlier version, and checks that none is served
+ * that was withdrawn longer than the bound ago, or that never was. */
+void soak_keys_ask_withdrawn (struct soak *soak, struct soak_connection *connection, unsigned host,
+                              GRand *rand);
+/* Asks a host for a job with the key of another workspace, and checks that it is refused. */
+void soak_keys_ask_other (struct soak *soak, struct soak_connection *connection, unsigned host,
+                          struct soak_job *job);
+
 /* soak_faults.c */
 
 /* Injects the seed's series of faults, then ends all of them. */
--- a/tests/soak/soak_clients.c
+++ b/tests/soak/soak_clients.c
@@ -17,7 +17,9 @@
   ASK_PERCENT = 78,
   CANCEL_PERCENT = 84,
   REPEAT_PERCENT = 90,
-  COUNT_PERCENT = 95,
+  COUNT_PERCENT = 92,
+  UNKNOWN_JOB_PERCENT = 93,
+  WITHDRAWN_KEY_PERCENT = 98,
 };
 
 #define TWO_STEP_JOB                                                                               \
@@ -53,12 +55,13 @@
 /* Sends a request for a job to a host. Returns when it was sent. */
 static int64_t
 client_call (struct client *client, unsigned host, const char *method, const char *id,
-             const char *body, struct soak_answer *answer)
+             unsigned workspace, const char *body, struct soak_answer *answer)
 {
   g_autofree char *path = g_strdup_printf ("/one/%s", id);
   int64_t sent_ms = test_now_ms ();
 
-  soak_call (&client->connections[host], method, path, body, answer);
+  soak_call (&client->connections[host], method, path, soak_workspace_key (workspace), body,
+             answer);
   return sent_ms;
 }
 
@@ -76,7 +79,8 @@
 client_submit_once (struct client *client, struct soak_job *job, unsigned host)
 {
   struct soak_answer answer;
-  int64_t sent_ms = client_call (client, host, "POST", job->id, soak_job_body (job), &answer);
+  int64_t sent_ms =
+      client_call (client, host, "POST", job->id, job->workspace, soak_job_body (job), &answer);
 
   soak_job_submitted (client->soak, job, host, sent_ms, &answer);
   return answer.status;
@@ -110,7 +114,7 @@
 {
   unsigned host = client_draw_host (client);
   struct soak_answer answer;
-  int64_t sent_ms = client_call (client, host, "GET", job->id, NULL, &answer);
+  int64_t sent_ms = client_call (client, host, "GET", job->id, job->workspace, NULL, &answer);
 
   soak_job_asked (client->soak, job, host, sent_ms, &answer);
 }
@@ -126,7 +130,7 @@
   g_mutex_lock (&client->soak->mutex);
   job->cancel_sent = true;
   g_mutex_unlock (&client->soak->mutex);
-  sent_ms = client_call (client, host, "DELETE", job->id, NULL, &answer);
+  sent_ms = client_call (client, host, "DELETE", job->id, job->workspace, NULL, &answer);
   soak_job_cancelled (client->soak, job, host, sent_ms, &answer);
 }
 
@@ -152,7 +156,7 @@
 
   if (!count)
     g_snprintf (id, sizeof id, "%08x%08x", g_rand_int (client->rand), g_rand_int (client->rand));
-  client_call (client, client_draw_host (client), "GET", id, NULL, &answer);
+  client_call (client, client_draw_host (client), "GET", id, 0, NULL, &answer);
   g_mutex_lock (&client->soak->mutex);
   if (answer.mixed_up || (answer.status == 200 && (!count || !strstr (answer.body, "pending"))) ||
       (count && answer.status == 410))
@@ -161,6 +165,19 @@
   g_mutex_unlock (&client->soak->mutex);
 }
 
+/* Asks for the queue's count with the key of some version, or for a job with another workspace's
+ * key. */
+static void
+client_use_wrong_key (struct client *client, struct soak_job *job, bool withdrawn)
+{
+  unsigned host = client_draw_host (client);
+
+  if (withdrawn)
+    soak_keys_ask_withdrawn (client->soak, &client->connections[host], host, client->rand);
+  else
+    soak_keys_ask_other (client->soak, &client->connections[host], host, job);
+}
+
 /* Performs one action. */
 static void
 client_act (struct client *client)
@@ -176,8 +193,10 @@
     client_cancel (client, job);
   else if (action < REPEAT_PERCENT)
     client_repeat (client, job);
-  else
+  else if (action < UNKNOWN_JOB_PERCENT)
     client_ask_other (client, action < COUNT_PERCENT);
+  else
+    client_use_wrong_key (client, job, action < WITHDRAWN_KEY_PERCENT);
 }
 
 /* The callers' thread. */
--- a/tests/soak/soak_hosts.c
+++ b/tests/soak/soak_hosts.c
@@ -58,10 +58,11 @@
   g_autofree char *relay = g_strdup_printf (" --relay=127.0.0.1:%u", port + RELAY_OFFSET + host);
   char *options = g_strdup_printf (
       "--name=%s --frontend=127.0.0.1:%u --readiness=127.0.0.1:%u --store=127.0.0.1:%u"
-      " --machines=127.0.0.1:%u --seed=%u --relay-endpoints-min=1%s",
+      " --machines=127.0.0.1:%u --seed=%u --relay-endpoints-min=1"
+      " --config-ms=%d --config-skew-ms=%d%s",
       name, port + FRONTEND_OFFSET + host, port + READINESS_OFFSET + host,
       soak_hosts_store_port (soak, host), soak_hosts_machines_port (soak, host), soak->seed + host,
-      soak->relays ? relay : "");
+      SOAK_CONFIG_MS, SOAK_CONFIG_SKEW_MS, soak->relays ? relay : "");
 
   soak->jobds[host] = soak_process_create (soak, name, "jobd/sesamepick-jobd", options);
   soak->should_run[host] = true;
@@ -98,7 +99,7 @@
 
   fetch (&fetched, "POST", url, NULL, body, CALL_MS);
   if (fetched.status != 200)
-    printf ("POST %s %s: status %d\n", url, body, fetched.status);
+    printf ("POST %s: status %d\n", url, fetched.status);
   fetched_clear (&fetched);
 }
 
@@ -122,13 +123,15 @@
       "\"priority\":0,\"max_attempts\":3,\"slack_factor\":2.0,\"target_latency_ms\":%u}";
   g_autofree char *one = g_strdup_printf (route, "a", "one", "one", 600 + version);
   g_autofree char *two = g_strdup_printf (route, "b", "two", "two", 600U);
+  g_autofree char *tenants = soak_keys_tenants (version);
   g_autofree char *body = g_strdup_printf (
       "{\"key\":\"config\",\"value\":{\"version\":%u,\"routes\":[%s%s%s],\"services\":["
       "{\"name\":\"one\",\"standby\":false},{\"name\":\"two\",\"standby\":false},"
-      "{\"name\":\"spare\",\"standby\":true}]}}",
-      version, one, version % 2 == 0 ? "," : "", version % 2 == 0 ? two : "");
+      "{\"name\":\"spare\",\"standby\":true}],\"tenants\":%s}}",
+      version, one, version % 2 == 0 ? "," : "", version % 2 == 0 ? two : "", tenants);
 
   soak_hosts_post (soak, "/operator", body);
+  soak_keys_version_stored (soak, version);
 }
 
 json_t *
--- a/tests/soak/soak_http.c
+++ b/tests/soak/soak_http.c
@@ -145,13 +145,14 @@
 
 void
 soak_call (struct soak_connection *connection, const char *method, const char *path,
-           const char *body, struct soak_answer *answer)
+           const char *key, const char *body, struct soak_answer *answer)
 {
   int64_t end_ms = test_now_ms () + SOAK_CALL_MS;
   g_autofree char *text =
       g_strdup_printf ("%s %s HTTP/1.1\r\nHost: jobs.example\r\nX-Deadline-Ms: %d\r\n"
+                       "X-Credential: %s\r\n"
                        "Content-Type: application/json\r\nContent-Length: %zu\r\n\r\n%s",
-                       method, path, SOAK_CALL_MS, body ? strlen (body) : 0, body ? body : "");
+                       method, path, SOAK_CALL_MS, key, body ? strlen (body) : 0, body ? body : "");
 
   memset (answer, 0, sizeof *answer);
   answer->mixed_up = !connection_check_idle (connection);
--- a/tests/soak/soak_jobs.c
+++ b/tests/soak/soak_jobs.c
@@ -27,6 +27,7 @@
   snprintf (job->id, sizeof job->id, "%08x%08x", g_rand_int (rand), g_rand_int (rand));
   job->long_running = g_rand_int_range (rand, 0, PERCENT) < LONG_RUNNING_PERCENT;
   job->crashes = !job->long_running && g_rand_int_range (rand, 0, PERCENT) < CRASHING_PERCENT;
+  job->workspace = (unsigned) g_rand_int_range (rand, 0, 2);
   job->tries = g_array_new (FALSE, FALSE, sizeof (struct soak_try));
   g_mutex_lock (&soak->mutex);
   job->crashes = job->crashes && soak->n_crashing_jobs < CRASHING_MAX;
--- a/tests/soak/soak_verify.c
+++ b/tests/soak/soak_verify.c
@@ -39,7 +39,7 @@
 
       if (!state || job->settled[host])
         continue;
-      soak_call (connection, "GET", path, NULL, &answer);
+      soak_call (connection, "GET", path, soak_workspace_key (job->workspace), NULL, &answer);
       soak_job_asked (soak, job, host, sent_ms, &answer);
       job->settled[host] = answer.status == 200 && strstr (answer.body, state);
       n_open += !job->settled[host];
--- a/tests/soak/test_soak.c
+++ b/tests/soak/test_soak.c
@@ -37,9 +37,10 @@
   soak_verify (&soak);
   for (guint i = 0; i < soak.jobs->len; i++)
     n_accepted += ((struct soak_job *) g_ptr_array_index (soak.jobs, i))->accepted_ms > 0;
-  printf ("seed %u: hosts %u, relays %d, jobs %u, accepted %u, crashes %u, violations %u, %d ms\n",
+  printf ("seed %u: hosts %u, relays %d, jobs %u, accepted %u, crashes %u, withdrawn %u, "
+          "violations %u, %d ms\n",
           seed, soak.n_hosts, soak.relays, soak.jobs->len, n_accepted, soak.n_crashes,
-          soak.n_violations, (int) (test_now_ms () - soak.begun_ms));
+          soak.n_calls_withdrawn, soak.n_violations, (int) (test_now_ms () - soak.begun_ms));
   fflush (stdout);
   soak_hosts_stop (&soak, soak.n_violations > 0 ? logs : NULL);
   g_ptr_array_free (soak.jobs, TRUE);
--- a/tests/workspaces/test_caller_access.c
+++ b/tests/workspaces/test_caller_access.c
@@ -12,6 +12,12 @@
   FRESH_MS = 10,
 };
 
+/* Named, so that a failed check prints no key. */
+#define KEY_A "key-a"
+#define KEY_B "key-b"
+#define KEY_X "key-x"
+#define KEY_OF_BOTH "key-of-both"
+
 static struct workspace_table *table;
 static struct caller_access_limits limits;
 
@@ -26,14 +32,14 @@
 static void
 test_keys (void)
 {
-  struct caller_access access = caller_access_decide (false, table, "key-a", FRESH_MS, &limits);
+  struct caller_access access = caller_access_decide (false, table, KEY_A, FRESH_MS, &limits);
 
   CU_ASSERT_EQUAL (access.result, CALLER_ALLOWED);
   CU_ASSERT_STRING_EQUAL (access.workspace->name, "a");
   CU_ASSERT_EQUAL (decide (false, NULL, FRESH_MS), CALLER_UNKNOWN_KEY);
   CU_ASSERT_EQUAL (decide (false, "", FRESH_MS), CALLER_UNKNOWN_KEY);
-  CU_ASSERT_EQUAL (decide (false, "key-x", FRESH_MS), CALLER_UNKNOWN_KEY);
-  CU_ASSERT_EQUAL (decide (false, "key-of-both", FRESH_MS), CALLER_UNKNOWN_KEY);
+  CU_ASSERT_EQUAL (decide (false, KEY_X, FRESH_MS), CALLER_UNKNOWN_KEY);
+  CU_ASSERT_EQUAL (decide (false, KEY_OF_BOTH, FRESH_MS), CALLER_UNKNOWN_KEY);
 }
 
 /* A public queue needs no key, but doesn't accept a wrong one. */
@@ -41,9 +47,9 @@
 test_public_queue (void)
 {
   CU_ASSERT_EQUAL (decide (true, NULL, INT64_MAX), CALLER_ALLOWED);
-  CU_ASSERT_EQUAL (decide (true, "key-x", FRESH_MS), CALLER_UNKNOWN_KEY);
+  CU_ASSERT_EQUAL (decide (true, KEY_X, FRESH_MS), CALLER_UNKNOWN_KEY);
   CU_ASSERT_STRING_EQUAL (
-      caller_access_decide (true, table, "key-b", FRESH_MS, &limits).workspace->name, "b");
+      caller_access_decide (true, table, KEY_B, FRESH_MS, &limits).workspace->name, "b");
 }
 
 /* A key that may have been withdrawn is served up to the bound and not longer; one that may have
@@ -51,15 +57,15 @@
 static void
 test_age (void)
 {
-  CU_ASSERT_EQUAL (decide (false, "key-a", OLDEST_SERVING_MS), CALLER_ALLOWED);
-  CU_ASSERT_EQUAL (decide (false, "key-a", OLDEST_SERVING_MS + 1), CALLER_OLD_CONFIG);
-  CU_ASSERT_EQUAL (decide (true, "key-a", OLDEST_SERVING_MS + 1), CALLER_OLD_CONFIG);
-  CU_ASSERT_EQUAL (decide (false, "key-a", INT64_MAX), CALLER_OLD_CONFIG);
-  CU_ASSERT_EQUAL (decide (false, "key-x", CALLER_REFUSAL_AGE_MS), CALLER_UNKNOWN_KEY);
-  CU_ASSERT_EQUAL (decide (false, "key-x", CALLER_REFUSAL_AGE_MS + 1), CALLER_OLD_CONFIG);
+  CU_ASSERT_EQUAL (decide (false, KEY_A, OLDEST_SERVING_MS), CALLER_ALLOWED);
+  CU_ASSERT_EQUAL (decide (false, KEY_A, OLDEST_SERVING_MS + 1), CALLER_OLD_CONFIG);
+  CU_ASSERT_EQUAL (decide (true, KEY_A, OLDEST_SERVING_MS + 1), CALLER_OLD_CONFIG);
+  CU_ASSERT_EQUAL (decide (false, KEY_A, INT64_MAX), CALLER_OLD_CONFIG);
+  CU_ASSERT_EQUAL (decide (false, KEY_X, CALLER_REFUSAL_AGE_MS), CALLER_UNKNOWN_KEY);
+  CU_ASSERT_EQUAL (decide (false, KEY_X, CALLER_REFUSAL_AGE_MS + 1), CALLER_OLD_CONFIG);
   CU_ASSERT_EQUAL (decide (false, NULL, CALLER_REFUSAL_AGE_MS + 1), CALLER_OLD_CONFIG);
   limits = caller_access_limits (0, 0);
-  CU_ASSERT_EQUAL (decide (false, "key-a", INT64_MAX), CALLER_ALLOWED);
+  CU_ASSERT_EQUAL (decide (false, KEY_A, INT64_MAX), CALLER_ALLOWED);
   limits = caller_access_limits (CONFIG_MS, SKEW_MS);
 }
 
@@ -69,7 +75,7 @@
 {
   struct workspace_table *empty = workspace_table_create ();
 
-  CU_ASSERT_EQUAL (caller_access_decide (false, empty, "key-x", INT64_MAX, &limits).result,
+  CU_ASSERT_EQUAL (caller_access_decide (false, empty, KEY_X, INT64_MAX, &limits).result,
                    CALLER_ALLOWED);
   CU_ASSERT_EQUAL (caller_access_decide (false, empty, NULL, INT64_MAX, &limits).result,
                    CALLER_ALLOWED);
@@ -106,10 +112,10 @@
   table = workspace_table_create ();
   a = workspace_table_add (table, &(struct workspace){ .name = "a" });
   b = workspace_table_add (table, &(struct workspace){ .name = "b" });
-  workspace_table_add_key (table, a, "key-a");
-  workspace_table_add_key (table, b, "key-b");
-  workspace_table_add_key (table, a, "key-of-both");
-  workspace_table_add_key (table, b, "key-of-both");
+  workspace_table_add_key (table, a, KEY_A);
+  workspace_table_add_key (table, b, KEY_B);
+  workspace_table_add_key (table, a, KEY_OF_BOTH);
+  workspace_table_add_key (table, b, KEY_OF_BOTH);
   limits = caller_access_limits (CONFIG_MS, SKEW_MS);
   status = suite_run ("caller_access", tests, G_N_ELEMENTS (tests));
   workspace_table_destroy (table);
