jobd: show the configuration's age; read it before a late 403

Cause: an operator can't see whether a host's configuration is out of date.

Change: gauges of version and age. Such a request reads the configuration, too, and is decided again. With a config_ms below a second nothing is refused as unknown by a configuration older than that.

--- a/jobd/ingress.c
+++ b/jobd/ingress.c
@@ -48,6 +48,8 @@
   struct metric cancels;
   /* By enum key_refusal. */
   struct metric key_refusals[N_KEY_REFUSALS];
+  struct metric config_version;
+  struct metric config_age;
   struct caller_access_limits access_limits;
   struct metric_histogram durable_time;
 };
@@ -383,22 +385,21 @@
   return access == CALLER_JOB_NEEDS_KEY ? REFUSED_UNKNOWN_KEY : REFUSED_OTHER_WORKSPACE;
 }
 
-/* Reads the configuration to its end before a call is refused: its key may have been added a moment
- * ago. Returns false if that is of no use, as the call has waited for it before or the store
- * rejects reads. One read serves all calls of the next second, so that calls with unknown keys cost
- * the store one read a second and host at most. */
+/* Returns whether the configuration can be read anew before a refusal. */
 static bool
-call_await_config (struct ingress *ingress, const struct call *call)
+ingress_can_read_config (const struct ingress *ingress)
 {
-  struct topic_reader *operators = ingress->jobd->operators;
-  struct pending_request *pending;
+  return topic_reader_healthy_since_ms (ingress->jobd->operators) > 0;
+}
 
-  if (call->config_read || topic_reader_healthy_since_ms (operators) == 0)
-    return false;
-  pending = pending_request_create (ingress, call);
+/* Reads the configuration to its end before a request is refused, and decides about it again then:
+ * its key may have been added or moved a moment ago. One read serves all requests of the next
+ * second, so that wrong keys cost the store one read a second and host at most. */
+static void
+pending_request_await_config (struct pending_request *pending)
+{
   pending->awaits_config = true;
-  topic_reader_read_to_end (operators, pending_request_on_config, pending);
-  return true;
+  topic_reader_read_to_end (pending->ingress->jobd->operators, pending_request_on_config, pending);
 }
 
 /* Refuses a call because of its key, unless the configuration is to be read first. */
@@ -407,8 +408,11 @@
 {
   g_autofree char *queue = NULL;
 
-  if (reason == REFUSED_OLD_CONFIG && call_await_config (ingress, call))
-    return;
+  if (reason == REFUSED_OLD_CONFIG && !call->config_read && ingress_can_read_config (ingress))
+    {
+      pending_request_await_config (pending_request_create (ingress, call));
+      return;
+    }
   queue = queue_name (call->queue);
   log_key_refusal (ingress, reason, http_request_method (call->request), call->id, queue,
                    call->workspace, call->config_age_ms);
@@ -526,8 +530,8 @@
   pending_request_append (pending, &record);
 }
 
-/* Returns whether a request may concern the job for which it has waited, by its key at its arrival;
- * refuses it if not. */
+/* Returns whether a request may concern the job for which it has waited, by its key at its arrival.
+ * If not, refuses and frees it, or lets it wait for the configuration. */
 static bool
 pending_request_may_concern_job (struct pending_request *pending, const struct job *job)
 {
@@ -538,10 +542,16 @@
 
   if (reason == N_KEY_REFUSALS)
     return true;
+  if (reason == REFUSED_OLD_CONFIG && ingress_can_read_config (ingress))
+    {
+      pending_request_await_config (pending);
+      return false;
+    }
   request = pending_request_detach (pending);
   log_key_refusal (ingress, reason, http_request_method (request), pending->id,
                    job->definition->queue, pending->workspace, pending->config_age_ms);
   refuse_key (ingress, request, reason, pending->id);
+  pending_request_destroy (pending);
   return false;
 }
 
@@ -556,10 +566,7 @@
   struct http_request *request;
 
   if (pending->request && job && job->definition && !pending_request_may_concern_job (pending, job))
-    {
-      pending_request_destroy (pending);
-      return;
-    }
+    return;
   if (pending->request && job && job->definition &&
       strcmp (http_request_method (pending->request), "DELETE") == 0 &&
       !job_state_is_final (job->state))
@@ -766,14 +773,25 @@
   refuse_key (ingress, request, REFUSED_OLD_CONFIG, pending->id);
 }
 
+/* Updates the gauges of the configuration. */
+static void
+ingress_update_gauges (struct ingress *ingress, int64_t now_ms)
+{
+  int64_t age_ms = jobd_config_age_ms (ingress->jobd, now_ms);
+
+  ingress->config_version.value = ingress->jobd->config.version;
+  ingress->config_age.value = age_ms == INT64_MAX ? -1 : age_ms;
+}
+
 /* Answers the requests whose deadline is near with 504: their record may or may not become
- * durable. */
+ * durable. Nothing has been done for one that waits for the configuration. */
 void
 ingress_tick (struct ingress *ingress)
 {
   struct pending_request *pending;
   int64_t now_ms = jobd_now_ms (ingress->jobd);
 
+  ingress_update_gauges (ingress, now_ms);
   LIST_FOREACH (pending, &ingress->pending_requests, link)
     {
       struct http_request *request;
@@ -793,7 +811,8 @@
     }
 }
 
-/* Adds a counter for each reason for which calls are refused because of their key. */
+/* Adds a counter for each reason for which calls are refused because of their key, and gauges of
+ * the configuration by which keys are checked. */
 static void
 ingress_add_key_metrics (struct ingress *ingress)
 {
@@ -805,6 +824,11 @@
                           "sesamepick_jobd_calls_refused_total", labels,
                           "Calls that were refused because of their key.");
     }
+  metric_add_gauge (&ingress->jobd->metrics, &ingress->config_version,
+                    "sesamepick_jobd_config_version", "", "Version of the configuration in force.");
+  metric_add_gauge (
+      &ingress->jobd->metrics, &ingress->config_age, "sesamepick_jobd_config_age_milliseconds", "",
+      "Time since the configuration was last confirmed to be the newest; -1 if never.");
 }
 
 /* Opens the callers' port. Returns 0 or a negative error number. */
@@ -878,6 +902,8 @@
   metric_remove (&ingress->cancels);
   for (unsigned i = 0; i < N_KEY_REFUSALS; i++)
     metric_remove (&ingress->key_refusals[i]);
+  metric_remove (&ingress->config_version);
+  metric_remove (&ingress->config_age);
   metric_histogram_remove (&ingress->durable_time);
   while (!LIST_EMPTY (&ingress->pending_requests))
     {
--- a/lib/workspaces/caller_access.c
+++ b/lib/workspaces/caller_access.c
@@ -9,7 +9,8 @@
 
   return (struct caller_access_limits){
     .max_age_ms = bound_ms > 0 ? MAX (bound_ms - CALLER_AGE_MARGIN_MS, 1) : 0,
-    .refusal_age_ms = CALLER_REFUSAL_AGE_MS,
+    .refusal_age_ms =
+        config_ms > 0 ? MIN (config_ms, CALLER_REFUSAL_AGE_MS) : CALLER_REFUSAL_AGE_MS,
   };
 }
 
--- a/tests/jobd/test_caller_keys.c
+++ b/tests/jobd/test_caller_keys.c
@@ -21,6 +21,7 @@
   /* Longer than a host takes to read a new version from the store. */
   READ_LIMIT_MS = 1500,
   JOBS_ASKED_AT_ONCE = 8,
+  ASK_INTERVAL_MS = 300,
 };
 
 #define JOB                                                                                        \
@@ -124,7 +125,8 @@
       hosts_metric (&hosts, 0, "sesamepick_jobd_calls_refused_total{reason=\"unknown_key\"}"), 6);
 }
 
-/* A job is its workspace's alone, also on a host that reads the journal first to know it. */
+/* A job is its workspace's alone, also on a host that reads the journal first to know it, and
+ * whatever the age of the configuration there, which varies with the time of the call. */
 static void
 test_other_workspace (void)
 {
@@ -132,6 +134,7 @@
 
   for (unsigned i = 0; i < JOBS_ASKED_AT_ONCE; i++)
     {
+      test_sleep_ms (ASK_INTERVAL_MS);
       g_free (path);
       path = new_path ("one");
       CU_ASSERT_EQUAL (call (i % HOSTS, KEY_A, "POST", path, JOB), 200);
