jobd: count confirmations of the configuration from the start of the process only

If the store rejects the leader too, its version may be older than one under which the host's earlier process has handled calls.

Change: a version counts as confirmed only by what is read, or confirmed by a peer, after the start.

--- a/jobd/config_state.c
+++ b/jobd/config_state.c
@@ -30,7 +30,7 @@
 void
 config_state_confirm (struct config_state *state, int64_t version, int64_t at_ms)
 {
-  if (state->record && version <= state->version)
+  if (state->record && version <= state->version && at_ms >= state->begun_ms)
     state->confirmed_ms = MAX (state->confirmed_ms, at_ms);
 }
 
--- a/jobd/config_state.h
+++ b/jobd/config_state.h
@@ -28,6 +28,9 @@
   /* The record as the store holds it; NULL if there is none. */
   GBytes *record;
   int64_t learned_ms;
+  /* Start of the process. What was confirmed before it doesn't count: the host's earlier process
+   * may have handled calls under a version that this one doesn't know. */
+  int64_t begun_ms;
   /* Every version that the store acknowledged before this time is not newer than version; 0 if
    * nothing is known. */
   int64_t confirmed_ms;
--- a/jobd/main.c
+++ b/jobd/main.c
@@ -374,6 +374,7 @@
   jobd->jobs.on_host = jobd_on_host_record;
   jobd->jobs.on_host_commands = jobd_on_host_commands;
   jobd->jobs.ctx = jobd;
+  jobd->config.begun_ms = jobd->clock.now_ms;
   jobd->config.on_record = jobd_on_passed_config;
   jobd->config.ctx = jobd;
   jobd->ample_hosts = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
--- a/tests/workspaces/test_config_state.c
+++ b/tests/workspaces/test_config_state.c
@@ -94,6 +94,25 @@
   end ();
 }
 
+/* A restarted host doesn't take a version for the newest that a leader without the store has last
+ * confirmed before the start: the host may have served a newer one. */
+static void
+test_restarted_relay (void)
+{
+  begin ();
+  relay.state.begun_ms = READ_MS + PING_MS;
+  end_learn (&leader, "7", READ_MS + LEADER_AHEAD_MS);
+  config_state_confirm (&leader.state, 7, READ_MS + LEADER_AHEAD_MS);
+  for (unsigned n = 1; n < 5; n++)
+    ping (n, n - 1, READ_MS + n * PING_MS);
+  CU_ASSERT_EQUAL (relay.state.version, 7);
+  CU_ASSERT_EQUAL (config_state_age_ms (&relay.state, READ_MS + DELAY_MS), INT64_MAX);
+  config_state_confirm (&leader.state, 7, READ_MS + 5 * PING_MS + LEADER_AHEAD_MS);
+  ping (5, 4, READ_MS + 5 * PING_MS);
+  CU_ASSERT_EQUAL (config_state_age_ms (&relay.state, READ_MS + 5 * PING_MS), PING_MS);
+  end ();
+}
+
 /* A host that the store rejects learns version and age from the leader, whatever the clocks show.
  */
 static void
@@ -181,6 +200,7 @@
 static const struct suite_test tests[] = {
   { "state", test_state },
   { "relay without store", test_relay_without_store },
+  { "restarted relay", test_restarted_relay },
   { "leader without store", test_leader_without_store },
   { "delayed batch", test_delayed_batch },
   { "record is rare", test_record_is_rare },
