Let tasks and gangs wait for capacity on their rack

Tasks that name a rack and gangs that should share one started on any rack with free capacity, where they take far_factor times as long, even if the rack had capacity a moment later. lib/locality weighs the start against a wait with a fixed end; task_locality.c asks it from placement. Without far_factor and for jobs that name no rack placement is unchanged.

--- a/include/lib/jobs/scheduler.h
+++ b/include/lib/jobs/scheduler.h
@@ -122,6 +122,11 @@
   int64_t earlier_grants_until_ms;
   /* How long a task may take to end after it is stopped. */
   int64_t stop_ms;
+  /* Factor on the duration of a task away from the rack that it names, or of a gang on several
+   * racks, and how long a job may wait in all for capacity on a rack. With a factor of 1 or 0, or a
+   * time of 0, none waits. */
+  double far_factor;
+  int64_t locality_wait_max_ms;
 };
 
 struct scheduler *scheduler_create (const struct scheduler_config *config,
@@ -248,6 +253,14 @@
   /* Number of endpoints considered for placements, which dominates the cost of a scheduling
    * pass. */
   uint64_t candidates;
+  /* Waits for capacity on a rack: begun, ended with a start there, ended without; the sum of their
+   * times; and the factor that tasks far from their data take longer, in thousandths, as learned
+   * for the image seen last. */
+  uint64_t waits;
+  uint64_t waits_won;
+  uint64_t waits_lost;
+  uint64_t waited_ms;
+  unsigned far_factor_permille;
 };
 
 void scheduler_get_counts (const struct scheduler *scheduler, struct scheduler_counts *counts);
--- a/jobd/leader.c
+++ b/jobd/leader.c
@@ -58,6 +58,25 @@
 static const char *const endpoint_end_labels[] = { "end=\"crash\"", "end=\"planned\"",
                                                    "end=\"unknown\"" };
 
+/* Registers the metrics of waits for capacity on a rack. */
+static void
+leader_add_locality_metrics (struct leader *leader)
+{
+  struct metrics *metrics = &leader->jobd->metrics;
+
+  metric_add_counter (metrics, &leader->waits, "sesamepick_jobd_locality_waits_total", "",
+                      "Waits of tasks and gangs for capacity on a rack.");
+  metric_add_counter (metrics, &leader->waits_won, "sesamepick_jobd_locality_waits_won_total", "",
+                      "Waits that ended with a start on the rack.");
+  metric_add_counter (metrics, &leader->waits_lost, "sesamepick_jobd_locality_waits_lost_total", "",
+                      "Waits that ended without a start on the rack.");
+  metric_add_counter (metrics, &leader->waited_ms, "sesamepick_jobd_locality_waited_milliseconds",
+                      "", "Sum of the times of these waits.");
+  metric_add_gauge (metrics, &leader->far_factor, "sesamepick_jobd_locality_factor_permille", "",
+                    "Factor that tasks take longer away from their data, in thousandths, as of the "
+                    "task that ended last.");
+}
+
 struct leader *
 leader_create (struct jobd *jobd)
 {
@@ -94,6 +113,7 @@
                       "", "Trials that the endpoint outlived.");
   metric_add_counter (metrics, &leader->jobs_given_up, "sesamepick_jobd_jobs_given_up_total", "",
                       "Jobs that failed because a task crashes endpoints.");
+  leader_add_locality_metrics (leader);
   metric_add_counter (metrics, &leader->moves, "sesamepick_jobd_host_moves_total", "",
                       "Moves of hosts that were ordered.");
   metric_add_gauge (metrics, &leader->endpoints_unresponsive, "sesamepick_jobd_endpoints_silent",
@@ -155,7 +175,9 @@
                                      &leader->moves,         &leader->endpoints_unresponsive,
                                      &leader->relays_used,   &leader->crashes_counted,
                                      &leader->trials,        &leader->trials_survived,
-                                     &leader->jobs_given_up };
+                                     &leader->jobs_given_up, &leader->waits,
+                                     &leader->waits_won,     &leader->waits_lost,
+                                     &leader->waited_ms,     &leader->far_factor };
 
   for (size_t i = 0; i < G_N_ELEMENTS (metrics); i++)
     metric_remove (metrics[i]);
@@ -539,6 +561,11 @@
   leader->trials.value = (int64_t) counts.trials;
   leader->trials_survived.value = (int64_t) counts.trials_survived;
   leader->jobs_given_up.value = (int64_t) counts.jobs_given_up;
+  leader->waits.value = (int64_t) counts.waits;
+  leader->waits_won.value = (int64_t) counts.waits_won;
+  leader->waits_lost.value = (int64_t) counts.waits_lost;
+  leader->waited_ms.value = (int64_t) counts.waited_ms;
+  leader->far_factor.value = counts.far_factor_permille;
   leader->endpoints_unresponsive.value = counts.endpoints_unresponsive;
   leader->relays_used.value = leader->sender ? command_sender_relays (leader->sender) : 0;
   if (leader->sender)
--- a/jobd/leader_state.h
+++ b/jobd/leader_state.h
@@ -110,6 +110,11 @@
   struct metric trials;
   struct metric trials_survived;
   struct metric jobs_given_up;
+  struct metric waits;
+  struct metric waits_won;
+  struct metric waits_lost;
+  struct metric waited_ms;
+  struct metric far_factor;
   struct metric moves;
   struct metric endpoints_unresponsive;
   struct metric relays_used;
--- a/lib/jobs/placement.c
+++ b/lib/jobs/placement.c
@@ -68,7 +68,8 @@
   if (task->on_trial ? !endpoint_accepts_trial (scheduler, pool, endpoint, task)
                      : endpoint->n_trials > 0)
     return false;
-  if (!endpoint_accepts_exposure (pool, endpoint, task))
+  if (!endpoint_accepts_exposure (pool, endpoint, task) ||
+      endpoint_keeps_room (scheduler, endpoint, task, request))
     return false;
   if (task->failed_endpoint == endpoint &&
       scheduler->now_ms - task->failed_ms < TASK_AVOIDS_ENDPOINT_MS)
@@ -226,6 +227,8 @@
   struct endpoint *chosen[GANG_TASKS_MAX];
   uint32_t attempt = 0;
   const char *checkpoint = NULL;
+  bool near;
+
   if (step->n_tasks > GANG_TASKS_MAX)
     return;
   for (uint32_t i = 0; i < step->n_tasks; i++)
@@ -236,12 +239,14 @@
       checkpoint = first[i].checkpoint ? first[i].checkpoint : checkpoint;
     }
   gang_set_trial (first, step->n_tasks);
-  if (!(step->same_rack && gang_choose_rack (scheduler, pool, first, step->n_tasks, chosen)) &&
-      !gang_choose_endpoints (scheduler, pool, first, step->n_tasks, NULL, chosen))
+  near = step->same_rack && gang_choose_rack (scheduler, pool, first, step->n_tasks, chosen);
+  if (!near && (!gang_choose_endpoints (scheduler, pool, first, step->n_tasks, NULL, chosen) ||
+                gang_waits_for_rack (scheduler, pool, first)))
     return;
   if (first[0].on_trial && !gang_prepare_trial (scheduler, first, step->n_tasks, chosen))
     return;
   scheduler->counts.trials += first[0].on_trial;
+  task_note_placed (scheduler, first, near);
   for (uint32_t i = 0; i < step->n_tasks; i++)
     {
       task_set_checkpoint (&first[i], checkpoint);
@@ -383,6 +388,7 @@
     {
       struct task *task = &first[i];
       struct endpoint *endpoint;
+      uint64_t held_back = scheduler_held_back (scheduler);
 
       if (!task_may_start (scheduler, task))
         continue;
@@ -395,14 +401,18 @@
       if (shortage_covers (&pass->shortage, &request))
         return;
       endpoint = pool_choose_endpoint (scheduler, pool, task, NULL);
+      if (endpoint && task_waits_for_rack (scheduler, pool, task, endpoint))
+        continue;
       if (endpoint)
         {
+          task_note_placed (scheduler, task, endpoint_has_label (endpoint, step->data_rack));
           pool_count_exposure (pool, endpoint, task);
           task_start (scheduler, task, endpoint, task->highest_attempt + 1);
           pass->starts_left--;
           continue;
         }
-      if (task_is_unconstrained (task))
+      /* A task that doesn't fit because capacity is kept for another says nothing of the others. */
+      if (task_is_unconstrained (task) && scheduler_held_back (scheduler) == held_back)
         shortage_add (&pass->shortage, &request);
       /* If the task has no endpoint to avoid, it didn't fit, and the others of its step don't fit
        * either. */
@@ -536,6 +546,7 @@
 {
   unsigned left;
 
+  scheduler_check_waits (scheduler);
   if (!scheduler_may_start_tasks (scheduler))
     return;
   left = scheduler_place_share (scheduler, scheduler->starts_per_pass);
--- a/lib/jobs/scheduled_jobs.c
+++ b/lib/jobs/scheduled_jobs.c
@@ -275,6 +275,7 @@
       if (job->tasks[i].endpoint)
         endpoint_remove_task (&job->tasks[i], scheduler->now_ms);
     }
+  job_forget_waits (scheduler, job);
   job->scheduled = false;
   job->dirty = false;
   g_hash_table_remove (scheduler->dirty, job);
--- a/lib/jobs/scheduler.c
+++ b/lib/jobs/scheduler.c
@@ -82,6 +82,8 @@
 
   scheduler->config = *config;
   scheduler->ops = *ops;
+  scheduler->locality = task_locality_create (config);
+  scheduler->expected_ms = task_estimate_ms;
   scheduler->all_jobs = all_jobs;
   scheduler->now_ms = now_ms;
   scheduler->wall_ms = wall_ms;
@@ -135,6 +137,7 @@
       TAILQ_REMOVE (&scheduler->waves, wave, link);
       wave_destroy (wave);
     }
+  task_locality_destroy (scheduler->locality);
   scheduler_clear_crashes (scheduler);
   scheduler_clear_losses (scheduler);
   g_hash_table_destroy (scheduler->cautious_queues);
@@ -352,6 +355,7 @@
       if (!endpoint->listed && endpoint->n_tasks == 0 && endpoint->calls == 0)
         {
           g_hash_table_iter_remove (&iter);
+          endpoint_forget_waits (scheduler, endpoint);
           endpoint_remove (endpoint);
         }
     }
@@ -465,6 +469,7 @@
   const struct job *job;
 
   *counts = scheduler->counts;
+  scheduler_count_waits (scheduler, counts);
   g_hash_table_iter_init (&iter, scheduler->endpoints);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
--- a/lib/jobs/scheduler_state.h
+++ b/lib/jobs/scheduler_state.h
@@ -3,6 +3,7 @@
 
 #include "lib/jobs/demand.h"
 #include "lib/jobs/scheduler.h"
+#include "lib/locality/locality_decision.h"
 
 /* State and functions that the scheduler's files share. */
 
@@ -52,6 +53,8 @@
   unsigned n_exposures_left;
   /* Since when long-running tasks have waited for free capacity; 0 if none does. */
   int64_t starved_since_ms;
+  /* Errors of the forecasts of free capacity on its racks. */
+  struct locality_forecast room_forecast;
 };
 
 /* A maintenance wave. */
@@ -108,6 +111,11 @@
 {
   struct scheduler_config config;
   struct scheduler_ops ops;
+  /* Tasks that wait for capacity on a rack; NULL if none may. */
+  struct task_locality *locality;
+  /* Returns the expected duration of a task in ms, 1 at least, at a place near its data. */
+  int64_t (*expected_ms) (void *ctx, const struct task *task);
+  void *expected_ctx;
   struct job_table *all_jobs;
   int64_t now_ms;
   int64_t wall_ms;
@@ -259,6 +267,24 @@
 /* placement.c */
 void scheduler_place (struct scheduler *scheduler);
 
+/* task_locality.c: tasks that wait for capacity on a rack */
+struct task_locality *task_locality_create (const struct scheduler_config *config);
+void task_locality_destroy (struct task_locality *locality);
+int64_t task_estimate_ms (void *ctx, const struct task *task);
+void scheduler_check_waits (struct scheduler *scheduler);
+bool task_waits_for_rack (struct scheduler *scheduler, struct pool *pool, struct task *task,
+                          const struct endpoint *endpoint);
+bool gang_waits_for_rack (struct scheduler *scheduler, struct pool *pool, struct task *first);
+bool endpoint_keeps_room (const struct scheduler *scheduler, const struct endpoint *endpoint,
+                          const struct task *task, const struct resources *request);
+uint64_t scheduler_held_back (const struct scheduler *scheduler);
+void task_note_placed (struct scheduler *scheduler, struct task *task, bool near);
+void task_note_duration (struct scheduler *scheduler, const struct task *task,
+                         const struct endpoint *endpoint);
+void job_forget_waits (struct scheduler *scheduler, const struct job *job);
+void endpoint_forget_waits (struct scheduler *scheduler, const struct endpoint *endpoint);
+void scheduler_count_waits (const struct scheduler *scheduler, struct scheduler_counts *counts);
+
 /* pacing.c */
 void endpoint_adjust_pace (struct scheduler *scheduler, struct endpoint *endpoint);
 
--- a/lib/jobs/task_attempt.c
+++ b/lib/jobs/task_attempt.c
@@ -328,6 +328,8 @@
     task_end_suspicion (scheduler, task);
   if (completion->outcome == ATTEMPT_DONE && !task->done)
     {
+      if (completion->attempt == task->attempt)
+        task_note_duration (scheduler, task, endpoint);
       task_mark_done (scheduler, task);
       endpoint->failed_jobs = 0;
       endpoint->last_failed_job = NULL;
--- a/tests/jobs/simulation.c
+++ b/tests/jobs/simulation.c
@@ -131,6 +131,8 @@
     .lease_ms = LEASE_MS,
     .earlier_grants_until_ms = simulation->now_ms,
     .stop_ms = STOP_MS,
+    .far_factor = simulation->far_factor,
+    .locality_wait_max_ms = simulation->locality_wait_max_ms,
   };
 
   simulation_log (simulation, "leader: epoch=%" G_GUINT64_FORMAT, simulation->epoch);
--- a/tests/jobs/simulation.h
+++ b/tests/jobs/simulation.h
@@ -160,6 +160,12 @@
   /* Duration of batch attempts, and share of attempts that fail. */
   int64_t work_ms;
   int fail_permille;
+  /* Settings of the leaders that start from now on; attempts away from the rack of their data take
+   * far_factor times as long, if it is not 0. */
+  double far_factor;
+  int64_t locality_wait_max_ms;
+  /* Attempts last as long as their step estimates, instead of work_ms. */
+  bool estimates_hold;
 
   /* Name to struct crashing_task. */
   GHashTable *crashing_tasks;
--- a/tests/jobs/simulation_endpoints.c
+++ b/tests/jobs/simulation_endpoints.c
@@ -205,6 +205,21 @@
                   event->attempt, crashing->crashes);
 }
 
+/* Returns for how long an attempt runs. It takes longer away from the rack of its data. */
+static int64_t
+simulation_work_ms (const struct simulation *simulation, const struct simulated_endpoint *endpoint,
+                    const char *name)
+{
+  const struct task *task = simulation_find_task (simulation, name);
+  const Sp__JobStep *step = task ? task_step (task) : NULL;
+  int64_t work_ms = simulation->estimates_hold && step ? step->estimate_ms : simulation->work_ms;
+
+  if (simulation->far_factor > 0 && step && step->data_rack[0] != '\0' &&
+      strcmp (step->data_rack, endpoint->rack) != 0)
+    work_ms = (int64_t) ((double) work_ms * simulation->far_factor);
+  return work_ms;
+}
+
 /* Carries out a start. */
 static enum command_result
 endpoint_start (struct simulation *simulation, struct simulated_endpoint *endpoint,
@@ -232,7 +247,10 @@
   attempt->task = g_strdup (event->name);
   attempt->attempt = event->attempt;
   attempt->start_ms = simulation->now_ms;
-  attempt->end_ms = event->long_running ? INT64_MAX : simulation->now_ms + simulation->work_ms;
+  attempt->end_ms =
+      event->long_running
+          ? INT64_MAX
+          : simulation->now_ms + simulation_work_ms (simulation, endpoint, event->name);
   attempt->fails = simulation_chance (simulation, simulation->fail_permille);
   if (endpoint->fails_all)
     {
