--- a/lib/locality/locality_decision.c
+++ b/lib/locality/locality_decision.c
@@ -11,7 +11,8 @@
   FORECAST_PRIOR = 4,
   /* Times below this are not distinguished: a pass takes longer. */
   FORECAST_MIN_MS = 10,
-  WAIT_ENDS = 4,
+  /* Number of ends of a wait that are compared. */
+  WAIT_ENDS = 6,
 };
 
 /* Deviation of the logarithm before anything was observed, and its limits. Estimates of durations
@@ -22,6 +23,9 @@
 static const double BIAS_MAX = 1.4;
 /* Relative error of the expected durations. */
 static const double DURATION_ERROR = 0.25;
+/* Least error of an expected time of free capacity, relative to the duration of the task that waits
+ * for it: what runs there is of a similar size, and its remaining time may be short by mistake. */
+static const double ROOM_ERROR_MIN = 0.1;
 /* What a job is worth after its objective, relative to one that is on time. */
 static const double LATE_VALUE = 1.0 / 14;
 /* Weight of an earlier end among ends that are equally certain to be on time. */
@@ -90,6 +94,16 @@
          question->contention * (factor - 1) * share;
 }
 
+/* Returns the probability that capacity has come after wait_ms. Tasks that run longer than expected
+ * have no certain end, so it doesn't reach 1. */
+static double
+room_probability (double wait_ms, double room_ms, double error_ms)
+{
+  if (wait_ms < room_ms)
+    return 0.5 * exp ((wait_ms - room_ms) / error_ms);
+  return 1 - 0.5 * exp ((room_ms - wait_ms) / error_ms);
+}
+
 /* Compares the value of waiting for a place, with the best of a few ends of the wait, to the best
  * found so far. */
 static void
@@ -98,14 +112,17 @@
 {
   const struct locality_place *at = &question->places[place];
   double room_ms = (double) locality_forecast_correct (question->forecast, at->room_in_ms);
-  double error_ms = MAX (room_ms * forecast_deviation (question->forecast), FORECAST_MIN_MS);
+  double error_ms = MAX (room_ms * forecast_deviation (question->forecast),
+                         (double) question->near_ms * ROOM_ERROR_MIN);
   double value_near = value_of_start (question, room_ms, error_ms / 2, at->factor);
 
   for (int i = 0; i < WAIT_ENDS; i++)
     {
-      /* Up to the expected time and one to three times its error more. */
-      double wait_ms = MIN (room_ms + i * error_ms, (double) question->wait_max_ms);
-      double comes = CLAMP (0.5 + (wait_ms - room_ms) / (2 * error_ms), 0, 1);
+      /* Up to the expected time and a multiple of its error more, or as long as allowed. */
+      double wait_ms = i == WAIT_ENDS - 1
+                           ? (double) question->wait_max_ms
+                           : MIN (room_ms + i * error_ms, (double) question->wait_max_ms);
+      double comes = room_probability (wait_ms, room_ms, error_ms);
       double value_far = value_of_start (question, wait_ms, 0, question->far_factor);
       double value = comes * value_near + (1 - comes) * value_far;
 
