--- a/tests/jobs/simulation.h
+++ b/tests/jobs/simulation.h
@@ -20,6 +20,8 @@
   char *task;
   uint32_t attempt;
   int64_t start_ms;
+  /* How long it runs unless it is stopped, and when it ends. */
+  int64_t work_ms;
   int64_t end_ms;
   bool fails;
   bool stopping;
--- a/tests/jobs/simulation_commands.c
+++ b/tests/jobs/simulation_commands.c
@@ -292,7 +292,7 @@
         .task = attempt->task,
         .attempt = attempt->attempt,
         .percent = attempt->long_running ? (elapsed_ms >= AVAILABLE_AFTER_MS ? 100 : 10)
-                                         : (int) MIN (99, elapsed_ms * 100 / simulation->work_ms),
+                                         : (int) MIN (99, elapsed_ms * 100 / attempt->work_ms),
       };
     }
   for (guint i = 0; i < endpoint->completions->len; i++)
--- a/tests/jobs/simulation_endpoints.c
+++ b/tests/jobs/simulation_endpoints.c
@@ -247,10 +247,8 @@
   attempt->task = g_strdup (event->name);
   attempt->attempt = event->attempt;
   attempt->start_ms = simulation->now_ms;
-  attempt->end_ms =
-      event->long_running
-          ? INT64_MAX
-          : simulation->now_ms + simulation_work_ms (simulation, endpoint, event->name);
+  attempt->work_ms = simulation_work_ms (simulation, endpoint, event->name);
+  attempt->end_ms = event->long_running ? INT64_MAX : simulation->now_ms + attempt->work_ms;
   attempt->fails = simulation_chance (simulation, simulation->fail_permille);
   if (endpoint->fails_all)
     {
--- a/tests/jobs/test_jobs_random.c
+++ b/tests/jobs/test_jobs_random.c
@@ -9,7 +9,8 @@
  * endpoints and with hosts that crash by themselves, lost and late responses, connections that
  * close before the response, unreachable and restarted endpoints, also such that restart while they
  * are unreachable, changes of leader and cancellations. The simulation counts violations. For long
- * runs: test-jobs_random --seed N --rounds M. */
+ * runs: test-jobs_random --seed N --rounds M. With --far-factor F, jobs name racks and gangs share
+ * one, and tasks take F times as long elsewhere. */
 
 enum
 {
@@ -26,6 +27,20 @@
 
 static guint32 first_seed = 1;
 static unsigned rounds = 6;
+static double far_factor = 0;
+
+/* Names a rack in some steps, and makes others gangs. */
+static void
+place_step (GRand *random, Sp__JobStep *step)
+{
+  static char racks[][4] = { "r-0", "r-1" };
+  int kind = g_rand_int_range (random, 0, 3);
+
+  if (kind == 0)
+    step->data_rack = racks[g_rand_int_range (random, 0, 2)];
+  step->gang = kind == 1;
+  step->same_rack = kind == 1;
+}
 
 /* Submits a job of random steps. */
 static void
@@ -53,6 +68,8 @@
       steps[i].checkpointing = g_rand_boolean (random);
       steps[i].n_prerequisites = i > 0;
       steps[i].prerequisites = i > 0 ? &before[i - 1] : NULL;
+      if (far_factor > 0 && !long_running)
+        place_step (random, &steps[i]);
     }
   simulation_submit (simulation, id, g_rand_boolean (random) ? "one" : "two", steps, n_steps, 4);
   if (crashes && g_rand_int_range (random, 0, PERCENT) < 10)
@@ -193,6 +210,8 @@
       simulation->host_rejected_permille = 50;
     }
   simulation->fail_permille = 30;
+  simulation->far_factor = far_factor;
+  simulation->locality_wait_max_ms = 1000;
   if (seed % 3 == 0)
     simulation->work_ms = LONG_WORK_MS;
   simulation_start_new_leader (simulation);
@@ -260,6 +279,8 @@
         first_seed = (guint32) strtoul (argv[i + 1], NULL, 10);
       if (strcmp (argv[i], "--rounds") == 0)
         rounds = (unsigned) strtoul (argv[i + 1], NULL, 10);
+      if (strcmp (argv[i], "--far-factor") == 0)
+        far_factor = g_ascii_strtod (argv[i + 1], NULL);
     }
   printf ("seeds %u to %u\n", first_seed, first_seed + rounds - 1);
   return suite_run ("jobs_random", tests, sizeof tests / sizeof tests[0]);
--- a/tests/locality/test_locality_patterns.c
+++ b/tests/locality/test_locality_patterns.c
@@ -18,7 +18,7 @@
   PASS_MS = 20,
   DAY_MS = 20000,
   SETTLE_MS = 30000,
-  SEEDS = 12,
+  SEEDS = 24,
   WAIT_MAX_MS = 1000,
   FIXED_WAIT_MS = 500,
   CHANGE_MS = DAY_MS / 2,
@@ -145,6 +145,7 @@
 {
   struct world world = { .policy = policy, .pattern = pattern };
   GRand *rand = g_rand_new_with_seed (seed);
+  double at_ms = 0;
 
   world.jobs = g_new0 (struct job, JOBS_MAX);
   world.waits = locality_waits_create ();
@@ -155,16 +156,20 @@
     }
   for (int i = 0; pattern->occupied && i < ENDPOINTS_PER_RACK; i++)
     world_add_job (&world, rand, 0, 0, CORES, DAY_MS);
-  for (double at_ms = 0; at_ms < DAY_MS; at_ms += draw_exponential (rand, pattern->interval_ms))
+  while (at_ms < DAY_MS)
     {
       bool hot = g_rand_double (rand) < pattern->hot_share;
       int rack = hot ? 0 : g_rand_int_range (rand, 1, RACKS);
 
       world_add_job (&world, rand, at_ms, rack, g_rand_int_range (rand, 2, 7), pattern->work_ms);
+      at_ms += draw_exponential (rand, pattern->interval_ms);
+    }
+  at_ms = pattern->small_interval_ms > 0 ? 0 : DAY_MS;
+  while (at_ms < DAY_MS)
+    {
+      world_add_job (&world, rand, at_ms, 0, 1, pattern->work_ms / 2);
+      at_ms += draw_exponential (rand, pattern->small_interval_ms);
     }
-  for (double at_ms = 0; pattern->small_interval_ms > 0 && at_ms < DAY_MS;
-       at_ms += draw_exponential (rand, pattern->small_interval_ms))
-    world_add_job (&world, rand, at_ms, 0, 1, pattern->work_ms / 2);
   g_rand_free (rand);
   qsort (world.jobs, world.n_jobs, sizeof world.jobs[0], job_compare);
   return world;
