--- a/jobd/leader.c
+++ b/jobd/leader.c
@@ -70,8 +70,9 @@
                       "Waits that ended with a start on the rack.");
   metric_add_counter (metrics, &leader->waits_lost, "sesamepick_jobd_locality_waits_lost_total", "",
                       "Waits that ended without a start on the rack.");
-  metric_add_counter (metrics, &leader->waited_ms, "sesamepick_jobd_locality_waited_milliseconds",
-                      "", "Sum of the times of these waits.");
+  metric_add_counter (metrics, &leader->waited_ms,
+                      "sesamepick_jobd_locality_waited_milliseconds_total", "",
+                      "Sum of the times of these waits.");
   metric_add_gauge (metrics, &leader->far_factor, "sesamepick_jobd_locality_factor_permille", "",
                     "Factor that tasks take longer away from their data, in thousandths, as of the "
                     "task that ended last.");
--- a/standin/cluster_endpoints.c
+++ b/standin/cluster_endpoints.c
@@ -20,6 +20,8 @@
   CRASHES_BEFORE_LAST_STARTS = 3,
   LAST_STARTS_MAX = 2,
   HOSTS_PER_RACK = 4,
+  /* Factor on the duration of a task that runs on another rack than its data is on. */
+  FAR_FACTOR = 2,
   PERMILLE = 1000,
   LATE_MIN_MS = 20,
   LATE_MAX_MS = 2500,
@@ -234,16 +236,29 @@
   cluster_host_crash (cluster, g_ptr_array_index (cluster->hosts, endpoint->host_index));
 }
 
+/* Returns the label of an endpoint's rack; the caller frees it. */
+static char *
+endpoint_rack_label (const struct cluster_endpoint *endpoint)
+{
+  return g_strdup_printf ("r-%u", endpoint->host_index / HOSTS_PER_RACK);
+}
+
 /* Sets when an instance ends by its specification: one that begins with "lasts" runs until it is
- * stopped, one that is "takes MS" for that long, and any other for the time of the settings. */
+ * stopped, one that is "takes MS" for that long, and any other for the time of the settings, or
+ * FAR_FACTOR times as long if it is "near RACK" and the endpoint is on another rack. */
 static void
-instance_set_end (struct cluster_task_instance *instance, const char *spec, int64_t work_ms)
+instance_set_end (const struct cluster_endpoint *endpoint, struct cluster_task_instance *instance,
+                  const char *spec, int64_t work_ms)
 {
   static const char takes[] = "takes ";
+  static const char near[] = "near ";
+  g_autofree char *rack = endpoint_rack_label (endpoint);
 
   instance->long_running = spec && g_str_has_prefix (spec, "lasts");
   if (spec && g_str_has_prefix (spec, takes))
     work_ms = g_ascii_strtoll (spec + strlen (takes), NULL, 10);
+  if (spec && g_str_has_prefix (spec, near) && strcmp (spec + strlen (near), rack) != 0)
+    work_ms *= FAR_FACTOR;
   instance->end_ms = instance->long_running ? INT64_MAX : instance->start_ms + work_ms;
 }
 
@@ -279,7 +294,7 @@
   instance->task = g_strdup (task);
   instance->attempt = attempt;
   instance->start_ms = cluster->clock.now_ms;
-  instance_set_end (instance, spec, cluster->settings->work_ms);
+  instance_set_end (endpoint, instance, spec, cluster->settings->work_ms);
   endpoint_check_crashing_task (endpoint, task, spec);
   LIST_INSERT_HEAD (&endpoint->instances, instance, link);
   answer_accepted (endpoint, request);
@@ -499,7 +514,7 @@
   const struct cluster_host *host = g_ptr_array_index (cluster->hosts, endpoint->host_index);
   g_autofree char *address =
       g_strdup_printf ("%s:%u", cluster->settings->listen_address, endpoint->port);
-  g_autofree char *rack = g_strdup_printf ("r-%u", endpoint->host_index / HOSTS_PER_RACK);
+  g_autofree char *rack = endpoint_rack_label (endpoint);
   json_t *entry =
       json_pack ("{s:s,s:s,s:s,s:s,s:i,s:s,s:i,s:i,s:I,s:{s:i,s:i,s:i},s:[s,s]}", "service",
                  host->pool, "address", address, "zone", "z", "version", "v1", "slots", 8, "state",
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -60,6 +60,9 @@
   bool long_running;
   /* Its task crashes each endpoint that starts it. */
   bool crashes;
+  /* Has its data on a rack, or is a gang that should share one. */
+  bool near;
+  bool gang;
   /* Requests for the job, without states as expected. */
   GArray *tries;
   /* When a submission and a cancellation were answered 2xx; 0 if none was. */
--- a/tests/soak/soak_clients.c
+++ b/tests/soak/soak_clients.c
@@ -23,6 +23,12 @@
 #define TWO_STEP_JOB                                                                               \
   "{\"spec\":\"s\",\"steps\":[{\"count\":2,\"cpu\":250,\"mem_mb\":100,\"estimate_ms\":150},"       \
   "{\"count\":1,\"cpu\":250,\"mem_mb\":100,\"estimate_ms\":150,\"depends_on\":[0]}]}"
+#define NEAR_JOB                                                                                   \
+  "{\"spec\":\"near r-1\",\"steps\":[{\"count\":2,\"cpu\":1500,\"mem_mb\":100,"                    \
+  "\"estimate_ms\":150,\"affinity\":\"r-1\"}]}"
+#define GANG_JOB                                                                                   \
+  "{\"spec\":\"s\",\"steps\":[{\"count\":3,\"cpu\":1500,\"mem_mb\":100,\"estimate_ms\":150,"       \
+  "\"gang\":true,\"same_rack\":true}]}"
 #define CRASHING_JOB                                                                               \
   "{\"spec\":\"crashes\",\"steps\":[{\"count\":1,\"cpu\":250,\"mem_mb\":100,\"estimate_ms\":150}]" \
   "}"
@@ -68,7 +74,11 @@
 {
   if (job->crashes)
     return CRASHING_JOB;
-  return job->long_running ? LONG_RUNNING_JOB : TWO_STEP_JOB;
+  if (job->long_running)
+    return LONG_RUNNING_JOB;
+  if (job->near)
+    return NEAR_JOB;
+  return job->gang ? GANG_JOB : TWO_STEP_JOB;
 }
 
 /* Submits a job once. Returns the status. */
--- a/tests/soak/soak_hosts.c
+++ b/tests/soak/soak_hosts.c
@@ -58,7 +58,7 @@
   g_autofree char *relay = g_strdup_printf (" --relay=127.0.0.1:%u", port + RELAY_OFFSET + host);
   char *options = g_strdup_printf (
       "--name=%s --frontend=127.0.0.1:%u --readiness=127.0.0.1:%u --store=127.0.0.1:%u"
-      " --machines=127.0.0.1:%u --seed=%u --relay-endpoints-min=1%s",
+      " --machines=127.0.0.1:%u --seed=%u --relay-endpoints-min=1 --far-factor=2%s",
       name, port + FRONTEND_OFFSET + host, port + READINESS_OFFSET + host,
       soak_hosts_store_port (soak, host), soak_hosts_machines_port (soak, host), soak->seed + host,
       soak->relays ? relay : "");
--- a/tests/soak/soak_jobs.c
+++ b/tests/soak/soak_jobs.c
@@ -11,6 +11,8 @@
   NEWEST_JOBS = 80,
   LONG_RUNNING_PERCENT = 10,
   CRASHING_PERCENT = 1,
+  NEAR_PERCENT = 15,
+  GANG_PERCENT = 10,
   /* Most of a round's jobs that crash endpoints; the pool has four. */
   CRASHING_MAX = 3,
   PERCENT = 100,
@@ -27,6 +29,8 @@
   snprintf (job->id, sizeof job->id, "%08x%08x", g_rand_int (rand), g_rand_int (rand));
   job->long_running = g_rand_int_range (rand, 0, PERCENT) < LONG_RUNNING_PERCENT;
   job->crashes = !job->long_running && g_rand_int_range (rand, 0, PERCENT) < CRASHING_PERCENT;
+  job->near = g_rand_int_range (rand, 0, PERCENT) < NEAR_PERCENT;
+  job->gang = g_rand_int_range (rand, 0, PERCENT) < GANG_PERCENT;
   job->tries = g_array_new (FALSE, FALSE, sizeof (struct soak_try));
   g_mutex_lock (&soak->mutex);
   job->crashes = job->crashes && soak->n_crashing_jobs < CRASHING_MAX;
