Let simulated attempts without a duration report progress

Tests that add an attempt by themselves gave it no duration, so that test-scheduler divided by zero since attempts report progress by their own duration.

--- a/tests/jobs/simulation_commands.c
+++ b/tests/jobs/simulation_commands.c
@@ -287,12 +287,14 @@
     {
       const struct simulated_attempt *attempt = g_ptr_array_index (endpoint->attempts, i);
       int64_t elapsed_ms = simulation->now_ms - attempt->start_ms;
+      /* A test may have added an attempt without a duration. */
+      int64_t work_ms = attempt->work_ms > 0 ? attempt->work_ms : simulation->work_ms;
 
       attempts[i] = (struct endpoint_attempt){
         .task = attempt->task,
         .attempt = attempt->attempt,
         .percent = attempt->long_running ? (elapsed_ms >= AVAILABLE_AFTER_MS ? 100 : 10)
-                                         : (int) MIN (99, elapsed_ms * 100 / attempt->work_ms),
+                                         : (int) MIN (99, elapsed_ms * 100 / work_ms),
       };
     }
   for (guint i = 0; i < endpoint->completions->len; i++)
