sesamepick config check: findings in a configuration before it is in force

A faulty entry of a configuration was seen only in the daemons' logs, after it had been left out. The command shows errors, entries that can never have an effect and contradicting limits, with lines and places, and what differs from the version in force.

--- a/cli/main.c
+++ b/cli/main.c
@@ -20,6 +20,8 @@
     command_audit },
   { "bill", "[YYYY-MM]", "Show a month's bill: actual, forecast, invoice, differences by cause", 0,
     1, command_bill },
+  { "config", "check FILE", "Check a configuration file; with --against, compare it", 2, 2,
+    command_config },
   { "confirm", "ID[@REVISION]", "Confirm a plan; revision 1 if none is given", 1, 1,
     command_confirm },
   { "explain", "ID", "Show a job's state and the decisions about it from all entry hosts", 1, 1,
@@ -75,7 +77,8 @@
   struct client client;
   struct command_context context = { .client = &client,
                                      .operands = words + 1,
-                                     .n_operands = n_words - 1 };
+                                     .n_operands = n_words - 1,
+                                     .against = settings->against };
   enum exit_code code;
 
   if (!command)
--- a/include/cli/command.h
+++ b/include/cli/command.h
@@ -12,6 +12,8 @@
   bool json;
   char **operands;
   int n_operands;
+  /* File of --against; empty if none was given. */
+  const char *against;
 };
 
 struct command
@@ -28,6 +30,7 @@
 enum exit_code command_apply (const struct command_context *context);
 enum exit_code command_audit (const struct command_context *context);
 enum exit_code command_bill (const struct command_context *context);
+enum exit_code command_config (const struct command_context *context);
 enum exit_code command_confirm (const struct command_context *context);
 enum exit_code command_explain (const struct command_context *context);
 enum exit_code command_jobs (const struct command_context *context);
--- a/protocols/settings.pb-c.c
+++ b/protocols/settings.pb-c.c
@@ -1096,8 +1096,9 @@
 char sp__cli_settings__operator__default_value[] = "operator";
 char sp__cli_settings__output__default_value[] = "text";
 char sp__cli_settings__entry_ports__default_value[] = "127.0.0.1:8401";
+char sp__cli_settings__against__default_value[] = "";
 static const uint32_t sp__cli_settings__timeout_ms__default_value = 10000u;
-static const ProtobufCFieldDescriptor sp__cli_settings__field_descriptors[5] =
+static const ProtobufCFieldDescriptor sp__cli_settings__field_descriptors[6] =
 {
   {
     "operator_ports",
@@ -1159,8 +1160,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "against",
+    6,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sp__CliSettings, against),
+    NULL,
+    &sp__cli_settings__against__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sp__cli_settings__field_indices_by_name[] = {
+  5,   /* field[5] = against */
   4,   /* field[4] = entry_ports */
   1,   /* field[1] = operator */
   0,   /* field[0] = operator_ports */
@@ -1170,7 +1184,7 @@
 static const ProtobufCIntRange sp__cli_settings__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor sp__cli_settings__descriptor =
 {
@@ -1180,7 +1194,7 @@
   "Sp__CliSettings",
   "sp",
   sizeof(Sp__CliSettings),
-  5,
+  6,
   sp__cli_settings__field_descriptors,
   sp__cli_settings__field_indices_by_name,
   1,  sp__cli_settings__number_ranges,
--- a/protocols/settings.pb-c.h
+++ b/protocols/settings.pb-c.h
@@ -331,14 +331,19 @@
    * Readiness addresses of the entry hosts that schedule jobs, as IP:PORT, separated by commas.
    */
   char *entry_ports;
+  /*
+   * File with the configuration in force, which config check compares with; empty for none.
+   */
+  char *against;
 };
 extern char sp__cli_settings__operator_ports__default_value[];
 extern char sp__cli_settings__operator__default_value[];
 extern char sp__cli_settings__output__default_value[];
 extern char sp__cli_settings__entry_ports__default_value[];
+extern char sp__cli_settings__against__default_value[];
 #define SP__CLI_SETTINGS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sp__cli_settings__descriptor) \
-    , sp__cli_settings__operator_ports__default_value, sp__cli_settings__operator__default_value, 0, 10000u, sp__cli_settings__output__default_value, sp__cli_settings__entry_ports__default_value }
+    , sp__cli_settings__operator_ports__default_value, sp__cli_settings__operator__default_value, 0, 10000u, sp__cli_settings__output__default_value, sp__cli_settings__entry_ports__default_value, sp__cli_settings__against__default_value }
 
 
 struct  Sp__PlatformSettings
--- a/protocols/settings_table.c
+++ b/protocols/settings_table.c
@@ -71,6 +71,7 @@
   { "timeout_ms", "Timeout of one command.", "ms", 100u, 600000u },
   { "output", "Output format: text or json.", "", 0u, 0u },
   { "entry_ports", "Readiness addresses of the entry hosts that schedule jobs, as IP:PORT, separated by commas.", "", 0u, 0u },
+  { "against", "File with the configuration in force, which config check compares with; empty for none.", "", 0u, 0u },
 };
 
 const struct settings_schema cli_schema = {
