--- a/jobd/scheduling.c
+++ b/jobd/scheduling.c
@@ -356,6 +356,8 @@
         MAX (leader->claim_sent_ms, former_leaders_until_ms (&leader->former, leader->epoch)),
     .stop_ms = settings->stop_ms,
     .demand_trend = settings->demand_trend,
+    .far_factor = settings->far_factor,
+    .locality_wait_max_ms = settings->locality_wait_max_ms,
   };
   struct scheduler_ops ops = {
     .start = leader_start_task,
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -67,6 +67,9 @@
   bool crashes;
   /* 0 or 1. */
   unsigned workspace;
+  /* Has its data on a rack, or is a gang that should share one. */
+  bool near;
+  bool gang;
   /* Requests for the job, without states as expected. */
   GArray *tries;
   /* When a submission and a cancellation were answered 2xx; 0 if none was. */
