Learn task durations, and place jobs by their prospect

Cause: the sum of the callers' estimates decides which job is late, and the estimates are off by factors. Late jobs compete with jobs that can be on time.

Change: lib/admission/duration_model regresses the logarithm of the duration on that of the estimate by queue; the plain estimate stays in use until 20 ends are known and wherever its absolute error is smaller. The critical path, due times and the forecast of demand use it where learned_durations is 1. lib/admission/job_prospect ranks jobs; placement uses it where prospect_order is 1. Late work then leaves room for timely arrivals, never while less than half of the pool is used.

--- a/include/lib/jobs/job.h
+++ b/include/lib/jobs/job.h
@@ -7,6 +7,7 @@
 #include <sys/queue.h>
 
 #include "job.pb-c.h"
+#include "lib/admission/duration_model.h"
 
 struct endpoint;
 struct job;
@@ -85,6 +86,9 @@
   int64_t start_late_until_ms;
   /* When the current attempt's start was first sent, or the attempt was adopted. */
   int64_t start_sent_ms;
+  /* When the endpoint confirmed the current attempt's start; 0 if it has not, or an earlier leader
+   * started it. */
+  int64_t confirmed_start_ms;
   /* What the endpoint's clock showed when the current attempt was first known to run, -1 while that
    * isn't known, and whether the endpoint has run on for a while since. */
   int64_t started_clock_ms;
@@ -158,6 +162,12 @@
   uint32_t n_remaining;
   /* When its objective requires it to be done, on this process's monotonic clock. */
   int64_t due_ms;
+  /* Time from its arrival until then. */
+  int64_t objective_ms;
+  /* What predicts its durations; NULL for the plain estimates. */
+  const struct duration_model *durations;
+  /* It is late, and its starts leave room for timely arrivals. */
+  bool leaves_room;
   TAILQ_ENTRY (job) pool_link;
 };
 
@@ -186,6 +196,7 @@
 void task_set_checkpoint (struct task *task, const char *checkpoint);
 char *task_name (const struct task *task);
 bool job_step_is_done (const struct job *job, uint32_t occurrence, uint32_t step);
-int64_t job_critical_path_ms (const struct job *job);
+struct duration_line job_durations (const struct job *job);
+int64_t job_critical_path_ms (const struct job *job, int64_t start_ms);
 
 #endif
--- a/include/lib/jobs/scheduler.h
+++ b/include/lib/jobs/scheduler.h
@@ -122,6 +122,10 @@
   int64_t earlier_grants_until_ms;
   /* How long a task may take to end after it is stopped. */
   int64_t stop_ms;
+  /* Durations are predicted from those of tasks that ended. */
+  bool learned_durations;
+  /* Jobs are placed by their prospect of meeting their objective. */
+  bool prospect_order;
 };
 
 struct scheduler *scheduler_create (const struct scheduler_config *config,
@@ -248,6 +252,8 @@
   /* Number of endpoints considered for placements, which dominates the cost of a scheduling
    * pass. */
   uint64_t candidates;
+  /* Number of times that a start of a late job was held back, to leave room for timely ones. */
+  uint64_t late_held;
 };
 
 void scheduler_get_counts (const struct scheduler *scheduler, struct scheduler_counts *counts);
--- a/jobd/scheduling.c
+++ b/jobd/scheduling.c
@@ -341,6 +341,8 @@
     .earlier_grants_until_ms =
         MAX (leader->claim_sent_ms, former_leaders_until_ms (&leader->former, leader->epoch)),
     .stop_ms = settings->stop_ms,
+    .learned_durations = settings->learned_durations,
+    .prospect_order = settings->prospect_order,
   };
   struct scheduler_ops ops = {
     .start = leader_start_task,
--- a/lib/jobs/demand.c
+++ b/lib/jobs/demand.c
@@ -37,6 +37,7 @@
 job_work (const struct job *job, int64_t horizon_ms)
 {
   const Sp__JobDefinition *definition = job->definition;
+  struct duration_line line = job_durations (job);
   g_autofree int64_t *ends = g_new0 (int64_t, definition->n_steps);
   struct resources sum = { 0 };
 
@@ -47,7 +48,7 @@
       struct resources request = task_resources (job_task (job, 0, s, 0));
       int64_t within_ms;
 
-      ends[s] = start_ms + step->estimate_ms;
+      ends[s] = start_ms + duration_line_task_ms (&line, step->estimate_ms);
       within_ms = MAX (MIN (ends[s], horizon_ms) - start_ms, 0);
       request = resources_scale (&request, step->n_tasks * within_ms, 1);
       resources_add (&sum, &request);
@@ -136,9 +137,10 @@
 /* Returns the estimated time until a task is done, assuming that a task which isn't running starts
  * now. */
 static int64_t
-task_remaining_estimate_ms (const struct task *task, int64_t now_ms)
+task_remaining_estimate_ms (const struct task *task, const struct duration_line *line,
+                            int64_t now_ms)
 {
-  int64_t estimate_ms = task_step (task)->estimate_ms;
+  int64_t estimate_ms = duration_line_task_ms (line, task_step (task)->estimate_ms);
 
   if (task->phase == TASK_DONE)
     return 0;
@@ -153,6 +155,7 @@
 job_demand_at_horizon (const struct job *job, int64_t horizon_ms, int64_t now_ms)
 {
   const Sp__JobDefinition *definition = job->definition;
+  struct duration_line line = job_durations (job);
   g_autofree int64_t *ends = g_new0 (int64_t, definition->n_steps);
   struct resources sum = { 0 };
 
@@ -165,7 +168,7 @@
 
       for (uint32_t i = 0; i < step->n_tasks; i++)
         {
-          int64_t end_ms = start_ms + task_remaining_estimate_ms (&first[i], now_ms);
+          int64_t end_ms = start_ms + task_remaining_estimate_ms (&first[i], &line, now_ms);
 
           ends[s] = MAX (ends[s], end_ms);
           if (start_ms <= horizon_ms && (end_ms > horizon_ms || step->long_running) &&
--- a/lib/jobs/job.c
+++ b/lib/jobs/job.c
@@ -308,12 +308,20 @@
   return true;
 }
 
-/* Returns the estimated time in ms of the longest chain of dependent steps that are not done. Only
- * the first occurrence of a repeated job counts. */
+/* Returns how the durations of a job's tasks are predicted. */
+struct duration_line
+job_durations (const struct job *job)
+{
+  return duration_model_line (job->durations, job->definition->queue);
+}
+
+/* Returns the expected time in ms of the longest chain of dependent steps that are not done, with
+ * start_ms for the start of each. Only the first occurrence of a repeated job counts. */
 int64_t
-job_critical_path_ms (const struct job *job)
+job_critical_path_ms (const struct job *job, int64_t start_ms)
 {
   const Sp__JobDefinition *definition = job->definition;
+  struct duration_line line = job_durations (job);
   g_autofree int64_t *ends = g_new0 (int64_t, definition->n_steps);
   int64_t longest = 0;
 
@@ -324,7 +332,7 @@
       for (size_t i = 0; i < step->n_prerequisites; i++)
         ends[s] = MAX (ends[s], ends[step->prerequisites[i]]);
       if (!job_step_is_done (job, 0, s))
-        ends[s] += step->estimate_ms;
+        ends[s] += start_ms + duration_line_step_ms (&line, step->estimate_ms, step->n_tasks);
       longest = MAX (longest, ends[s]);
     }
   return longest;
--- a/lib/jobs/placement.c
+++ b/lib/jobs/placement.c
@@ -1,3 +1,4 @@
+#include "lib/admission/job_prospect.h"
 #include "scheduler_state.h"
 
 #include <stdlib.h>
@@ -52,6 +53,9 @@
   unsigned starts_left;
   /* Suspects that are ready, which are placed last. */
   GPtrArray *suspects;
+  /* Room of the pool since the last start for a late job. */
+  struct pool_room room;
+  bool room_known;
 };
 
 /* Returns whether a task may run on an endpoint, by its resource request and its step's
@@ -372,6 +376,49 @@
   pool->n_jobs_awaiting_trial = g_hash_table_size (waiting);
 }
 
+/* Returns the room of a pool, and what timely arrivals are expected to need. Endpoints that are not
+ * usable at present count with their capacity: less of it seems used then, and less is held back.
+ */
+static struct pool_room
+pool_get_room (const struct scheduler *scheduler, const struct pool *pool)
+{
+  struct resources arrivals = demand_forecast (&pool->demand, scheduler->now_ms);
+  struct pool_room room = { .arrivals_cpu_milli = arrivals.cpu_milli,
+                            .arrivals_memory_mb = arrivals.memory_mb };
+  const struct endpoint *endpoint;
+
+  TAILQ_FOREACH (endpoint, &pool->endpoints, pool_link)
+    {
+      room.capacity_cpu_milli += endpoint->capacity.cpu_milli;
+      room.capacity_memory_mb += endpoint->capacity.memory_mb;
+      room.used_cpu_milli += endpoint->used.cpu_milli;
+      room.used_memory_mb += endpoint->used.memory_mb;
+    }
+  return room;
+}
+
+/* Returns whether the start of n tasks of a late job has to wait, to leave room for timely
+ * arrivals, until a later pass. Otherwise the caller starts them, so that the room is to be
+ * computed again. */
+static bool
+late_start_waits (struct scheduler *scheduler, const struct pool *pool, const struct task *first,
+                  uint32_t n, struct pass *pass)
+{
+  struct resources request = task_resources (first);
+
+  if (!first->job->leaves_room || first->phase != TASK_READY)
+    return false;
+  if (!pass->room_known)
+    pass->room = pool_get_room (scheduler, pool);
+  pass->room_known =
+      late_start_must_wait (&pass->room, n * request.cpu_milli, n * request.memory_mb,
+                            scheduler->now_ms - first->phase_since_ms);
+  if (!pass->room_known)
+    return false;
+  scheduler->counts.late_held++;
+  return true;
+}
+
 /* Starts the ready tasks of one step as far as there is free capacity. */
 static void
 step_place (struct scheduler *scheduler, struct pool *pool, struct task *first, struct pass *pass)
@@ -392,7 +439,8 @@
           continue;
         }
       task->on_trial = false;
-      if (shortage_covers (&pass->shortage, &request))
+      if (shortage_covers (&pass->shortage, &request) ||
+          late_start_waits (scheduler, pool, task, 1, pass))
         return;
       endpoint = pool_choose_endpoint (scheduler, pool, task, NULL);
       if (endpoint)
@@ -423,10 +471,10 @@
       struct task *first = &job->tasks[offset];
       const Sp__JobStep *step = task_step (first);
 
-      if (step->gang)
-        gang_place (scheduler, pool, first);
-      else
+      if (!step->gang)
         step_place (scheduler, pool, first, pass);
+      else if (!late_start_waits (scheduler, pool, first, step->n_tasks, pass))
+        gang_place (scheduler, pool, first);
       offset += step->n_tasks;
     }
 }
@@ -444,16 +492,59 @@
   struct job *job;
   bool long_running;
   bool late;
+  /* Only where jobs are placed by prospect. */
+  struct prospect_rank rank;
 };
 
+/* Returns the position of a job by its prospect. Long-running jobs have no objective to miss. Of a
+ * repeated job the objective concerns the first occurrence only; later ones count as late. */
+static struct prospect_rank
+job_prospect_rank (const struct scheduler *scheduler, const struct job *job)
+{
+  struct job_outlook outlook = {
+    .left_ms = job->due_ms - scheduler->now_ms,
+    .objective_ms = job->objective_ms,
+    .rest_ms = job_critical_path_ms (job, (int64_t) scheduler->start_time_ms),
+    .run_ms = job_critical_path_ms (job, 0),
+    .residual = job_durations (job).residual,
+  };
+  struct prospect_rank rank = { .begun = job->n_active > 0 || job->n_remaining < job->n_tasks,
+                                .due_ms = job->due_ms };
+
+  if (!job_is_long_running (job))
+    rank.prospect = job_prospect_of (&outlook);
+  if (job->definition->repeats > 0)
+    rank.prospect = MIN (rank.prospect, JOB_LATE);
+  return rank;
+}
+
+/* Sets the sort key of a job, and whether its starts leave room for timely arrivals. */
+static void
+job_rank_set (const struct scheduler *scheduler, struct job_rank *entry)
+{
+  struct job *job = entry->job;
+
+  entry->long_running = job_is_long_running (job);
+  job->leaves_room = false;
+  if (!scheduler->config.prospect_order)
+    {
+      entry->late = job_is_late (job, scheduler->now_ms);
+      return;
+    }
+  entry->rank = job_prospect_rank (scheduler, job);
+  entry->late = entry->rank.prospect >= JOB_LATE;
+  job->leaves_room = entry->late && job->definition->repeats == 0;
+}
+
 /* Compares jobs by the order in which they are placed: long-running jobs first, as callers notice
  * at once when they don't run; then jobs that can still meet their objective; then jobs that are
- * late. Within these by priority, then by due time. */
+ * late. Within these by priority, then by prospect where that is set, then by due time. */
 static int
 job_rank_compare (const void *left, const void *right)
 {
   const struct job_rank *a = left;
   const struct job_rank *b = right;
+  int order;
 
   if (a->long_running != b->long_running)
     return a->long_running ? -1 : 1;
@@ -461,6 +552,9 @@
     return a->late ? 1 : -1;
   if (a->job->definition->priority != b->job->definition->priority)
     return a->job->definition->priority < b->job->definition->priority ? -1 : 1;
+  order = prospect_rank_compare (&a->rank, &b->rank);
+  if (order != 0)
+    return order;
   if (a->job->due_ms != b->job->due_ms)
     return a->job->due_ms < b->job->due_ms ? -1 : 1;
   return 0;
@@ -485,8 +579,7 @@
 
       if (job->n_ready == 0 || (job->inherited && !pool->takeover_complete))
         continue;
-      entry.long_running = job_is_long_running (job);
-      entry.late = job_is_late (job, scheduler->now_ms);
+      job_rank_set (scheduler, &entry);
       g_array_append_val (ranked, entry);
     }
   g_array_sort (ranked, job_rank_compare);
--- a/lib/jobs/scheduled_jobs.c
+++ b/lib/jobs/scheduled_jobs.c
@@ -36,7 +36,7 @@
 job_is_late (const struct job *job, int64_t now_ms)
 {
   return !job->definition->steps[0]->long_running &&
-         now_ms + job_critical_path_ms (job) > job->due_ms;
+         now_ms + job_critical_path_ms (job, 0) > job->due_ms;
 }
 
 /* Returns whether all steps that a step depends on are done. */
@@ -95,16 +95,16 @@
   job_mark_dirty (scheduler, job);
 }
 
-/* Returns the time by which the job's objective requires it to be done. */
-static int64_t
-job_due_ms (const struct scheduler *scheduler, const struct job *job)
+/* Sets the time by which the job's objective requires it to be done. */
+static void
+job_set_due (const struct scheduler *scheduler, struct job *job)
 {
   const Sp__JobDefinition *definition = job->definition;
   int64_t age_ms = CLAMP (scheduler->wall_ms - definition->accepted_ms, 0, JOB_AGE_MAX_MS);
-  int64_t objective_ms =
-      job_critical_path_ms (job) * definition->slack_permille / PERMILLE + definition->target_ms;
 
-  return scheduler->now_ms - age_ms + objective_ms;
+  job->objective_ms =
+      job_critical_path_ms (job, 0) * definition->slack_permille / PERMILLE + definition->target_ms;
+  job->due_ms = scheduler->now_ms - age_ms + job->objective_ms;
 }
 
 /* Resets a job's tasks to its durable progress. */
@@ -135,6 +135,7 @@
       task->on_trial = false;
       task->n_unresolved = 0;
       task->trial_flush = 0;
+      task->confirmed_start_ms = 0;
       task->command_in_flight = false;
       task->pace_in_flight = false;
       task->pace_percent = 100;
@@ -199,7 +200,8 @@
   job_reset_tasks (job);
   if (job->inherited)
     job_reserve_attempts (scheduler, job);
-  job->due_ms = job_due_ms (scheduler, job);
+  job->durations = scheduler->config.learned_durations ? scheduler->durations : NULL;
+  job_set_due (scheduler, job);
   pool = scheduler_pool (scheduler, job->definition->pool);
   TAILQ_INSERT_TAIL (&pool->jobs, job, pool_link);
   if (!job->inherited)
@@ -276,6 +278,7 @@
         endpoint_remove_task (&job->tasks[i], scheduler->now_ms);
     }
   job->scheduled = false;
+  job->durations = NULL;
   job->dirty = false;
   g_hash_table_remove (scheduler->dirty, job);
   TAILQ_REMOVE (&scheduler_pool (scheduler, job->definition->pool)->jobs, job, pool_link);
--- a/lib/jobs/scheduler.c
+++ b/lib/jobs/scheduler.c
@@ -91,6 +91,7 @@
   scheduler->highest_fence = config->epoch * INCARNATIONS_PER_EPOCH;
   scheduler->host_commands_allowed = true;
   scheduler->starts_per_pass = STARTS_PER_PASS_DIRECT;
+  scheduler->durations = duration_model_create ();
   scheduler->endpoints = g_hash_table_new (g_str_hash, g_str_equal);
   scheduler->hosts_by_id = g_hash_table_new (g_str_hash, g_str_equal);
   scheduler->hosts_by_endpoint = g_hash_table_new (g_str_hash, g_str_equal);
@@ -142,6 +143,7 @@
   g_hash_table_destroy (scheduler->hosts_by_id);
   g_hash_table_destroy (scheduler->hosts_by_endpoint);
   g_hash_table_destroy (scheduler->dirty);
+  duration_model_destroy (scheduler->durations);
   g_free (scheduler);
 }
 
--- a/lib/jobs/scheduler_state.h
+++ b/lib/jobs/scheduler_state.h
@@ -52,6 +52,8 @@
   unsigned n_exposures_left;
   /* Since when long-running tasks have waited for free capacity; 0 if none does. */
   int64_t starved_since_ms;
+  /* When to try again to start late work that leaves room for timely arrivals; 0 if none waits. */
+  int64_t late_retry_ms;
 };
 
 /* A maintenance wave. */
@@ -154,6 +156,10 @@
   int64_t next_sizing_ms;
   int64_t next_jobs_check_ms;
   int64_t next_pools_log_ms;
+  /* Durations of tasks that ended under this leadership, and the mean time from sending a start to
+   * its confirmation, in ms. */
+  struct duration_model *durations;
+  double start_time_ms;
   struct scheduler_counts counts;
 };
 
--- a/lib/jobs/task_attempt.c
+++ b/lib/jobs/task_attempt.c
@@ -119,6 +119,7 @@
   task->fence_raised_ms = 0;
   task->start_late_until_ms = 0;
   task->start_sent_ms = scheduler->now_ms;
+  task->confirmed_start_ms = 0;
   task->started_clock_ms = -1;
   task->start_survived = false;
   task->started_as_suspect = task->suspect;
@@ -150,6 +151,7 @@
   task->starts_unanswered = 0;
   task->start_late_until_ms = 0;
   task->start_sent_ms = scheduler->now_ms;
+  task->confirmed_start_ms = 0;
   task->started_clock_ms = -1;
   task->start_survived = false;
   task->command_in_flight = false;
@@ -309,6 +311,45 @@
   job_fail (scheduler, task->job);
 }
 
+/* Adds the duration of a step of several tasks whose last one ends now: that of its longest task.
+ * Tasks that were done earlier have been in their phase since. */
+static void
+step_learn_duration (struct scheduler *scheduler, const struct task *last)
+{
+  const Sp__JobStep *step = task_step (last);
+  const struct task *first = job_task (last->job, last->occurrence, last->step, 0);
+  int64_t longest_ms = scheduler->now_ms - last->confirmed_start_ms;
+
+  for (uint32_t i = 0; i < step->n_tasks; i++)
+    {
+      const struct task *task = &first[i];
+
+      if (task == last)
+        continue;
+      if (task->phase != TASK_DONE || task->confirmed_start_ms == 0)
+        return;
+      longest_ms = MAX (longest_ms, task->phase_since_ms - task->confirmed_start_ms);
+    }
+  duration_model_add_step (scheduler->durations, last->job->definition->queue, step->estimate_ms,
+                           step->n_tasks, longest_ms);
+}
+
+/* Adds the duration of a task that is done, if the start of the completed attempt is known. */
+static void
+task_learn_duration (struct scheduler *scheduler, const struct endpoint *endpoint,
+                     const struct task *task, uint32_t attempt)
+{
+  const Sp__JobStep *step = task_step (task);
+
+  if (step->long_running || task->endpoint != endpoint || task->attempt != attempt ||
+      task->confirmed_start_ms == 0)
+    return;
+  duration_model_add (scheduler->durations, task->job->definition->queue, step->estimate_ms,
+                      scheduler->now_ms - task->confirmed_start_ms);
+  if (step->n_tasks > 1)
+    step_learn_duration (scheduler, task);
+}
+
 /* Updates a task and its job for a completed attempt. */
 static void
 task_record_completion (struct scheduler *scheduler, struct endpoint *endpoint, struct task *task,
@@ -328,6 +369,7 @@
     task_end_suspicion (scheduler, task);
   if (completion->outcome == ATTEMPT_DONE && !task->done)
     {
+      task_learn_duration (scheduler, endpoint, task, completion->attempt);
       task_mark_done (scheduler, task);
       endpoint->failed_jobs = 0;
       endpoint->last_failed_job = NULL;
@@ -513,6 +555,21 @@
   task_release (scheduler, task);
 }
 
+/* Notes the confirmation of a start. One that was sent several times doesn't count for the mean
+ * time that a start takes, as it is not known which was carried out, nor when. */
+static void
+task_note_start_time (struct scheduler *scheduler, struct task *task)
+{
+  /* The mean is over the last hundred starts or so. */
+  const double weight = 0.01;
+
+  if (task->starts_unanswered > 0)
+    return;
+  task->confirmed_start_ms = scheduler->now_ms;
+  scheduler->start_time_ms +=
+      weight * ((double) (scheduler->now_ms - task->start_sent_ms) - scheduler->start_time_ms);
+}
+
 /* Handles the response to a start; result is not COMMAND_DONE on failure. */
 void
 scheduler_start_done (struct scheduler *scheduler, struct endpoint *endpoint, struct task *task,
@@ -540,6 +597,7 @@
     {
     case COMMAND_DONE:
       task_set_phase (scheduler, task, TASK_RUNNING);
+      task_note_start_time (scheduler, task);
       task->confirmed_ms = now_ms;
       task->progress_ms = now_ms;
       if (clock_ms > 0 && fence >= endpoint->fence)
