Refuse jobs at once that would be done too late under load

Cause: jobs are accepted at any load, and those that end too late use capacity that others need to be on time.

Change: where load_admission is 1, the leader forecasts each 100 ms when a job that arrives would start, by pool and priority, and passes this on in its batches. Nothing is refused that is known, or of which a record was appended here.

--- a/include/lib/jobs/command_message.h
+++ b/include/lib/jobs/command_message.h
@@ -13,6 +13,11 @@
  * number. */
 void command_batch_add_appended (GByteArray *batch, uint64_t incarnation, uint64_t number,
                                  int64_t offset);
+/* Appends the leader's forecasts, an array of struct admission_pool_entry, and learned durations,
+ * an array of struct admission_queue_line. */
+void command_batch_add_outlook (GByteArray *batch, const GArray *entries, const GArray *lines);
+/* Adds the forecasts and durations of a batch to such arrays. Their strings belong to message. */
+void command_batch_get_outlook (const Sp__CommandBatch *message, GArray *entries, GArray *lines);
 /* Appends the sequence and the epoch, which completes the batch. takes_records: hosts may hand
  * records to the leader. */
 void command_batch_finish (GByteArray *batch, uint64_t sequence, uint64_t epoch,
--- a/include/lib/jobs/job.h
+++ b/include/lib/jobs/job.h
@@ -166,6 +166,9 @@
   int64_t objective_ms;
   /* What predicts its durations; NULL for the plain estimates. */
   const struct duration_model *durations;
+  /* Wait until its first start that was forecast at its arrival; -1 if none was or it has started.
+   */
+  int64_t forecast_wait_ms;
   /* It is late, and its starts leave room for timely arrivals. */
   bool leaves_room;
   TAILQ_ENTRY (job) pool_link;
@@ -198,5 +201,7 @@
 bool job_step_is_done (const struct job *job, uint32_t occurrence, uint32_t step);
 struct duration_line job_durations (const struct job *job);
 int64_t job_critical_path_ms (const struct job *job, int64_t start_ms);
+int64_t definition_critical_path_ms (const Sp__JobDefinition *definition,
+                                     const struct duration_line *line);
 
 #endif
--- a/include/lib/jobs/scheduler.h
+++ b/include/lib/jobs/scheduler.h
@@ -1,6 +1,7 @@
 #ifndef SESAMEPICK_LIB_JOBS_SCHEDULER_H
 #define SESAMEPICK_LIB_JOBS_SCHEDULER_H
 
+#include "lib/admission/load_admission.h"
 #include "lib/jobs/endpoint.h"
 #include "lib/jobs/host.h"
 #include "lib/jobs/job_table.h"
@@ -126,6 +127,8 @@
   bool learned_durations;
   /* Jobs are placed by their prospect of meeting their objective. */
   bool prospect_order;
+  /* Forecasts are made of when jobs that arrive would start. */
+  bool load_admission;
 };
 
 struct scheduler *scheduler_create (const struct scheduler_config *config,
@@ -256,6 +259,20 @@
   uint64_t late_held;
 };
 
+/* Adds the forecasts that hosts are to be told of as struct admission_pool_entry, and the learned
+ * durations as struct admission_queue_line; their strings belong to the scheduler. Returns false if
+ * there is nothing to tell. */
+bool scheduler_list_outlook (const struct scheduler *scheduler, GArray *entries, GArray *lines);
+/* Call a function for each pool that isn't a standby pool, and for each queue with known
+ * durations. */
+void scheduler_foreach_outlook (const struct scheduler *scheduler,
+                                void (*each) (void *ctx, const char *pool,
+                                              const struct pool_outlook *outlook),
+                                void *ctx);
+void scheduler_foreach_durations (const struct scheduler *scheduler,
+                                  void (*each) (void *ctx, const struct duration_summary *summary),
+                                  void *ctx);
+
 void scheduler_get_counts (const struct scheduler *scheduler, struct scheduler_counts *counts);
 
 #endif
--- a/jobd/command_sender.c
+++ b/jobd/command_sender.c
@@ -479,6 +479,23 @@
     }
 }
 
+/* Adds the forecasts to the batch of each link, which is sent in this iteration of the loop. */
+void
+command_sender_send_outlook (struct command_sender *sender, const GArray *entries,
+                             const GArray *lines)
+{
+  g_autoptr (GByteArray) part = g_byte_array_new ();
+  struct relay *relay;
+
+  command_batch_add_outlook (part, entries, lines);
+  TAILQ_FOREACH (relay, &sender->relays.relays, link)
+    {
+      struct relay_link *link = relay->data;
+
+      g_byte_array_append (link->batch, part->data, part->len);
+    }
+}
+
 unsigned
 command_sender_relays (const struct command_sender *sender)
 {
--- a/jobd/command_sender.h
+++ b/jobd/command_sender.h
@@ -24,6 +24,10 @@
 /* Returns a time since which no other host that the journal names had claimed the leadership when
  * it confirmed this; 0 if one of them has not confirmed it. */
 int64_t command_sender_confirmed_ms (const struct command_sender *sender);
+/* Sends the leader's forecasts and learned durations to all hosts: arrays as of
+ * scheduler_list_outlook. */
+void command_sender_send_outlook (struct command_sender *sender, const GArray *entries,
+                                  const GArray *lines);
 /* Returns the number of relays in use. */
 unsigned command_sender_relays (const struct command_sender *sender);
 
--- a/jobd/ingress.c
+++ b/jobd/ingress.c
@@ -2,6 +2,7 @@
 
 #include "common/log.h"
 #include "common/settings.h"
+#include "job_admission.h"
 #include "jobd.h"
 #include "platform/callers.h"
 #include "record_sender.h"
@@ -67,12 +68,12 @@
   answer_json (request, status, body);
 }
 
-/* Answers 503 with Retry-After. The request has had no effect. */
+/* Answers 503 with a Retry-After in seconds. The request has had no effect. */
 static void
-answer_unavailable (struct http_request *request, const char *reason)
+answer_unavailable_for (struct http_request *request, const char *reason, int retry_after_s)
 {
   g_autofree char *body = encode_error (reason);
-  g_autofree char *seconds = g_strdup_printf ("%d", RETRY_AFTER_S);
+  g_autofree char *seconds = g_strdup_printf ("%d", retry_after_s);
   struct http_header headers[] = {
     { "Content-Type", "application/json" },
     { "Retry-After", seconds },
@@ -88,6 +89,13 @@
   http_request_respond (request, &response);
 }
 
+/* The same, to be sent again soon. */
+static void
+answer_unavailable (struct http_request *request, const char *reason)
+{
+  answer_unavailable_for (request, reason, RETRY_AFTER_S);
+}
+
 /* Frees a pending request. No append or read may refer to it any more. */
 static void
 pending_request_destroy (struct pending_request *pending)
@@ -220,6 +228,7 @@
   pending->key = job_record_key (record);
   pending->value = job_record_pack (record);
   pending->appended = true;
+  job_admission_on_append (pending->ingress->jobd->admission, pending->id);
   value = g_bytes_get_data (pending->value, &len);
   record_sender_append (pending->ingress->jobd->records, pending->key, value, len,
                         pending_request_on_append, pending);
@@ -287,6 +296,22 @@
   definition->accepted_ms = jobd->clock.wall_ms;
 }
 
+/* Refuses a job that would be done too late, before anything of it is stored. Returns whether it
+ * was. */
+static bool
+refuse_for_load (struct ingress *ingress, struct http_request *request,
+                 const Sp__JobDefinition *definition)
+{
+  int retry_after_s = job_admission_refuse (ingress->jobd->admission, definition);
+
+  if (retry_after_s == 0)
+    return false;
+  ingress->refused.value++;
+  answer_unavailable_for (request, "too much is waiting; the job was not stored and has not run",
+                          retry_after_s);
+  return true;
+}
+
 /* Handles a submitted job: validates it and answers once its record is durable. A job that is
  * already known is answered at once. */
 static void
@@ -322,6 +347,11 @@
       return;
     }
   definition_fill (jobd, definition, queue, id);
+  if (refuse_for_load (ingress, request, definition))
+    {
+      sp__job_definition__free_unpacked (definition, NULL);
+      return;
+    }
   record.body_case = SP__JOB_RECORD__BODY_DEFINITION;
   record.definition = definition;
   pending_request_append (pending_request_create (ingress, request, id), &record);
--- a/jobd/jobd.h
+++ b/jobd/jobd.h
@@ -20,6 +20,7 @@
 struct admin;
 struct relay_server;
 struct record_sender;
+struct job_admission;
 
 enum
 {
@@ -55,6 +56,8 @@
   struct admin *admin;
   /* Sends commands of other hosts that lead; NULL if this host doesn't. */
   struct relay_server *relay_server;
+  /* Refuses jobs because of the load; NULL where load_admission is 0. */
+  struct job_admission *admission;
   struct host_command_guard host_guard;
   /* Entry hosts that the journal names: name to relay address, and the set of the names of those
    * with ample CPU. */
--- a/jobd/leader.c
+++ b/jobd/leader.c
@@ -3,6 +3,7 @@
 
 #include "common/log.h"
 #include "host_command_queue.h"
+#include "job_admission.h"
 #include "leader_state.h"
 #include "lib/jobs/leader_election.h"
 #include "relay_server.h"
@@ -607,6 +608,7 @@
   leader_request_host_list (leader, now_ms);
   leader_limit_leases (leader, now_ms);
   scheduler_tick (leader->scheduler, now_ms, jobd->clock.wall_ms);
+  job_admission_publish (jobd->admission, leader->scheduler, leader->sender);
   if (leader->host_commands)
     host_command_queue_flush (leader->host_commands);
   leader_append_records (leader);
--- a/jobd/main.c
+++ b/jobd/main.c
@@ -7,6 +7,7 @@
 #include "common/log.h"
 #include "common/loop_timer.h"
 #include "common/program.h"
+#include "job_admission.h"
 #include "jobd.h"
 #include "lib/jobs/leader_election.h"
 #include "platform/documents.h"
@@ -62,7 +63,10 @@
 static void
 jobd_on_job_defined (void *ctx, struct job *job)
 {
-  leader_job_defined (((struct jobd *) ctx)->leader, job);
+  struct jobd *jobd = ctx;
+
+  job_admission_on_defined (jobd->admission, job);
+  leader_job_defined (jobd->leader, job);
 }
 
 static void
@@ -344,6 +348,7 @@
   jobd->records = record_sender_create (jobd);
   host_command_guard_init (&jobd->host_guard);
   jobd->leader = leader_create (jobd);
+  jobd->admission = job_admission_create (jobd);
   jobd_open_topics (jobd);
   if (jobd->settings->relay[0] != '\0')
     {
@@ -363,6 +368,7 @@
   leader_destroy (jobd->leader);
   relay_server_destroy (jobd->relay_server);
   ingress_destroy (jobd->ingress);
+  job_admission_destroy (jobd->admission);
   admin_destroy (jobd->admin);
   store_destroy (jobd->store);
   topic_reader_destroy (jobd->journal);
--- a/jobd/relay_server.c
+++ b/jobd/relay_server.c
@@ -7,6 +7,7 @@
 #include "common/loop_timer.h"
 #include "common/peer_socket.h"
 #include "common/settings.h"
+#include "job_admission.h"
 #include "lib/jobs/command_message.h"
 #include "lib/jobs/leadership_lease.h"
 #include "platform/command_client.h"
@@ -247,6 +248,8 @@
     relay_session_send (session, batch->commands[i]);
   for (size_t i = 0; i < batch->n_appended; i++)
     record_sender_on_appended (server->jobd->records, batch->appended[i]);
+  if (server->leader == session)
+    job_admission_on_batch (server->jobd->admission, batch);
   relay_session_schedule (session);
   sp__command_batch__free_unpacked (batch, NULL);
 }
--- a/jobd/scheduling.c
+++ b/jobd/scheduling.c
@@ -343,6 +343,7 @@
     .stop_ms = settings->stop_ms,
     .learned_durations = settings->learned_durations,
     .prospect_order = settings->prospect_order,
+    .load_admission = settings->load_admission,
   };
   struct scheduler_ops ops = {
     .start = leader_start_task,
--- a/lib/jobs/command_message.c
+++ b/lib/jobs/command_message.c
@@ -37,6 +37,85 @@
   append_message (batch, &part.base);
 }
 
+/* Fills in the message of a forecast. */
+static void
+pool_outlook_fill (Sp__PoolOutlook *message, const struct admission_pool_entry *from)
+{
+  sp__pool_outlook__init (message);
+  message->pool = (char *) from->pool;
+  message->priority = from->entry.priority;
+  message->wait_ms = from->entry.wait_ms;
+  message->error_ms = from->entry.error_ms;
+  message->capacity_permille = from->entry.capacity_permille;
+  message->free_cpu_milli = (uint32_t) from->entry.free_cpu_milli;
+  message->free_memory_mb = (uint32_t) from->entry.free_memory_mb;
+}
+
+void
+command_batch_add_outlook (GByteArray *batch, const GArray *entries, const GArray *lines)
+{
+  Sp__CommandBatch part = SP__COMMAND_BATCH__INIT;
+  g_autofree Sp__PoolOutlook *outlooks = g_new (Sp__PoolOutlook, entries->len + 1);
+  g_autofree Sp__PoolOutlook **outlook_list = g_new (Sp__PoolOutlook *, entries->len + 1);
+  g_autofree Sp__QueueDurations *durations = g_new (Sp__QueueDurations, lines->len + 1);
+  g_autofree Sp__QueueDurations **durations_list = g_new (Sp__QueueDurations *, lines->len + 1);
+
+  for (guint i = 0; i < entries->len; i++)
+    {
+      pool_outlook_fill (&outlooks[i], &g_array_index (entries, struct admission_pool_entry, i));
+      outlook_list[i] = &outlooks[i];
+    }
+  for (guint i = 0; i < lines->len; i++)
+    {
+      const struct admission_queue_line *from =
+          &g_array_index (lines, struct admission_queue_line, i);
+
+      sp__queue_durations__init (&durations[i]);
+      durations[i].queue = (char *) from->queue;
+      durations[i].intercept = from->line.intercept;
+      durations[i].slope = from->line.slope;
+      durations[i].residual = from->line.residual;
+      durations[i].longest = from->line.longest;
+      durations_list[i] = &durations[i];
+    }
+  part.n_outlooks = entries->len;
+  part.outlooks = outlook_list;
+  part.n_durations = lines->len;
+  part.durations = durations_list;
+  append_message (batch, &part.base);
+}
+
+void
+command_batch_get_outlook (const Sp__CommandBatch *message, GArray *entries, GArray *lines)
+{
+  for (size_t i = 0; i < message->n_outlooks; i++)
+    {
+      const Sp__PoolOutlook *from = message->outlooks[i];
+      struct admission_pool_entry entry = {
+        .pool = from->pool,
+        .entry = { .priority = from->priority,
+                   .wait_ms = from->wait_ms,
+                   .error_ms = from->error_ms,
+                   .capacity_permille = from->capacity_permille,
+                   .free_cpu_milli = from->free_cpu_milli,
+                   .free_memory_mb = from->free_memory_mb },
+      };
+
+      g_array_append_val (entries, entry);
+    }
+  for (size_t i = 0; i < message->n_durations; i++)
+    {
+      const Sp__QueueDurations *from = message->durations[i];
+      struct admission_queue_line line = { .queue = from->queue,
+                                           .line = { .intercept = from->intercept,
+                                                     .slope = from->slope,
+                                                     .residual = from->residual,
+                                                     .longest = from->longest } };
+
+      g_array_append_val (lines, line);
+    }
+}
+
 void
 command_batch_finish (GByteArray *batch, uint64_t sequence, uint64_t epoch, bool takes_records)
 {
--- a/lib/jobs/job.c
+++ b/lib/jobs/job.c
@@ -315,25 +315,41 @@
   return duration_model_line (job->durations, job->definition->queue);
 }
 
-/* Returns the expected time in ms of the longest chain of dependent steps that are not done, with
- * start_ms for the start of each. Only the first occurrence of a repeated job counts. */
-int64_t
-job_critical_path_ms (const struct job *job, int64_t start_ms)
+/* Returns the expected time in ms of the longest chain of dependent steps, with start_ms for the
+ * start of each. Steps of job that are done don't count; job may be NULL. */
+static int64_t
+critical_path_ms (const Sp__JobDefinition *definition, const struct job *job,
+                  const struct duration_line *line, int64_t start_ms)
 {
-  const Sp__JobDefinition *definition = job->definition;
-  struct duration_line line = job_durations (job);
   g_autofree int64_t *ends = g_new0 (int64_t, definition->n_steps);
   int64_t longest = 0;
 
-  for (size_t s = 0; s < definition->n_steps; s++)
+  for (uint32_t s = 0; s < definition->n_steps; s++)
     {
       const Sp__JobStep *step = definition->steps[s];
 
       for (size_t i = 0; i < step->n_prerequisites; i++)
         ends[s] = MAX (ends[s], ends[step->prerequisites[i]]);
-      if (!job_step_is_done (job, 0, s))
-        ends[s] += start_ms + duration_line_step_ms (&line, step->estimate_ms, step->n_tasks);
+      if (!job || !job_step_is_done (job, 0, s))
+        ends[s] += start_ms + duration_line_step_ms (line, step->estimate_ms, step->n_tasks);
       longest = MAX (longest, ends[s]);
     }
   return longest;
 }
+
+/* Returns the expected time of what is left of a job's critical path. Only the first occurrence of
+ * a repeated job counts. */
+int64_t
+job_critical_path_ms (const struct job *job, int64_t start_ms)
+{
+  struct duration_line line = job_durations (job);
+
+  return critical_path_ms (job->definition, job, &line, start_ms);
+}
+
+/* Returns the expected critical path of a job that has not begun. */
+int64_t
+definition_critical_path_ms (const Sp__JobDefinition *definition, const struct duration_line *line)
+{
+  return critical_path_ms (definition, NULL, line, 0);
+}
--- a/lib/jobs/scheduled_jobs.c
+++ b/lib/jobs/scheduled_jobs.c
@@ -206,6 +206,7 @@
   TAILQ_INSERT_TAIL (&pool->jobs, job, pool_link);
   if (!job->inherited)
     demand_add_arrival (&pool->demand, job, HOST_READY_MS, scheduler->now_ms);
+  scheduler_forecast_job (scheduler, pool, job);
   scheduler->counts.jobs++;
   if (job_has_progress (job, &exhausted))
     job_mark_dirty (scheduler, job);
--- a/lib/jobs/scheduler.c
+++ b/lib/jobs/scheduler.c
@@ -452,6 +452,7 @@
   scheduler->next_sizing_ms = now_ms + SIZING_INTERVAL_MS;
   scheduler_advance_waves (scheduler);
   scheduler_size_pools (scheduler);
+  scheduler_update_outlook (scheduler);
   /* Endpoints that were avoided for a while become usable again without any event. */
   TAILQ_FOREACH (pool, &scheduler->pools, link)
     pool->changed = true;
--- a/lib/jobs/scheduler_state.h
+++ b/lib/jobs/scheduler_state.h
@@ -26,6 +26,8 @@
   bool changed;
   /* Recent arrivals of jobs. */
   struct demand demand;
+  /* When jobs that arrive now would start. */
+  struct pool_outlook outlook;
   /* Sums of the requests of the jobs that can still meet their objective, and of the late ones.
    * Once scheduler_size_pools has computed hosts_urgent, request includes late_request. */
   struct resources request;
@@ -52,8 +54,6 @@
   unsigned n_exposures_left;
   /* Since when long-running tasks have waited for free capacity; 0 if none does. */
   int64_t starved_since_ms;
-  /* When to try again to start late work that leaves room for timely arrivals; 0 if none waits. */
-  int64_t late_retry_ms;
 };
 
 /* A maintenance wave. */
@@ -160,6 +160,8 @@
    * its confirmation, in ms. */
   struct duration_model *durations;
   double start_time_ms;
+  /* When forecasts were last made; 0 if they have not been. */
+  int64_t outlook_ms;
   struct scheduler_counts counts;
 };
 
@@ -262,6 +264,14 @@
 void endpoint_set_unresponsive (struct scheduler *scheduler, struct endpoint *endpoint);
 bool endpoint_is_usable (const struct scheduler *scheduler, const struct endpoint *endpoint);
 
+/* outlook.c */
+/* Counts a job that arrives, and sets the wait that is forecast for it. */
+void scheduler_forecast_job (struct scheduler *scheduler, struct pool *pool, struct job *job);
+/* Compares the forecast for a job that starts now with its wait. */
+void scheduler_verify_forecast (struct scheduler *scheduler, struct job *job);
+/* Makes the forecasts of all pools, if they are needed. */
+void scheduler_update_outlook (struct scheduler *scheduler);
+
 /* placement.c */
 void scheduler_place (struct scheduler *scheduler);
 
--- a/lib/jobs/task_attempt.c
+++ b/lib/jobs/task_attempt.c
@@ -135,6 +135,7 @@
   task_set_phase (scheduler, task, TASK_STARTING);
   if (job->next_state == SP__JOB_STATE__JOB_QUEUED)
     {
+      scheduler_verify_forecast (scheduler, job);
       job->next_state = SP__JOB_STATE__JOB_RUNNING;
       job_mark_dirty (scheduler, job);
     }
--- a/protocols/command.pb-c.c
+++ b/protocols/command.pb-c.c
@@ -1377,12 +1377,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "excess_permille",
+    "capacity_permille",
     5,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Sp__PoolOutlook, excess_permille),
+    offsetof(Sp__PoolOutlook, capacity_permille),
     NULL,
     NULL,
     0,             /* flags */
@@ -1414,8 +1414,8 @@
   },
 };
 static const unsigned sp__pool_outlook__field_indices_by_name[] = {
+  4,   /* field[4] = capacity_permille */
   3,   /* field[3] = error_ms */
-  4,   /* field[4] = excess_permille */
   5,   /* field[5] = free_cpu_milli */
   6,   /* field[6] = free_memory_mb */
   0,   /* field[0] = pool */
@@ -1442,7 +1442,7 @@
   (ProtobufCMessageInit) sp__pool_outlook__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sp__queue_durations__field_descriptors[4] =
+static const ProtobufCFieldDescriptor sp__queue_durations__field_descriptors[5] =
 {
   {
     "queue",
@@ -1492,9 +1492,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "longest",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Sp__QueueDurations, longest),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sp__queue_durations__field_indices_by_name[] = {
   1,   /* field[1] = intercept */
+  4,   /* field[4] = longest */
   0,   /* field[0] = queue */
   3,   /* field[3] = residual */
   2,   /* field[2] = slope */
@@ -1502,7 +1515,7 @@
 static const ProtobufCIntRange sp__queue_durations__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor sp__queue_durations__descriptor =
 {
@@ -1512,7 +1525,7 @@
   "Sp__QueueDurations",
   "sp",
   sizeof(Sp__QueueDurations),
-  4,
+  5,
   sp__queue_durations__field_descriptors,
   sp__queue_durations__field_indices_by_name,
   1,  sp__queue_durations__number_ranges,
--- a/protocols/command.pb-c.h
+++ b/protocols/command.pb-c.h
@@ -260,11 +260,11 @@
    */
   int64_t error_ms;
   /*
-   * Share of the arrivals that exceeds the capacity, in thousandths.
+   * Capacity of the pool over what the jobs use that were accepted lately, in thousandths.
    */
-  uint32_t excess_permille;
+  uint32_t capacity_permille;
   /*
-   * The largest request that fits on an endpoint of the pool now.
+   * The most that is free of each resource on an endpoint of the pool now.
    */
   uint32_t free_cpu_milli;
   uint32_t free_memory_mb;
@@ -287,10 +287,14 @@
    * Standard deviation of the logarithm of the duration around the prediction.
    */
   double residual;
+  /*
+   * A step's end is predicted by the expected longest of its tasks.
+   */
+  protobuf_c_boolean longest;
 };
 #define SP__QUEUE_DURATIONS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sp__queue_durations__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 /*
--- a/tests/jobd/test_handed_records.c
+++ b/tests/jobd/test_handed_records.c
@@ -1,4 +1,5 @@
 #include "command_sender.h"
+#include "job_admission.h"
 #include "process.h"
 #include "record_sender.h"
 #include "relay_server.h"
@@ -101,6 +102,14 @@
   return 0;
 }
 
+/* Stands in for admission by load, which these hosts don't use. */
+void
+job_admission_on_batch (struct job_admission *admission, const Sp__CommandBatch *batch)
+{
+  (void) admission;
+  (void) batch;
+}
+
 static void
 stored_append_free (gpointer data)
 {
