--- a/tests/jobs/simulation.c
+++ b/tests/jobs/simulation.c
@@ -179,6 +179,9 @@
     .lease_ms = LEASE_MS,
     .earlier_grants_until_ms = simulation->now_ms,
     .stop_ms = STOP_MS,
+    .learned_durations = simulation->load_rules,
+    .prospect_order = simulation->load_rules,
+    .load_admission = simulation->load_rules,
   };
 
   simulation_log (simulation, "leader: epoch=%" G_GUINT64_FORMAT, simulation->epoch);
--- a/tests/jobs/simulation.h
+++ b/tests/jobs/simulation.h
@@ -162,6 +162,8 @@
   /* Duration of batch attempts, and share of attempts that fail. */
   int64_t work_ms;
   int fail_permille;
+  /* Leaders learn durations, place jobs by prospect and make forecasts. */
+  bool load_rules;
 
   /* Name to struct crashing_task. */
   GHashTable *crashing_tasks;
--- a/tests/jobs/test_jobs_random.c
+++ b/tests/jobs/test_jobs_random.c
@@ -9,7 +9,8 @@
  * endpoints and with hosts that crash by themselves, lost and late responses, connections that
  * close before the response, unreachable and restarted endpoints, also such that restart while they
  * are unreachable, changes of leader and cancellations. The simulation counts violations. For long
- * runs: test-jobs_random --seed N --rounds M. */
+ * runs: test-jobs_random --seed N --rounds M. With --load-rules 1 the leaders learn durations,
+ * place jobs by prospect and make forecasts. */
 
 enum
 {
@@ -26,6 +27,7 @@
 
 static guint32 first_seed = 1;
 static unsigned rounds = 6;
+static bool load_rules;
 
 /* Submits a job of random steps. */
 static void
@@ -183,6 +185,7 @@
   simulation_add_hosts (simulation, "one", HOSTS / 2);
   simulation_add_hosts (simulation, "two", HOSTS / 2);
   simulation_add_hosts (simulation, "spare", 2);
+  simulation->load_rules = load_rules;
   simulation->lost_permille = 30;
   simulation->late_permille = seed % 2 == 0 ? 10 : 0;
   simulation->slow_response_permille = seed % 5 == 0 ? 50 : 0;
@@ -261,6 +264,8 @@
         first_seed = (guint32) strtoul (argv[i + 1], NULL, 10);
       if (strcmp (argv[i], "--rounds") == 0)
         rounds = (unsigned) strtoul (argv[i + 1], NULL, 10);
+      if (strcmp (argv[i], "--load-rules") == 0)
+        load_rules = strcmp (argv[i + 1], "0") != 0;
     }
   printf ("seeds %u to %u\n", first_seed, first_seed + rounds - 1);
   return suite_run ("jobs_random", tests, sizeof tests / sizeof tests[0]);
