--- a/include/lib/admission/admission_outlook.h
+++ b/include/lib/admission/admission_outlook.h
@@ -35,6 +35,8 @@
   /* Expected wait until the first start, and its expected error. */
   int64_t wait_ms;
   int64_t error_ms;
+  /* Expected wait of a job that is late before its turn comes. */
+  int64_t late_wait_ms;
   /* Capacity over what the jobs use that arrived lately, in thousandths; at most 10000. */
   uint32_t capacity_permille;
   /* The most that is free of each resource on an endpoint now. */
@@ -76,25 +78,32 @@
   uint32_t priorities[OUTLOOK_PRIORITIES_MAX];
   struct outlook_work waiting[OUTLOOK_PRIORITIES_MAX];
   bool ready[OUTLOOK_PRIORITIES_MAX];
+  /* The same of late jobs. */
+  struct outlook_work late[OUTLOOK_PRIORITIES_MAX];
   unsigned n_waiting;
   int64_t free_cpu_milli;
   int64_t free_memory_mb;
 };
 
-/* Adds waiting work of a priority to the input. ready: some of it could start now. */
+/* Adds waiting work of a priority to the input. ready: some of it could start now. late: it is that
+ * of a job that can't meet its objective. */
 void outlook_input_add (struct outlook_input *input, uint32_t priority,
-                        const struct outlook_work *work, bool ready);
+                        const struct outlook_work *work, bool ready, bool late);
 /* Records the work of a job that was accepted. */
 void pool_outlook_add_arrival (struct pool_outlook *outlook, const struct outlook_work *work,
                                int64_t now_ms);
-/* Records when a job started for which a wait was forecast, in ms after its arrival. */
-void pool_outlook_add_start (struct pool_outlook *outlook, int64_t forecast_ms, int64_t actual_ms);
+/* Records when a job started for which a wait was forecast, in ms after its arrival. A difference
+ * beyond horizon_ms doesn't count; a job that has not started until then is recorded with it. */
+void pool_outlook_add_start (struct pool_outlook *outlook, int64_t forecast_ms, int64_t actual_ms,
+                             int64_t horizon_ms);
 /* Makes the forecasts. Without any capacity there are none. */
 void pool_outlook_update (struct pool_outlook *outlook, const struct outlook_input *input,
                           int64_t now_ms);
 /* Returns the forecast for a priority, or NULL if there is none. */
 const struct outlook_entry *outlook_find (const struct outlook_entry *entries, unsigned n,
                                           uint32_t priority);
+/* Returns the forecast wait of a job that has to start within slack_ms to meet its objective. */
+int64_t outlook_entry_wait_ms (const struct outlook_entry *entry, int64_t slack_ms);
 /* Returns whether hosts have to be told of the forecasts: there is a wait, or was one lately. */
 bool pool_outlook_is_shown (const struct pool_outlook *outlook, int64_t now_ms);
 
--- a/lib/admission/admission_outlook.c
+++ b/lib/admission/admission_outlook.c
@@ -11,6 +11,8 @@
    * overload begins, and a second holds enough arrivals for a mean. */
   ARRIVALS_MS = 1000,
   WAIT_MAX_MS = 3600 * 1000,
+  /* Longest wait that is forecast for late work: how long an overload will last isn't known. */
+  LATE_WAIT_MAX_MS = 60 * 1000,
   /* Waits below this, forecast and actual, verify nothing: they are as long as a start takes and
    * the age of the forecast. */
   VERIFIED_MIN_MS = 2 * OUTLOOK_INTERVAL_MS,
@@ -25,8 +27,10 @@
 
 void
 outlook_input_add (struct outlook_input *input, uint32_t priority, const struct outlook_work *work,
-                   bool ready)
+                   bool ready, bool late)
 {
+  struct outlook_work *sum;
+
   unsigned i = 0;
 
   while (i < input->n_waiting && input->priorities[i] != priority)
@@ -37,12 +41,14 @@
     {
       input->priorities[i] = priority;
       input->waiting[i] = (struct outlook_work){ 0 };
+      input->late[i] = (struct outlook_work){ 0 };
       input->ready[i] = false;
       input->n_waiting++;
     }
-  input->waiting[i].cpu += work->cpu;
-  input->waiting[i].memory += work->memory;
-  input->ready[i] = input->ready[i] || ready;
+  sum = late ? &input->late[i] : &input->waiting[i];
+  sum->cpu += work->cpu;
+  sum->memory += work->memory;
+  input->ready[i] = input->ready[i] || (ready && !late);
 }
 
 /* Lets the work that arrived decay until now_ms. */
@@ -66,9 +72,14 @@
 }
 
 void
-pool_outlook_add_start (struct pool_outlook *outlook, int64_t forecast_ms, int64_t actual_ms)
+pool_outlook_add_start (struct pool_outlook *outlook, int64_t forecast_ms, int64_t actual_ms,
+                        int64_t horizon_ms)
 {
-  int64_t error_ms = ABS (actual_ms - forecast_ms);
+  int64_t error_ms;
+
+  forecast_ms = MIN (forecast_ms, horizon_ms);
+  actual_ms = MIN (actual_ms, horizon_ms);
+  error_ms = ABS (actual_ms - forecast_ms);
 
   outlook->n_forecasts++;
   outlook->errors_ms += error_ms;
@@ -133,6 +144,21 @@
   return (uint32_t) ratio;
 }
 
+/* Returns the wait of a job that is late before its turn comes: it starts after the late work that
+ * is there, with the capacity that timely arrivals leave. */
+static int64_t
+outlook_late_wait_ms (const struct pool_outlook *outlook, const struct outlook_input *input,
+                      const struct outlook_work *ahead)
+{
+  double cpu = input->capacity.cpu + input->coming.cpu - outlook->arrived.cpu / ARRIVALS_MS;
+  double memory =
+      input->capacity.memory + input->coming.memory - outlook->arrived.memory / ARRIVALS_MS;
+
+  if (cpu <= 0.0 || memory <= 0.0)
+    return LATE_WAIT_MAX_MS;
+  return (int64_t) MIN (MAX (ahead->cpu / cpu, ahead->memory / memory), LATE_WAIT_MAX_MS);
+}
+
 /* Adds the forecast for a priority: all waiting work that isn't less urgent is ahead. If none of it
  * is ready, later steps of jobs that have begun don't keep a job from starting now. */
 static void
@@ -140,6 +166,7 @@
                         uint32_t priority)
 {
   struct outlook_work ahead = { 0 };
+  struct outlook_work late = { 0 };
   struct outlook_entry entry = {
     .priority = priority,
     .capacity_permille = outlook_capacity_permille (outlook, input),
@@ -155,9 +182,14 @@
         continue;
       ahead.cpu += input->waiting[i].cpu;
       ahead.memory += input->waiting[i].memory;
+      late.cpu += input->late[i].cpu;
+      late.memory += input->late[i].memory;
       waits = waits || input->ready[i];
     }
   entry.wait_ms = waits ? outlook_wait_ms (input, &ahead) : 0;
+  late.cpu += ahead.cpu;
+  late.memory += ahead.memory;
+  entry.late_wait_ms = MAX (outlook_late_wait_ms (outlook, input, &late), entry.wait_ms);
   entry.error_ms = pool_outlook_error_ms (outlook, entry.wait_ms);
   for (; at > 0 && outlook->entries[at - 1].priority > priority; at--)
     outlook->entries[at] = outlook->entries[at - 1];
@@ -191,6 +223,13 @@
   return found;
 }
 
+/* A job whose turn doesn't come before it is late waits behind all other late ones. */
+int64_t
+outlook_entry_wait_ms (const struct outlook_entry *entry, int64_t slack_ms)
+{
+  return entry->wait_ms <= MAX (slack_ms, 0) ? entry->wait_ms : entry->late_wait_ms;
+}
+
 bool
 pool_outlook_is_shown (const struct pool_outlook *outlook, int64_t now_ms)
 {
--- a/lib/admission/load_admission.c
+++ b/lib/admission/load_admission.c
@@ -219,15 +219,16 @@
   return arrivals > 0.0 ? MAX (1.0 - served / arrivals, 0.0) : 0.0;
 }
 
-/* Returns whether a job would not be done in three times its objective even if the forecast is too
+/* Returns whether a job would not be done in three times its objective even if its forecast is too
  * long by its error and its tasks are shorter than expected by their standard deviation. */
 static bool
-request_is_hopeless (const struct admission_request *request, const struct outlook_entry *entry)
+request_is_hopeless (const struct admission_request *request,
+                     const struct admission_decision *decision)
 {
-  double least_ms = (double) (entry->wait_ms - entry->error_ms) +
+  double least_ms = (double) (decision->wait_ms - decision->error_ms) +
                     (double) request->path_ms * exp (-request->residual);
 
-  return entry->error_ms <= entry->wait_ms &&
+  return decision->error_ms <= decision->wait_ms &&
          least_ms > (double) HOPELESS_OBJECTIVES * (double) request->objective_ms;
 }
 
@@ -270,8 +271,10 @@
   if (!entry || admission->set_ms < 0)
     return NULL;
   decision->age_ms = now_ms - admission->set_ms;
-  decision->wait_ms = entry->wait_ms;
-  decision->error_ms = entry->error_ms;
+  decision->wait_ms = outlook_entry_wait_ms (entry, request->objective_ms - request->path_ms);
+  /* The error is in proportion to the wait. */
+  decision->error_ms = (int64_t) ((double) entry->error_ms * (double) decision->wait_ms /
+                                  (double) MAX (entry->wait_ms, 1));
   return decision->age_ms <= OUTLOOK_AGE_MAX_MS ? entry : NULL;
 }
 
@@ -297,7 +300,7 @@
     return;
   excess = pool_excess (admission, pool, entry, now_ms);
   decision->excess_permille = (unsigned) (excess * PERMILLE);
-  if (!request_is_hopeless (request, entry) ||
+  if (!request_is_hopeless (request, decision) ||
       !pool_may_refuse (admission, pool, request, excess, now_ms))
     return;
   decision->refused = true;
--- a/lib/jobs/command_message.c
+++ b/lib/jobs/command_message.c
@@ -46,6 +46,7 @@
   message->priority = from->entry.priority;
   message->wait_ms = from->entry.wait_ms;
   message->error_ms = from->entry.error_ms;
+  message->late_wait_ms = from->entry.late_wait_ms;
   message->capacity_permille = from->entry.capacity_permille;
   message->free_cpu_milli = (uint32_t) from->entry.free_cpu_milli;
   message->free_memory_mb = (uint32_t) from->entry.free_memory_mb;
@@ -96,6 +97,7 @@
         .entry = { .priority = from->priority,
                    .wait_ms = from->wait_ms,
                    .error_ms = from->error_ms,
+                   .late_wait_ms = from->late_wait_ms,
                    .capacity_permille = from->capacity_permille,
                    .free_cpu_milli = from->free_cpu_milli,
                    .free_memory_mb = from->free_memory_mb },
--- a/lib/jobs/outlook.c
+++ b/lib/jobs/outlook.c
@@ -8,6 +8,8 @@
 {
   /* Hosts on their way to a pool are in the middle of their move on average. */
   COMING_IN_MS = HOST_READY_MS / 2,
+  /* A job counts nothing beyond this multiple of its objective. */
+  HOPELESS_OBJECTIVES = 3,
 };
 
 /* Returns whether forecasts are made for a job: it arrives at a rate and has an objective. */
@@ -66,7 +68,9 @@
   pool_outlook_add_arrival (&pool->outlook, &work, scheduler->now_ms);
   entry = outlook_find (pool->outlook.entries, pool->outlook.n_entries, job->definition->priority);
   if (scheduler->outlook_ms > 0)
-    job->forecast_wait_ms = entry ? entry->wait_ms : 0;
+    job->forecast_wait_ms =
+        entry ? outlook_entry_wait_ms (entry, job->objective_ms - job_critical_path_ms (job, 0))
+              : 0;
 }
 
 void
@@ -75,7 +79,8 @@
   if (job->forecast_wait_ms < 0)
     return;
   pool_outlook_add_start (&scheduler_pool (scheduler, job->definition->pool)->outlook,
-                          job->forecast_wait_ms, scheduler->now_ms - job->seen_ms);
+                          job->forecast_wait_ms, scheduler->now_ms - job->seen_ms,
+                          HOPELESS_OBJECTIVES * job->objective_ms);
   job->forecast_wait_ms = -1;
 }
 
@@ -132,12 +137,13 @@
     }
 }
 
-/* Makes the forecasts of a pool. Jobs that are late don't keep one that arrives now waiting. */
+/* Makes the forecasts of a pool, and verifies those for jobs that have not started in time to count
+ * for anything. */
 static void
-pool_update_outlook (const struct scheduler *scheduler, struct pool *pool)
+pool_update_outlook (struct scheduler *scheduler, struct pool *pool)
 {
   struct outlook_input input = { 0 };
-  const struct job *job;
+  struct job *job;
 
   pool_sum_capacity (scheduler, pool, &input);
   pool_sum_coming (scheduler, pool, &input);
@@ -146,10 +152,13 @@
       struct outlook_work work;
       bool ready;
 
-      if (!job_is_forecast (job) || job_is_over (job) || job_is_late (job, scheduler->now_ms))
+      if (!job_is_forecast (job) || job_is_over (job))
         continue;
+      if (scheduler->now_ms - job->seen_ms >= HOPELESS_OBJECTIVES * job->objective_ms)
+        scheduler_verify_forecast (scheduler, job);
       work = job_waiting_work (job, &ready);
-      outlook_input_add (&input, job->definition->priority, &work, ready);
+      outlook_input_add (&input, job->definition->priority, &work, ready,
+                         job_is_late (job, scheduler->now_ms));
     }
   pool_outlook_update (&pool->outlook, &input, scheduler->now_ms);
 }
--- a/protocols/command.pb-c.c
+++ b/protocols/command.pb-c.c
@@ -1326,7 +1326,7 @@
   (ProtobufCMessageInit) sp__command_batch__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sp__pool_outlook__field_descriptors[7] =
+static const ProtobufCFieldDescriptor sp__pool_outlook__field_descriptors[8] =
 {
   {
     "pool",
@@ -1412,12 +1412,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "late_wait_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Sp__PoolOutlook, late_wait_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sp__pool_outlook__field_indices_by_name[] = {
   4,   /* field[4] = capacity_permille */
   3,   /* field[3] = error_ms */
   5,   /* field[5] = free_cpu_milli */
   6,   /* field[6] = free_memory_mb */
+  7,   /* field[7] = late_wait_ms */
   0,   /* field[0] = pool */
   1,   /* field[1] = priority */
   2,   /* field[2] = wait_ms */
@@ -1425,7 +1438,7 @@
 static const ProtobufCIntRange sp__pool_outlook__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor sp__pool_outlook__descriptor =
 {
@@ -1435,7 +1448,7 @@
   "Sp__PoolOutlook",
   "sp",
   sizeof(Sp__PoolOutlook),
-  7,
+  8,
   sp__pool_outlook__field_descriptors,
   sp__pool_outlook__field_indices_by_name,
   1,  sp__pool_outlook__number_ranges,
--- a/protocols/command.pb-c.h
+++ b/protocols/command.pb-c.h
@@ -268,10 +268,14 @@
    */
   uint32_t free_cpu_milli;
   uint32_t free_memory_mb;
+  /*
+   * Expected wait of a job that is late before its turn comes, in milliseconds.
+   */
+  int64_t late_wait_ms;
 };
 #define SP__POOL_OUTLOOK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sp__pool_outlook__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/tests/admission/test_load_admission.c
+++ b/tests/admission/test_load_admission.c
@@ -10,7 +10,7 @@
 
 /* A pool for which three times as much arrives as it has capacity for. */
 static const struct outlook_entry overload = {
-  .priority = 1, .wait_ms = 6000, .error_ms = 1000, .capacity_permille = 333
+  .priority = 1, .wait_ms = 6000, .error_ms = 1000, .late_wait_ms = 6000, .capacity_permille = 333
 };
 
 static struct admission_request
@@ -72,15 +72,18 @@
     /* Least number of refusals of 100; 0 if there must be none. */
     unsigned least;
   } cases[] = {
-    { "hopeless", { 1, 6000, 1000, 333, 0, 0 }, 1000, 0.0, 50 },
-    { "less urgent work waits", { 2, 6000, 1000, 333, 0, 0 }, 1000, 0.0, 0 },
-    { "in three times the objective", { 1, 6000, 1000, 333, 0, 0 }, 1801, 0.0, 0 },
-    { "if tasks are short", { 1, 6000, 1000, 333, 0, 0 }, 1790, 0.5, 0 },
-    { "fits", { 1, 6000, 1000, 333, 500, 100 }, 1000, 0.0, 0 },
-    { "no memory", { 1, 6000, 1000, 333, 500, 99 }, 1000, 0.0, 50 },
-    { "error above forecast", { 1, 6000, 6001, 333, 0, 0 }, 100, 0.0, 0 },
-    { "capacity for all", { 1, 6000, 1000, 1000, 0, 0 }, 1000, 0.0, 0 },
-    { "a tenth too much", { 1, 6000, 1000, 900, 0, 0 }, 1000, 0.0, 1 },
+    { "hopeless", { 1, 6000, 1000, 6000, 333, 0, 0 }, 1000, 0.0, 50 },
+    { "less urgent work waits", { 2, 6000, 1000, 6000, 333, 0, 0 }, 1000, 0.0, 0 },
+    { "in three times the objective", { 1, 6000, 1000, 6000, 333, 0, 0 }, 1801, 0.0, 0 },
+    { "if tasks are short", { 1, 6000, 1000, 6000, 333, 0, 0 }, 1790, 0.5, 0 },
+    { "fits", { 1, 6000, 1000, 6000, 333, 500, 100 }, 1000, 0.0, 0 },
+    { "no memory", { 1, 6000, 1000, 6000, 333, 500, 99 }, 1000, 0.0, 50 },
+    { "error above forecast", { 1, 6000, 6001, 6000, 333, 0, 0 }, 100, 0.0, 0 },
+    { "capacity for all", { 1, 6000, 1000, 6000, 1000, 0, 0 }, 1000, 0.0, 0 },
+    { "its turn comes in time", { 1, 600, 200, 60000, 333, 0, 0 }, 1000, 0.0, 0 },
+    { "late before its turn", { 1, 601, 200, 60000, 333, 0, 0 }, 1000, 0.0, 50 },
+    { "late, and soon after", { 1, 601, 200, 2600, 333, 0, 0 }, 1000, 0.0, 0 },
+    { "a tenth too much", { 1, 6000, 1000, 6000, 900, 0, 0 }, 1000, 0.0, 1 },
   };
 
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
@@ -228,8 +231,9 @@
                                  .coming_in_ms = 1000 };
   struct outlook_work work = { 6e7, 1e6 };
 
-  outlook_input_add (&input, 3, &work, true);
-  outlook_input_add (&input, 1, &(struct outlook_work){ 1e7, 1e6 }, true);
+  outlook_input_add (&input, 3, &work, true, false);
+  outlook_input_add (&input, 1, &(struct outlook_work){ 1e7, 1e6 }, true, false);
+  outlook_input_add (&input, 3, &(struct outlook_work){ 2e7, 1e6 }, true, true);
   pool_outlook_update (outlook, &input, 10000);
   CU_ASSERT_EQUAL (outlook_find (outlook->entries, outlook->n_entries, 0), NULL);
   CU_ASSERT_EQUAL (outlook_find (outlook->entries, outlook->n_entries, 2)->priority, 1);
@@ -237,8 +241,9 @@
 }
 
 /* The wait is the waiting work over the capacity, with that of hosts on their way; less urgent work
- * isn't ahead. Without verified forecasts, and where actual starts were three times as late as
- * forecast, the error exceeds the wait, which turns refusals off. */
+ * isn't ahead, and late work only of jobs that are late before their turn. Without verified
+ * forecasts, and where actual starts were three times as late as forecast, the error exceeds the
+ * wait, which turns refusals off. */
 static void
 test_forecast (void)
 {
@@ -246,18 +251,21 @@
   const struct outlook_entry *entry = forecast (&outlook, 0.0);
 
   CU_ASSERT_EQUAL (entry->wait_ms, 7000);
+  CU_ASSERT_EQUAL (entry->late_wait_ms, 9000);
+  CU_ASSERT_EQUAL (outlook_entry_wait_ms (entry, 7000), 7000);
+  CU_ASSERT_EQUAL (outlook_entry_wait_ms (entry, 6999), 9000);
   CU_ASSERT_EQUAL (outlook.entries[0].wait_ms, 1000);
   CU_ASSERT (entry->error_ms > entry->wait_ms);
   CU_ASSERT_EQUAL (forecast (&outlook, 20000.0)->wait_ms, 3000);
   for (unsigned i = 0; i < 200; i++)
-    pool_outlook_add_start (&outlook, 2000, 2400);
+    pool_outlook_add_start (&outlook, 2000, 2400, 5000);
   entry = forecast (&outlook, 0.0);
   CU_ASSERT (entry->error_ms > 1300 && entry->error_ms < 1500);
   for (unsigned i = 0; i < 200; i++)
-    pool_outlook_add_start (&outlook, 0, 20);
+    pool_outlook_add_start (&outlook, 0, 20, 5000);
   CU_ASSERT (forecast (&outlook, 0.0)->error_ms < 1500);
   for (unsigned i = 0; i < 200; i++)
-    pool_outlook_add_start (&outlook, 1000, 3000);
+    pool_outlook_add_start (&outlook, 1000, 3000, 5000);
   entry = forecast (&outlook, 0.0);
   CU_ASSERT (entry->error_ms > entry->wait_ms);
 }
@@ -270,7 +278,8 @@
 
   for (int64_t ms = 0; ms < 10000; ms += 10)
     pool_outlook_add_arrival (&outlook, &(struct outlook_work){ 3e5, 1.0 }, ms);
-  /* 30 cores for 10. */
+  /* 30 cores for 10: late work isn't expected to start. */
+  CU_ASSERT_EQUAL (forecast (&outlook, 0.0)->late_wait_ms, 60000);
   CU_ASSERT (ABS ((int) forecast (&outlook, 0.0)->capacity_permille - 333) < 10);
 }
 
