--- a/tests/jobs/simulation.c
+++ b/tests/jobs/simulation.c
@@ -182,6 +182,7 @@
     .learned_durations = simulation->load_rules,
     .prospect_order = simulation->load_rules,
     .load_admission = simulation->load_rules,
+    .demand_trend = simulation->demand_trend,
   };
 
   simulation_log (simulation, "leader: epoch=%" G_GUINT64_FORMAT, simulation->epoch);
