--- a/lib/jobs/demand.c
+++ b/lib/jobs/demand.c
@@ -6,6 +6,7 @@
                     int64_t now_ms)
 {
   const Sp__JobDefinition *definition = job->definition;
+  struct duration_line line = job_durations (job);
   g_autofree struct demand_step *steps = NULL;
   struct resources work;
 
@@ -19,7 +20,7 @@
       steps[s] = (struct demand_step){
         .n_tasks = step->n_tasks,
         .request = task_resources (job_task (job, 0, s, 0)),
-        .estimate_ms = step->estimate_ms,
+        .estimate_ms = duration_line_task_ms (&line, step->estimate_ms),
         .prerequisites = step->prerequisites,
         .n_prerequisites = step->n_prerequisites,
       };
@@ -69,9 +70,10 @@
 /* Returns the estimated time until a task is done, assuming that a task which isn't running starts
  * now. */
 static int64_t
-task_remaining_estimate_ms (const struct task *task, int64_t now_ms)
+task_remaining_estimate_ms (const struct task *task, const struct duration_line *line,
+                            int64_t now_ms)
 {
-  int64_t estimate_ms = task_step (task)->estimate_ms;
+  int64_t estimate_ms = duration_line_task_ms (line, task_step (task)->estimate_ms);
 
   if (task->phase == TASK_DONE)
     return 0;
@@ -86,6 +88,7 @@
 job_demand_at_horizon (const struct job *job, int64_t horizon_ms, int64_t now_ms)
 {
   const Sp__JobDefinition *definition = job->definition;
+  struct duration_line line = job_durations (job);
   g_autofree int64_t *ends = g_new0 (int64_t, definition->n_steps);
   struct resources sum = { 0 };
 
@@ -98,7 +101,7 @@
 
       for (uint32_t i = 0; i < step->n_tasks; i++)
         {
-          int64_t end_ms = start_ms + task_remaining_estimate_ms (&first[i], now_ms);
+          int64_t end_ms = start_ms + task_remaining_estimate_ms (&first[i], &line, now_ms);
 
           ends[s] = MAX (ends[s], end_ms);
           if (start_ms <= horizon_ms && (end_ms > horizon_ms || step->long_running) &&
--- a/protocols/command.pb-c.c
+++ b/protocols/command.pb-c.c
@@ -1339,7 +1339,7 @@
   (ProtobufCMessageInit) sp__command_batch__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sp__pool_outlook__field_descriptors[7] =
+static const ProtobufCFieldDescriptor sp__pool_outlook__field_descriptors[8] =
 {
   {
     "pool",
@@ -1390,12 +1390,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "excess_permille",
+    "capacity_permille",
     5,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Sp__PoolOutlook, excess_permille),
+    offsetof(Sp__PoolOutlook, capacity_permille),
     NULL,
     NULL,
     0,             /* flags */
@@ -1425,12 +1425,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "late_wait_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Sp__PoolOutlook, late_wait_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sp__pool_outlook__field_indices_by_name[] = {
+  4,   /* field[4] = capacity_permille */
   3,   /* field[3] = error_ms */
-  4,   /* field[4] = excess_permille */
   5,   /* field[5] = free_cpu_milli */
   6,   /* field[6] = free_memory_mb */
+  7,   /* field[7] = late_wait_ms */
   0,   /* field[0] = pool */
   1,   /* field[1] = priority */
   2,   /* field[2] = wait_ms */
@@ -1438,7 +1451,7 @@
 static const ProtobufCIntRange sp__pool_outlook__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor sp__pool_outlook__descriptor =
 {
@@ -1448,14 +1461,14 @@
   "Sp__PoolOutlook",
   "sp",
   sizeof(Sp__PoolOutlook),
-  7,
+  8,
   sp__pool_outlook__field_descriptors,
   sp__pool_outlook__field_indices_by_name,
   1,  sp__pool_outlook__number_ranges,
   (ProtobufCMessageInit) sp__pool_outlook__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sp__queue_durations__field_descriptors[4] =
+static const ProtobufCFieldDescriptor sp__queue_durations__field_descriptors[5] =
 {
   {
     "queue",
@@ -1505,9 +1518,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "longest",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Sp__QueueDurations, longest),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sp__queue_durations__field_indices_by_name[] = {
   1,   /* field[1] = intercept */
+  4,   /* field[4] = longest */
   0,   /* field[0] = queue */
   3,   /* field[3] = residual */
   2,   /* field[2] = slope */
@@ -1515,7 +1541,7 @@
 static const ProtobufCIntRange sp__queue_durations__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor sp__queue_durations__descriptor =
 {
@@ -1525,7 +1551,7 @@
   "Sp__QueueDurations",
   "sp",
   sizeof(Sp__QueueDurations),
-  4,
+  5,
   sp__queue_durations__field_descriptors,
   sp__queue_durations__field_indices_by_name,
   1,  sp__queue_durations__number_ranges,
