--- a/include/lib/jobs/scheduler.h
+++ b/include/lib/jobs/scheduler.h
@@ -1,6 +1,7 @@
 #ifndef SESAMEPICK_LIB_JOBS_SCHEDULER_H
 #define SESAMEPICK_LIB_JOBS_SCHEDULER_H
 
+#include "lib/admission/load_admission.h"
 #include "lib/jobs/endpoint.h"
 #include "lib/jobs/host.h"
 #include "lib/jobs/job_table.h"
@@ -125,6 +126,20 @@
   int64_t earlier_grants_until_ms;
   /* How long a task may take to end after it is stopped. */
   int64_t stop_ms;
+  /* Durations are predicted from those of tasks that ended. */
+  bool learned_durations;
+  /* Jobs are placed by their prospect of meeting their objective. */
+  bool prospect_order;
+  /* Forecasts are made of when jobs that arrive would start. */
+  bool load_admission;
+  /* Whether hosts are requested for an arrival rate as soon as it rises, and divided among pools
+   * that all lack some by what each lacks. */
+  bool demand_trend;
+  /* Factor on the duration of a task away from the rack that it names, or of a gang on several
+   * racks, and how long a job may wait in all for capacity on a rack. With a factor of 1 or 0, or a
+   * time of 0, none waits. */
+  double far_factor;
+  int64_t locality_wait_max_ms;
 };
 
 struct scheduler *scheduler_create (const struct scheduler_config *config,
@@ -255,8 +270,32 @@
   /* Number of endpoints considered for placements, which dominates the cost of a scheduling
    * pass. */
   uint64_t candidates;
+  /* Waits for capacity on a rack: begun, ended with a start there, ended without; the sum of their
+   * times; and the factor that tasks far from their data take longer, in thousandths, as learned
+   * for the image seen last. */
+  uint64_t waits;
+  uint64_t waits_won;
+  uint64_t waits_lost;
+  uint64_t waited_ms;
+  unsigned far_factor_permille;
+  /* Number of times that a start of a late job was held back, to leave room for timely ones. */
+  uint64_t late_held;
 };
 
+/* Adds the forecasts that hosts are to be told of as struct admission_pool_entry, and the learned
+ * durations as struct admission_queue_line; their strings belong to the scheduler. Returns false if
+ * there is nothing to tell. */
+bool scheduler_list_outlook (const struct scheduler *scheduler, GArray *entries, GArray *lines);
+/* Call a function for each pool that isn't a standby pool, and for each queue with known
+ * durations. */
+void scheduler_foreach_outlook (const struct scheduler *scheduler,
+                                void (*each) (void *ctx, const char *pool,
+                                              const struct pool_outlook *outlook),
+                                void *ctx);
+void scheduler_foreach_durations (const struct scheduler *scheduler,
+                                  void (*each) (void *ctx, const struct duration_summary *summary),
+                                  void *ctx);
+
 void scheduler_get_counts (const struct scheduler *scheduler, struct scheduler_counts *counts);
 /* Counts the ready tasks of each workspace. Returns the struct workspace_account of all workspaces
  * that the scheduler knows, or NULL if there were none. Valid until the next call into the
--- a/jobd/main.c
+++ b/jobd/main.c
@@ -7,6 +7,7 @@
 #include "common/log.h"
 #include "common/loop_timer.h"
 #include "common/program.h"
+#include "job_admission.h"
 #include "jobd.h"
 #include "lib/jobs/leader_election.h"
 #include "platform/documents.h"
@@ -62,7 +63,10 @@
 static void
 jobd_on_job_defined (void *ctx, struct job *job)
 {
-  leader_job_defined (((struct jobd *) ctx)->leader, job);
+  struct jobd *jobd = ctx;
+
+  job_admission_on_defined (jobd->admission, job);
+  leader_job_defined (jobd->leader, job);
 }
 
 static void
@@ -374,6 +378,7 @@
   jobd->jobs.on_host = jobd_on_host_record;
   jobd->jobs.on_host_commands = jobd_on_host_commands;
   jobd->jobs.ctx = jobd;
+  jobd->config.begun_ms = jobd->clock.now_ms;
   jobd->config.on_record = jobd_on_passed_config;
   jobd->config.ctx = jobd;
   jobd->ample_hosts = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
@@ -381,6 +386,7 @@
   jobd->records = record_sender_create (jobd);
   host_command_guard_init (&jobd->host_guard);
   jobd->leader = leader_create (jobd);
+  jobd->admission = job_admission_create (jobd);
   jobd_open_topics (jobd);
   if (jobd->settings->relay[0] != '\0')
     {
@@ -400,6 +406,7 @@
   leader_destroy (jobd->leader);
   relay_server_destroy (jobd->relay_server);
   ingress_destroy (jobd->ingress);
+  job_admission_destroy (jobd->admission);
   admin_destroy (jobd->admin);
   store_destroy (jobd->store);
   topic_reader_destroy (jobd->journal);
--- a/lib/jobs/placement.c
+++ b/lib/jobs/placement.c
@@ -1,3 +1,4 @@
+#include "lib/admission/job_prospect.h"
 #include "scheduler_state.h"
 
 #include <stdlib.h>
@@ -60,6 +61,9 @@
   struct resources capacity;
   /* Suspects that are ready, which are placed last. */
   GPtrArray *suspects;
+  /* Room of the pool since the last start for a late job. */
+  struct pool_room room;
+  bool room_known;
 };
 
 /* Returns whether a task may run on an endpoint, by its resource request and its step's
@@ -76,7 +80,8 @@
   if (task->on_trial ? !endpoint_accepts_trial (scheduler, pool, endpoint, task)
                      : endpoint->n_trials > 0)
     return false;
-  if (!endpoint_accepts_exposure (pool, endpoint, task))
+  if (!endpoint_accepts_exposure (pool, endpoint, task) ||
+      endpoint_keeps_room (scheduler, endpoint, task, request))
     return false;
   if (task->failed_endpoint == endpoint &&
       scheduler->now_ms - task->failed_ms < TASK_AVOIDS_ENDPOINT_MS)
@@ -250,6 +255,8 @@
   struct endpoint *chosen[GANG_TASKS_MAX];
   uint32_t attempt = 0;
   const char *checkpoint = NULL;
+  bool near;
+
   if (step->n_tasks > GANG_TASKS_MAX)
     return;
   for (uint32_t i = 0; i < step->n_tasks; i++)
@@ -262,12 +269,14 @@
   if (!task_is_within_cap (scheduler, first, step->n_tasks, pass))
     return;
   gang_set_trial (first, step->n_tasks);
-  if (!(step->same_rack && gang_choose_rack (scheduler, pool, first, step->n_tasks, chosen)) &&
-      !gang_choose_endpoints (scheduler, pool, first, step->n_tasks, NULL, chosen))
+  near = step->same_rack && gang_choose_rack (scheduler, pool, first, step->n_tasks, chosen);
+  if (!near && (!gang_choose_endpoints (scheduler, pool, first, step->n_tasks, NULL, chosen) ||
+                gang_waits_for_rack (scheduler, pool, first)))
     return;
   if (first[0].on_trial && !gang_prepare_trial (scheduler, first, step->n_tasks, chosen))
     return;
   scheduler->counts.trials += first[0].on_trial;
+  task_note_placed (scheduler, first, near);
   for (uint32_t i = 0; i < step->n_tasks; i++)
     {
       task_set_checkpoint (&first[i], checkpoint);
@@ -404,20 +413,65 @@
   pool->n_jobs_awaiting_trial = g_hash_table_size (waiting);
 }
 
+/* Returns the room of a pool, and what timely arrivals are expected to need. Endpoints that are not
+ * usable at present count with their capacity: less of it seems used then, and less is held back.
+ */
+static struct pool_room
+pool_get_room (const struct scheduler *scheduler, const struct pool *pool)
+{
+  struct resources arrivals = demand_forecast (&pool->demand, scheduler->now_ms);
+  struct pool_room room = { .arrivals_cpu_milli = arrivals.cpu_milli,
+                            .arrivals_memory_mb = arrivals.memory_mb };
+  const struct endpoint *endpoint;
+
+  TAILQ_FOREACH (endpoint, &pool->endpoints, pool_link)
+    {
+      room.capacity_cpu_milli += endpoint->capacity.cpu_milli;
+      room.capacity_memory_mb += endpoint->capacity.memory_mb;
+      room.used_cpu_milli += endpoint->used.cpu_milli;
+      room.used_memory_mb += endpoint->used.memory_mb;
+    }
+  return room;
+}
+
+/* Returns whether the start of n tasks of a late job has to wait, to leave room for timely
+ * arrivals, until a later pass. Otherwise the caller starts them, so that the room is to be
+ * computed again. */
+static bool
+late_start_waits (struct scheduler *scheduler, const struct pool *pool, const struct task *first,
+                  uint32_t n, struct pass *pass)
+{
+  struct resources request = task_resources (first);
+
+  if (!first->job->leaves_room || first->phase != TASK_READY)
+    return false;
+  if (!pass->room_known)
+    pass->room = pool_get_room (scheduler, pool);
+  pass->room_known =
+      late_start_must_wait (&pass->room, n * request.cpu_milli, n * request.memory_mb,
+                            scheduler->now_ms - first->phase_since_ms);
+  if (!pass->room_known)
+    return false;
+  scheduler->counts.late_held++;
+  return true;
+}
+
 /* Starts the ready tasks of a step from one on, as far as there is free capacity, the cap of the
  * workspace allows it and the turn lasts. Returns the number of tasks that need not be considered
  * again in this pass. */
 static uint32_t
 step_place (struct scheduler *scheduler, struct pool *pool, struct task *from, struct pass *pass)
 {
+  const Sp__JobStep *step = task_step (from);
   struct resources request = task_resources (from);
-  uint32_t n = task_step (from)->n_tasks - from->index;
+  uint32_t n = step->n_tasks - from->index;
   uint32_t i;
 
   for (i = 0; i < n && pass->starts_left > 0 && pass->turn_left > 0; i++)
     {
       struct task *task = &from[i];
       struct endpoint *endpoint;
+      uint64_t held_back = scheduler_held_back (scheduler);
 
       if (!task_may_start (scheduler, task))
         continue;
@@ -428,11 +482,15 @@
         }
       task->on_trial = false;
       if (shortage_covers (&pass->shortage, &request) ||
-          !task_is_within_cap (scheduler, task, 1, pass))
+          !task_is_within_cap (scheduler, task, 1, pass) ||
+          late_start_waits (scheduler, pool, task, 1, pass))
         return n;
       endpoint = pool_choose_endpoint (scheduler, pool, task, NULL);
+      if (endpoint && task_waits_for_rack (scheduler, pool, task, endpoint))
+        continue;
       if (endpoint)
         {
+          task_note_placed (scheduler, task, endpoint_has_label (endpoint, step->data_rack));
           pool_count_exposure (pool, endpoint, task);
           task_start (scheduler, task, endpoint, task->highest_attempt + 1);
           pool_charge_start (scheduler, pool, task, 1, &pass->capacity);
@@ -440,7 +498,8 @@
           pass->turn_left--;
           continue;
         }
-      if (task_is_unconstrained (task))
+      /* A task that doesn't fit because capacity is kept for another says nothing of the others. */
+      if (task_is_unconstrained (task) && scheduler_held_back (scheduler) == held_back)
         shortage_add (&pass->shortage, &request);
       /* If the task has no endpoint to avoid, it didn't fit, and the others of its step don't fit
        * either. */
@@ -466,7 +525,8 @@
 
       if (step->gang)
         {
-          gang_place (scheduler, pool, task, pass);
+          if (!late_start_waits (scheduler, pool, task, step->n_tasks, pass))
+            gang_place (scheduler, pool, task, pass);
           *next += step->n_tasks;
         }
       else
@@ -490,16 +550,59 @@
   bool late;
   /* Number of the first task that is to be considered in the job's next turn. */
   uint32_t next_task;
+  /* Only where jobs are placed by prospect. */
+  struct prospect_rank rank;
 };
 
+/* Returns the position of a job by its prospect. Long-running jobs have no objective to miss. Of a
+ * repeated job the objective concerns the first occurrence only; later ones count as late. */
+static struct prospect_rank
+job_prospect_rank (const struct scheduler *scheduler, const struct job *job)
+{
+  struct job_outlook outlook = {
+    .left_ms = job->due_ms - scheduler->now_ms,
+    .objective_ms = job->objective_ms,
+    .rest_ms = job_critical_path_ms (job, (int64_t) scheduler->start_time_ms),
+    .run_ms = job_critical_path_ms (job, 0),
+    .residual = job_durations (job).residual,
+  };
+  struct prospect_rank rank = { .begun = job->n_active > 0 || job->n_remaining < job->n_tasks,
+                                .due_ms = job->due_ms };
+
+  if (!job_is_long_running (job))
+    rank.prospect = job_prospect_of (&outlook);
+  if (job->definition->repeats > 0)
+    rank.prospect = MIN (rank.prospect, JOB_LATE);
+  return rank;
+}
+
+/* Sets the sort key of a job, and whether its starts leave room for timely arrivals. */
+static void
+job_rank_set (const struct scheduler *scheduler, struct job_rank *entry)
+{
+  struct job *job = entry->job;
+
+  entry->long_running = job_is_long_running (job);
+  job->leaves_room = false;
+  if (!scheduler->config.prospect_order)
+    {
+      entry->late = job_is_late (job, scheduler->now_ms);
+      return;
+    }
+  entry->rank = job_prospect_rank (scheduler, job);
+  entry->late = entry->rank.prospect >= JOB_LATE;
+  job->leaves_room = entry->late && job->definition->repeats == 0;
+}
+
 /* Compares jobs by the order in which they are placed: long-running jobs first, as callers notice
  * at once when they don't run; then jobs that can still meet their objective; then jobs that are
- * late. Within these by priority, then by due time. */
+ * late. Within these by priority, then by prospect where that is set, then by due time. */
 static int
 job_rank_compare (const void *left, const void *right)
 {
   const struct job_rank *a = left;
   const struct job_rank *b = right;
+  int order;
 
   if (a->long_running != b->long_running)
     return a->long_running ? -1 : 1;
@@ -507,6 +610,9 @@
     return a->late ? 1 : -1;
   if (a->job->definition->priority != b->job->definition->priority)
     return a->job->definition->priority < b->job->definition->priority ? -1 : 1;
+  order = prospect_rank_compare (&a->rank, &b->rank);
+  if (order != 0)
+    return order;
   if (a->job->due_ms != b->job->due_ms)
     return a->job->due_ms < b->job->due_ms ? -1 : 1;
   return 0;
@@ -602,8 +708,7 @@
 
       if (job->n_ready == 0 || (job->inherited && !pool->takeover_complete))
         continue;
-      entry.long_running = job_is_long_running (job);
-      entry.late = job_is_late (job, scheduler->now_ms);
+      job_rank_set (scheduler, &entry);
       g_array_append_val (ranked, entry);
     }
   if (pass.shared && ranked->len > 0)
@@ -649,6 +754,7 @@
 {
   unsigned left;
 
+  scheduler_check_waits (scheduler);
   if (!scheduler_may_start_tasks (scheduler))
     return;
   scheduler_assume_unreported (scheduler);
--- a/lib/jobs/scheduler.c
+++ b/lib/jobs/scheduler.c
@@ -82,6 +82,8 @@
 
   scheduler->config = *config;
   scheduler->ops = *ops;
+  scheduler->locality = task_locality_create (config);
+  scheduler->expected_ms = task_estimate_ms;
   scheduler->all_jobs = all_jobs;
   scheduler->now_ms = now_ms;
   scheduler->wall_ms = wall_ms;
@@ -91,6 +93,7 @@
   scheduler->highest_fence = config->epoch * INCARNATIONS_PER_EPOCH;
   scheduler->host_commands_allowed = true;
   scheduler->starts_per_pass = STARTS_PER_PASS_DIRECT;
+  scheduler->durations = duration_model_create ();
   scheduler->endpoints = g_hash_table_new (g_str_hash, g_str_equal);
   scheduler->hosts_by_id = g_hash_table_new (g_str_hash, g_str_equal);
   scheduler->hosts_by_endpoint = g_hash_table_new (g_str_hash, g_str_equal);
@@ -136,6 +139,7 @@
       TAILQ_REMOVE (&scheduler->waves, wave, link);
       wave_destroy (wave);
     }
+  task_locality_destroy (scheduler->locality);
   scheduler_clear_crashes (scheduler);
   scheduler_clear_losses (scheduler);
   scheduler_clear_workspaces (scheduler);
@@ -144,6 +148,7 @@
   g_hash_table_destroy (scheduler->hosts_by_id);
   g_hash_table_destroy (scheduler->hosts_by_endpoint);
   g_hash_table_destroy (scheduler->dirty);
+  duration_model_destroy (scheduler->durations);
   g_free (scheduler);
 }
 
@@ -356,6 +361,7 @@
           !endpoint_has_unknown (endpoint))
         {
           g_hash_table_iter_remove (&iter);
+          endpoint_forget_waits (scheduler, endpoint);
           endpoint_remove (endpoint);
         }
     }
@@ -455,6 +461,7 @@
   scheduler->next_sizing_ms = now_ms + SIZING_INTERVAL_MS;
   scheduler_advance_waves (scheduler);
   scheduler_size_pools (scheduler);
+  scheduler_update_outlook (scheduler);
   /* Endpoints that were avoided for a while become usable again without any event. */
   TAILQ_FOREACH (pool, &scheduler->pools, link)
     pool->changed = true;
@@ -470,6 +477,7 @@
   const struct job *job;
 
   *counts = scheduler->counts;
+  scheduler_count_waits (scheduler, counts);
   g_hash_table_iter_init (&iter, scheduler->endpoints);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
--- a/lib/jobs/scheduler_state.h
+++ b/lib/jobs/scheduler_state.h
@@ -3,6 +3,7 @@
 
 #include "lib/jobs/demand.h"
 #include "lib/jobs/scheduler.h"
+#include "lib/locality/locality_decision.h"
 #include "lib/workspaces/share_order.h"
 
 /* State and functions that the scheduler's files share. */
@@ -27,6 +28,8 @@
   bool changed;
   /* Recent arrivals of jobs. */
   struct demand demand;
+  /* When jobs that arrive now would start. */
+  struct pool_outlook outlook;
   /* Sums of the requests of the jobs that can still meet their objective, and of the late ones.
    * Once scheduler_size_pools has computed hosts_urgent, request includes late_request. */
   struct resources request;
@@ -55,6 +58,8 @@
   int64_t starved_since_ms;
   /* Service that workspaces got; NULL before the first start for a workspace. */
   struct share_order *shares;
+  /* Errors of the forecasts of free capacity on its racks. */
+  struct locality_forecast room_forecast;
 };
 
 /* A maintenance wave. */
@@ -111,6 +116,11 @@
 {
   struct scheduler_config config;
   struct scheduler_ops ops;
+  /* Tasks that wait for capacity on a rack; NULL if none may. */
+  struct task_locality *locality;
+  /* Returns the expected duration of a task in ms, 1 at least, at a place near its data. */
+  int64_t (*expected_ms) (void *ctx, const struct task *task);
+  void *expected_ctx;
   struct job_table *all_jobs;
   int64_t now_ms;
   int64_t wall_ms;
@@ -164,6 +174,12 @@
    * when to compute it next. */
   unsigned n_assumed_pools;
   int64_t next_assume_ms;
+  /* Durations of tasks that ended under this leadership, and the mean time from sending a start to
+   * its confirmation, in ms. */
+  struct duration_model *durations;
+  double start_time_ms;
+  /* When forecasts were last made; 0 if they have not been. */
+  int64_t outlook_ms;
   struct scheduler_counts counts;
 };
 
@@ -266,6 +282,14 @@
 void endpoint_set_unresponsive (struct scheduler *scheduler, struct endpoint *endpoint);
 bool endpoint_is_usable (const struct scheduler *scheduler, const struct endpoint *endpoint);
 
+/* outlook.c */
+/* Counts a job that arrives, and sets the wait that is forecast for it. */
+void scheduler_forecast_job (struct scheduler *scheduler, struct pool *pool, struct job *job);
+/* Compares the forecast for a job that starts now with its wait. */
+void scheduler_verify_forecast (struct scheduler *scheduler, struct job *job);
+/* Makes the forecasts of all pools, if they are needed. */
+void scheduler_update_outlook (struct scheduler *scheduler);
+
 /* placement.c */
 void scheduler_place (struct scheduler *scheduler);
 
@@ -291,6 +315,24 @@
 void scheduler_log_workspaces (struct scheduler *scheduler);
 void scheduler_clear_workspaces (struct scheduler *scheduler);
 
+/* task_locality.c: tasks that wait for capacity on a rack */
+struct task_locality *task_locality_create (const struct scheduler_config *config);
+void task_locality_destroy (struct task_locality *locality);
+int64_t task_estimate_ms (void *ctx, const struct task *task);
+void scheduler_check_waits (struct scheduler *scheduler);
+bool task_waits_for_rack (struct scheduler *scheduler, struct pool *pool, struct task *task,
+                          const struct endpoint *endpoint);
+bool gang_waits_for_rack (struct scheduler *scheduler, struct pool *pool, struct task *first);
+bool endpoint_keeps_room (const struct scheduler *scheduler, const struct endpoint *endpoint,
+                          const struct task *task, const struct resources *request);
+uint64_t scheduler_held_back (const struct scheduler *scheduler);
+void task_note_placed (struct scheduler *scheduler, struct task *task, bool near);
+void task_note_duration (struct scheduler *scheduler, const struct task *task,
+                         const struct endpoint *endpoint);
+void job_forget_waits (struct scheduler *scheduler, const struct job *job);
+void endpoint_forget_waits (struct scheduler *scheduler, const struct endpoint *endpoint);
+void scheduler_count_waits (const struct scheduler *scheduler, struct scheduler_counts *counts);
+
 /* pacing.c */
 void endpoint_adjust_pace (struct scheduler *scheduler, struct endpoint *endpoint);
 
--- a/protocols/settings.pb-c.c
+++ b/protocols/settings.pb-c.c
@@ -1096,8 +1096,9 @@
 char sp__cli_settings__operator__default_value[] = "operator";
 char sp__cli_settings__output__default_value[] = "text";
 char sp__cli_settings__entry_ports__default_value[] = "127.0.0.1:8401";
+char sp__cli_settings__against__default_value[] = "";
 static const uint32_t sp__cli_settings__timeout_ms__default_value = 10000u;
-static const ProtobufCFieldDescriptor sp__cli_settings__field_descriptors[5] =
+static const ProtobufCFieldDescriptor sp__cli_settings__field_descriptors[6] =
 {
   {
     "operator_ports",
@@ -1159,8 +1160,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "against",
+    6,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sp__CliSettings, against),
+    NULL,
+    &sp__cli_settings__against__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sp__cli_settings__field_indices_by_name[] = {
+  5,   /* field[5] = against */
   4,   /* field[4] = entry_ports */
   1,   /* field[1] = operator */
   0,   /* field[0] = operator_ports */
@@ -1170,7 +1184,7 @@
 static const ProtobufCIntRange sp__cli_settings__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor sp__cli_settings__descriptor =
 {
@@ -1180,7 +1194,7 @@
   "Sp__CliSettings",
   "sp",
   sizeof(Sp__CliSettings),
-  5,
+  6,
   sp__cli_settings__field_descriptors,
   sp__cli_settings__field_indices_by_name,
   1,  sp__cli_settings__number_ranges,
@@ -1859,7 +1873,8 @@
 static const uint32_t sp__jobd_settings__load_admission__default_value = 0u;
 static const double sp__jobd_settings__far_factor__default_value = 1;
 static const uint32_t sp__jobd_settings__locality_wait_max_ms__default_value = 1000u;
-static const ProtobufCFieldDescriptor sp__jobd_settings__field_descriptors[26] =
+static const uint32_t sp__jobd_settings__demand_trend__default_value = 0u;
+static const ProtobufCFieldDescriptor sp__jobd_settings__field_descriptors[27] =
 {
   {
     "name",
@@ -2173,12 +2188,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "demand_trend",
+    31,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Sp__JobdSettings, has_demand_trend),
+    offsetof(Sp__JobdSettings, demand_trend),
+    NULL,
+    &sp__jobd_settings__demand_trend__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sp__jobd_settings__field_indices_by_name[] = {
   9,   /* field[9] = body_limit_bytes */
   8,   /* field[8] = caller_connection_limit */
   18,   /* field[18] = config_ms */
   19,   /* field[19] = config_skew_ms */
+  26,   /* field[26] = demand_trend */
   24,   /* field[24] = far_factor */
   1,   /* field[1] = frontend */
   7,   /* field[7] = grace_ms */
@@ -2207,7 +2235,7 @@
   { 1, 0 },
   { 7, 5 },
   { 18, 13 },
-  { 0, 26 }
+  { 0, 27 }
 };
 const ProtobufCMessageDescriptor sp__jobd_settings__descriptor =
 {
@@ -2217,7 +2245,7 @@
   "Sp__JobdSettings",
   "sp",
   sizeof(Sp__JobdSettings),
-  26,
+  27,
   sp__jobd_settings__field_descriptors,
   sp__jobd_settings__field_indices_by_name,
   3,  sp__jobd_settings__number_ranges,
--- a/tests/jobd/test_handed_records.c
+++ b/tests/jobd/test_handed_records.c
@@ -1,4 +1,5 @@
 #include "command_sender.h"
+#include "job_admission.h"
 #include "process.h"
 #include "record_sender.h"
 #include "relay_server.h"
@@ -93,6 +94,15 @@
   g_ptr_array_add (leader_appends, append);
 }
 
+bool
+writer_withdraw (struct writer *writer, writer_done *done, const void *ctx)
+{
+  (void) writer;
+  (void) done;
+  (void) ctx;
+  return false;
+}
+
 /* Stand in for the configuration: the hosts of this test have none. */
 void
 jobd_confirm_config (struct jobd *jobd)
@@ -115,6 +125,14 @@
   return 0;
 }
 
+/* Stands in for admission by load, which these hosts don't use. */
+void
+job_admission_on_batch (struct job_admission *admission, const Sp__CommandBatch *batch)
+{
+  (void) admission;
+  (void) batch;
+}
+
 static void
 stored_append_free (gpointer data)
 {
--- a/tests/jobs/simulation.c
+++ b/tests/jobs/simulation.c
@@ -185,6 +185,12 @@
     .lease_ms = LEASE_MS,
     .earlier_grants_until_ms = simulation->now_ms,
     .stop_ms = STOP_MS,
+    .learned_durations = simulation->load_rules,
+    .prospect_order = simulation->load_rules,
+    .load_admission = simulation->load_rules,
+    .demand_trend = simulation->demand_trend,
+    .far_factor = simulation->far_factor,
+    .locality_wait_max_ms = simulation->locality_wait_max_ms,
   };
 
   simulation_log (simulation, "leader: epoch=%" G_GUINT64_FORMAT, simulation->epoch);
--- a/tests/jobs/simulation.h
+++ b/tests/jobs/simulation.h
@@ -20,6 +20,8 @@
   char *task;
   uint32_t attempt;
   int64_t start_ms;
+  /* How long it runs unless it is stopped, and when it ends. */
+  int64_t work_ms;
   int64_t end_ms;
   bool fails;
   bool stopping;
@@ -116,6 +118,8 @@
   uint64_t epoch;
   unsigned leader_generation;
   struct job_table *all_jobs;
+  /* Setting of the leaders that are started from now on. */
+  bool demand_trend;
   /* All jobs with their tasks, which the leader's table drops when a job is over. */
   struct job_table kept_jobs;
   struct scheduler *scheduler;
@@ -170,6 +174,14 @@
   /* Duration of batch attempts, and share of attempts that fail. */
   int64_t work_ms;
   int fail_permille;
+  /* Settings of the leaders that start from now on; attempts away from the rack of their data take
+   * far_factor times as long, if it is not 0. */
+  double far_factor;
+  int64_t locality_wait_max_ms;
+  /* Attempts last as long as their step estimates, instead of work_ms. */
+  bool estimates_hold;
+  /* Leaders learn durations, place jobs by prospect and make forecasts. */
+  bool load_rules;
 
   /* Name to struct crashing_task. */
   GHashTable *crashing_tasks;
