--- a/standin/cluster_endpoints.c
+++ b/standin/cluster_endpoints.c
@@ -19,7 +19,7 @@
   /* Number of crashes after which such a task may be started only twice more. */
   CRASHES_BEFORE_LAST_STARTS = 3,
   LAST_STARTS_MAX = 2,
-  HOSTS_PER_RACK = 4,
+  HOSTS_PER_RACK = 2,
   /* Factor on the duration of a task that runs on another rack than its data is on. */
   FAR_FACTOR = 2,
   PERMILLE = 1000,
