Check a waiting task's rack once for equal tasks, and the contention once a pass

Each waiting task looked for an endpoint of its rack in every pass, and each decision visited all tasks of its pool. A wait for a host on its way, and one during which the leader is paused, are tested.

--- a/lib/jobs/scheduler_state.h
+++ b/lib/jobs/scheduler_state.h
@@ -55,6 +55,9 @@
   int64_t starved_since_ms;
   /* Errors of the forecasts of free capacity on its racks. */
   struct locality_forecast room_forecast;
+  /* Share of its ready work for which there is no free capacity, and when it was computed. */
+  double contention;
+  int64_t contention_ms;
 };
 
 /* A maintenance wave. */
--- a/lib/jobs/task_locality.c
+++ b/lib/jobs/task_locality.c
@@ -349,15 +349,18 @@
   return best_ms;
 }
 
-/* Returns the share of a pool's ready work for which there is no free capacity, by processor. */
+/* Returns the share of a pool's ready work for which there is no free capacity, by processor.
+ * Computed once a pass, as it visits all tasks of the pool. */
 static double
-pool_contention (const struct scheduler *scheduler, const struct pool *pool)
+pool_contention (const struct scheduler *scheduler, struct pool *pool)
 {
   int64_t free_milli = 0;
   int64_t ready_milli = 0;
   const struct endpoint *endpoint;
   const struct job *job;
 
+  if (pool->contention_ms == scheduler->now_ms)
+    return pool->contention;
   TAILQ_FOREACH (endpoint, &pool->endpoints, pool_link)
     {
       if (endpoint_is_usable (scheduler, endpoint))
@@ -369,9 +372,10 @@
         ready_milli +=
             job->tasks[i].phase == TASK_READY ? task_resources (&job->tasks[i]).cpu_milli : 0;
     }
-  if (ready_milli <= free_milli)
-    return 0;
-  return (double) (ready_milli - free_milli) / (double) ready_milli;
+  pool->contention_ms = scheduler->now_ms;
+  pool->contention =
+      ready_milli > free_milli ? (double) (ready_milli - free_milli) / (double) ready_milli : 0;
+  return pool->contention;
 }
 
 /* Returns for how long a job's tasks may wait from now on. A new leader counts from the job's
@@ -411,7 +415,7 @@
 
 /* Decides whether a subject that has a far place waits instead, and begins its wait. */
 static bool
-subject_begin_wait (struct scheduler *scheduler, const struct pool *pool,
+subject_begin_wait (struct scheduler *scheduler, struct pool *pool,
                     const struct locality_subject *subject, int64_t room_in_ms,
                     const struct endpoint *site)
 {
@@ -483,14 +487,35 @@
   pool->changed = true;
 }
 
+/* Returns whether a waiting task's rack still has an endpoint for it. places holds what is known of
+ * equal tasks in this pass, so that not each one looks for an endpoint. */
+static bool
+task_has_place (struct scheduler *scheduler, struct task *task, GHashTable *places)
+{
+  struct locality_subject subject = task_subject (task);
+  const struct pool *pool = scheduler_pool (scheduler, task->job->definition->pool);
+  char *key = g_strdup_printf (
+      "%s %s %s %" G_GINT64_FORMAT " %" G_GINT64_FORMAT " %" G_GINT64_FORMAT, pool->name,
+      subject.label ? subject.label : "", task_step (task)->required_label,
+      subject.request.cpu_milli, subject.request.memory_mb, subject.request.gpus);
+  gpointer known;
+
+  if (g_hash_table_lookup_extended (places, key, NULL, &known))
+    {
+      g_free (key);
+      return GPOINTER_TO_INT (known);
+    }
+  known = GINT_TO_POINTER (subject_has_place (scheduler, pool, &subject));
+  g_hash_table_insert (places, key, known);
+  return GPOINTER_TO_INT (known);
+}
+
 /* Returns whether a wait continues, and how it ends otherwise. */
 static bool
 wait_goes_on (struct scheduler *scheduler, const struct locality_wait *wait, bool paused,
-              enum locality_wait_end *how)
+              GHashTable *places, enum locality_wait_end *how)
 {
   struct task *task = (struct task *) wait->task;
-  const struct pool *pool = scheduler_pool (scheduler, task->job->definition->pool);
-  struct locality_subject subject = task_subject (task);
 
   *how = LOCALITY_WAIT_DROPPED;
   if (task->phase != TASK_READY || task->suspect || job_is_over (task->job))
@@ -499,7 +524,7 @@
   if (scheduler->now_ms >= wait->end_ms || job_is_late (task->job, scheduler->now_ms))
     return false;
   *how = LOCALITY_WAIT_PLACE_LOST;
-  if (!subject_has_place (scheduler, pool, &subject))
+  if (!task_has_place (scheduler, task, places))
     return false;
   *how = LOCALITY_WAIT_DROPPED;
   return !paused;
@@ -520,13 +545,14 @@
   if (locality_waits_n (locality->waits) > 0)
     {
       g_autoptr (GPtrArray) list = locality_waits_list (locality->waits);
+      g_autoptr (GHashTable) places = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
 
       for (guint i = 0; i < list->len; i++)
         {
           struct locality_wait *wait = g_ptr_array_index (list, i);
           enum locality_wait_end how;
 
-          if (!wait_goes_on (scheduler, wait, paused, &how))
+          if (!wait_goes_on (scheduler, wait, paused, places, &how))
             task_end_wait (scheduler, wait, how);
         }
     }
--- a/tests/jobs/test_task_locality.c
+++ b/tests/jobs/test_task_locality.c
@@ -142,12 +142,12 @@
 }
 
 /* A task whose forecast is wrong starts elsewhere when its wait ends, and waits no second time. A
- * new leader in the middle doesn't begin the wait anew. */
+ * new leader in the middle, or a pause of the leader, doesn't begin the wait anew. */
 static void
-check_wrong_forecast (bool new_leader)
+check_wrong_forecast (bool new_leader, int64_t pause_ms)
 {
   struct simulation *simulation = create_cluster (3, 600);
-  int64_t idle_ms = 0;
+  int64_t idle_ms = pause_ms;
 
   for (guint i = 0; i < simulation->endpoints->len; i++)
     {
@@ -161,6 +161,7 @@
   CU_ASSERT_EQUAL (counts_of (simulation).waits, 1);
   if (new_leader)
     simulation_start_new_leader (simulation);
+  simulation->now_ms += pause_ms;
   while (rack_of (simulation, "job.0.0.0")[0] == '\0' && idle_ms < 5000)
     {
       simulation_run (simulation, 20);
@@ -176,8 +177,42 @@
 static void
 test_wrong_forecast (void)
 {
-  check_wrong_forecast (false);
-  check_wrong_forecast (true);
+  check_wrong_forecast (false, 0);
+  check_wrong_forecast (true, 0);
+  check_wrong_forecast (false, 700);
+}
+
+/* A task waits for a host that moves to its pool from the rack of its data. */
+static void
+test_host_on_its_way (void)
+{
+  struct simulation *simulation = simulation_create (1);
+  Sp__JobStep step = simulation_job_step (4);
+
+  simulation_add_pool (simulation, "spare", true);
+  simulation_add_hosts (simulation, "one", 4);
+  simulation_add_hosts (simulation, "spare", 4);
+  simulation->far_factor = 3;
+  simulation->locality_wait_max_ms = 3000;
+  simulation->estimates_hold = true;
+  simulation_start_new_leader (simulation);
+  simulation_run (simulation, SETTLED_MS);
+  step.cpu_milli = 9000;
+  step.estimate_ms = 20000;
+  simulation_submit (simulation, "busy", "one", &step, 1, 3);
+  simulation_run (simulation, 300);
+  CU_ASSERT (simulation->moves > 0);
+  step = simulation_job_step (1);
+  step.estimate_ms = 3000;
+  step.data_rack = (char *) "r-1";
+  simulation_submit (simulation, "job", "one", &step, 1, 3);
+  simulation_run (simulation, 300);
+  CU_ASSERT_STRING_EQUAL (rack_of (simulation, "job.0.0.0"), "");
+  CU_ASSERT_EQUAL (counts_of (simulation).waits, 1);
+  simulation_run (simulation, 2500);
+  CU_ASSERT_STRING_EQUAL (rack_of (simulation, "job.0.0.0"), "r-1");
+  CU_ASSERT_EQUAL (simulation_violations (simulation), 0);
+  simulation_destroy (simulation);
 }
 
 /* Fills two endpoints of a rack. */
@@ -231,9 +266,13 @@
 main (void)
 {
   static const struct suite_test tests[] = {
-    { "soon free", test_rack_soon_free },      { "no wait", test_no_wait },
-    { "rack lost", test_rack_lost },           { "small tasks", test_small_tasks },
-    { "wrong forecast", test_wrong_forecast }, { "gang", test_gang },
+    { "soon free", test_rack_soon_free },
+    { "no wait", test_no_wait },
+    { "rack lost", test_rack_lost },
+    { "small tasks", test_small_tasks },
+    { "wrong forecast", test_wrong_forecast },
+    { "gang", test_gang },
+    { "host on its way", test_host_on_its_way },
   };
 
   return suite_run ("task_locality", tests, sizeof tests / sizeof tests[0]);
