--- a/include/lib/jobs/scheduler.h
+++ b/include/lib/jobs/scheduler.h
@@ -124,6 +124,9 @@
   int64_t earlier_grants_until_ms;
   /* How long a task may take to end after it is stopped. */
   int64_t stop_ms;
+  /* Whether hosts are requested for an arrival rate as soon as it rises, and divided among pools
+   * that all lack some by what each lacks. */
+  bool demand_trend;
   /* Factor on the duration of a task away from the rack that it names, or of a gang on several
    * racks, and how long a job may wait in all for capacity on a rack. With a factor of 1 or 0, or a
    * time of 0, none waits. */
--- a/tests/jobd/test_handed_records.c
+++ b/tests/jobd/test_handed_records.c
@@ -93,6 +93,15 @@
   g_ptr_array_add (leader_appends, append);
 }
 
+bool
+writer_withdraw (struct writer *writer, writer_done *done, const void *ctx)
+{
+  (void) writer;
+  (void) done;
+  (void) ctx;
+  return false;
+}
+
 /* Stand in for the configuration: the hosts of this test have none. */
 void
 jobd_confirm_config (struct jobd *jobd)
--- a/tests/jobs/simulation.c
+++ b/tests/jobs/simulation.c
@@ -179,6 +179,7 @@
     .lease_ms = LEASE_MS,
     .earlier_grants_until_ms = simulation->now_ms,
     .stop_ms = STOP_MS,
+    .demand_trend = simulation->demand_trend,
     .far_factor = simulation->far_factor,
     .locality_wait_max_ms = simulation->locality_wait_max_ms,
   };
--- a/tests/jobs/test_jobs_random.c
+++ b/tests/jobs/test_jobs_random.c
@@ -9,8 +9,8 @@
  * endpoints and with hosts that crash by themselves, lost and late responses, connections that
  * close before the response, unreachable and restarted endpoints, also such that restart while they
  * are unreachable, changes of leader and cancellations. The simulation counts violations. For long
- * runs: test-jobs_random --seed N --rounds M. With --far-factor F, jobs name racks and gangs share
- * one, and tasks take F times as long elsewhere. */
+ * runs: test-jobs_random --seed N --rounds M, with --demand-trend 1 for that setting. With
+ * --far-factor F, jobs name racks and gangs share one, and tasks take F times as long elsewhere. */
 
 enum
 {
@@ -27,6 +27,7 @@
 
 static guint32 first_seed = 1;
 static unsigned rounds = 6;
+static bool demand_trend;
 static double far_factor = 0;
 
 /* Names a rack in some steps, and makes others gangs. */
@@ -200,6 +201,7 @@
   simulation_add_hosts (simulation, "one", HOSTS / 2);
   simulation_add_hosts (simulation, "two", HOSTS / 2);
   simulation_add_hosts (simulation, "spare", 2);
+  simulation->demand_trend = demand_trend;
   simulation->lost_permille = 30;
   simulation->late_permille = seed % 2 == 0 ? 10 : 0;
   simulation->slow_response_permille = seed % 5 == 0 ? 50 : 0;
@@ -280,6 +282,8 @@
         first_seed = (guint32) strtoul (argv[i + 1], NULL, 10);
       if (strcmp (argv[i], "--rounds") == 0)
         rounds = (unsigned) strtoul (argv[i + 1], NULL, 10);
+      if (strcmp (argv[i], "--demand-trend") == 0)
+        demand_trend = strcmp (argv[i + 1], "1") == 0;
       if (strcmp (argv[i], "--far-factor") == 0)
         far_factor = g_ascii_strtod (argv[i + 1], NULL);
     }
