--- a/tests/jobs/test_jobs_random.c
+++ b/tests/jobs/test_jobs_random.c
@@ -10,7 +10,8 @@
  * close before the response, unreachable and restarted endpoints, also such that restart while they
  * are unreachable, changes of leader and cancellations. The simulation counts violations. For long
  * runs: test-jobs_random --seed N --rounds M, with --demand-trend 1 for that setting. With
- * --far-factor F, jobs name racks and gangs share one, and tasks take F times as long elsewhere. */
+ * --far-factor F, jobs name racks and gangs share one, and tasks take F times as long elsewhere. With
+ * --load-rules 1 the leaders learn durations, place jobs by prospect and make forecasts. */
 
 enum
 {
@@ -27,6 +28,7 @@
 
 static guint32 first_seed = 1;
 static unsigned rounds = 6;
+static bool load_rules;
 static bool demand_trend;
 static double far_factor = 0;
 
@@ -201,6 +203,7 @@
   simulation_add_hosts (simulation, "one", HOSTS / 2);
   simulation_add_hosts (simulation, "two", HOSTS / 2);
   simulation_add_hosts (simulation, "spare", 2);
+  simulation->load_rules = load_rules;
   simulation->demand_trend = demand_trend;
   simulation->lost_permille = 30;
   simulation->late_permille = seed % 2 == 0 ? 10 : 0;
@@ -282,6 +285,8 @@
         first_seed = (guint32) strtoul (argv[i + 1], NULL, 10);
       if (strcmp (argv[i], "--rounds") == 0)
         rounds = (unsigned) strtoul (argv[i + 1], NULL, 10);
+      if (strcmp (argv[i], "--load-rules") == 0)
+        load_rules = strcmp (argv[i + 1], "0") != 0;
       if (strcmp (argv[i], "--demand-trend") == 0)
         demand_trend = strcmp (argv[i + 1], "1") == 0;
       if (strcmp (argv[i], "--far-factor") == 0)
