--- a/include/lib/jobs/scheduler.h
+++ b/include/lib/jobs/scheduler.h
@@ -268,15 +268,11 @@
  * durations as struct admission_queue_line; their strings belong to the scheduler. Returns false if
  * there is nothing to tell. */
 bool scheduler_list_outlook (const struct scheduler *scheduler, GArray *entries, GArray *lines);
-/* Call a function for each pool that isn't a standby pool, and for each queue with known
- * durations. */
+/* Calls a function for each pool that isn't a standby pool. */
 void scheduler_foreach_outlook (const struct scheduler *scheduler,
                                 void (*each) (void *ctx, const char *pool,
                                               const struct pool_outlook *outlook),
                                 void *ctx);
-void scheduler_foreach_durations (const struct scheduler *scheduler,
-                                  void (*each) (void *ctx, const struct duration_summary *summary),
-                                  void *ctx);
 
 void scheduler_get_counts (const struct scheduler *scheduler, struct scheduler_counts *counts);
 
--- a/lib/jobs/outlook.c
+++ b/lib/jobs/outlook.c
@@ -10,6 +10,7 @@
   COMING_IN_MS = HOST_READY_MS / 2,
   /* A job counts nothing beyond this multiple of its objective. */
   HOPELESS_OBJECTIVES = 3,
+  LOAD_LOG_INTERVAL_MS = 10000,
 };
 
 /* Returns whether forecasts are made for a job: it arrives at a rate and has an objective. */
@@ -225,10 +226,27 @@
     }
 }
 
+/* Logs how a queue's durations are predicted; ctx is the scheduler. */
+static void
+scheduler_log_queue_durations (void *ctx, const struct duration_summary *summary)
+{
+  scheduler_log (ctx,
+                 "durations: queue=\"%s\" ends=%" G_GUINT64_FORMAT
+                 " predicted=%d longest=%d slope=%.2f intercept=%.2f residual=%.2f"
+                 " error_estimate=%.2f error_prediction=%.2f",
+                 summary->queue, summary->ends, summary->uses_prediction, summary->line.longest,
+                 summary->line.slope, summary->line.intercept, summary->line.residual,
+                 summary->error_estimate, summary->error_prediction);
+}
+
 void
-scheduler_foreach_durations (const struct scheduler *scheduler,
-                             void (*each) (void *ctx, const struct duration_summary *summary),
-                             void *ctx)
+scheduler_log_load (struct scheduler *scheduler)
 {
-  duration_model_foreach (scheduler->durations, each, ctx);
+  if (scheduler->now_ms < scheduler->next_load_log_ms)
+    return;
+  scheduler->next_load_log_ms = scheduler->now_ms + LOAD_LOG_INTERVAL_MS;
+  duration_model_foreach (scheduler->durations, scheduler_log_queue_durations, scheduler);
+  if (scheduler->config.prospect_order)
+    scheduler_log (scheduler, "late starts held back: n=%" G_GUINT64_FORMAT " start_ms=%.0f",
+                   scheduler->counts.late_held, scheduler->start_time_ms);
 }
--- a/lib/jobs/scheduler.c
+++ b/lib/jobs/scheduler.c
@@ -447,6 +447,7 @@
     pool_check_takeover (scheduler, pool);
   scheduler_place (scheduler);
   scheduler_log_pools (scheduler);
+  scheduler_log_load (scheduler);
   if (now_ms < scheduler->next_sizing_ms)
     return;
   scheduler->next_sizing_ms = now_ms + SIZING_INTERVAL_MS;
--- a/lib/jobs/scheduler_state.h
+++ b/lib/jobs/scheduler_state.h
@@ -156,6 +156,7 @@
   int64_t next_sizing_ms;
   int64_t next_jobs_check_ms;
   int64_t next_pools_log_ms;
+  int64_t next_load_log_ms;
   /* Durations of tasks that ended under this leadership, and the mean time from sending a start to
    * its confirmation, in ms. */
   struct duration_model *durations;
@@ -271,6 +272,8 @@
 void scheduler_verify_forecast (struct scheduler *scheduler, struct job *job);
 /* Makes the forecasts of all pools, if they are needed. */
 void scheduler_update_outlook (struct scheduler *scheduler);
+/* Logs the learned durations, and how many late starts were held back, when it is due. */
+void scheduler_log_load (struct scheduler *scheduler);
 
 /* placement.c */
 void scheduler_place (struct scheduler *scheduler);
--- a/lib/jobs/task_attempt.c
+++ b/lib/jobs/task_attempt.c
@@ -344,6 +344,8 @@
 {
   const Sp__JobStep *step = task_step (task);
 
+  if (!scheduler->config.learned_durations && !scheduler->config.load_admission)
+    return;
   if (step->long_running || task->endpoint != endpoint || task->attempt != attempt ||
       task->confirmed_start_ms == 0)
     return;
