--- a/tests/jobd/test_jobd.c
+++ b/tests/jobd/test_jobd.c
@@ -17,6 +17,7 @@
   /* The deadline that hosts_call sends. */
   DEADLINE_MS = 3000,
   SHORT_DEADLINE_MS = 300,
+  RETRY_BEGUN_MS = 350,
   COMPLETION_LIMIT_MS = 20000,
   ELECTION_LIMIT_MS = 8000,
   /* Time for a resumed process to notice that it was frozen; the deployments grant it (thaw_ms). */
@@ -289,6 +290,32 @@
   check_no_task_ran_twice ();
 }
 
+/* Guards against 504 for a job that was certainly not stored, and against one that is stored after
+ * its refusal: its record waits behind the retry of another one's append until its deadline. */
+static void
+test_withdrawn_at_deadline (void)
+{
+  g_autofree char *stored = next_job_id ();
+  g_autofree char *refused = next_job_id ();
+  g_autofree char *stored_path = g_strdup_printf ("/one/%s", stored);
+  g_autofree char *refused_path = g_strdup_printf ("/one/%s", refused);
+
+  hosts_post (&hosts, "/faults", "{\"store\":\"silent\"}");
+  CU_ASSERT_EQUAL (
+      hosts_call_within (&hosts, 0, "POST", stored_path, TWO_STEP_JOB, SHORT_DEADLINE_MS, NULL),
+      504);
+  /* The first try of the append ends 500 ms after its begin. */
+  test_sleep_ms (RETRY_BEGUN_MS);
+  CU_ASSERT_EQUAL (
+      hosts_call_within (&hosts, 0, "POST", refused_path, TWO_STEP_JOB, SHORT_DEADLINE_MS, NULL),
+      503);
+  hosts_post (&hosts, "/faults", "{\"store\":\"up\"}");
+  CU_ASSERT_TRUE (hosts_wait_job_state (&hosts, 1, stored, "completed", COMPLETION_LIMIT_MS));
+  test_sleep_ms (RETRY_BEGUN_MS);
+  CU_ASSERT_EQUAL (hosts_call (&hosts, 1, "GET", refused_path, NULL, NULL), 410);
+  check_no_task_ran_twice ();
+}
+
 /* Guards against a job that runs after its cancellation was answered with "no such job": the store
  * responds to reads only, the host's append of the job is open, and its caller cancels it. */
 static void
@@ -400,6 +427,7 @@
   { "leader stopped", test_leader_stopped },
   { "repeated while unknown", test_repeated_while_unknown },
   { "repeated while waiting", test_repeated_while_waiting },
+  { "withdrawn at the deadline", test_withdrawn_at_deadline },
   { "cancelled while unknown", test_cancelled_while_unknown },
   { "store away", test_store_unavailable },
   { "answers lost", test_responses_lost },
