--- a/tests/jobs/test_job.c
+++ b/tests/jobs/test_job.c
@@ -187,8 +187,8 @@
                    0);
   job_progress_destroy (progress);
   job = job_table_find (&started, "a");
-  CU_ASSERT_PTR_NOT_NULL_FATAL (job);
-  CU_ASSERT_PTR_NOT_NULL_FATAL (job->definition);
+  SUITE_REQUIRE (job != NULL);
+  SUITE_REQUIRE (job->definition != NULL);
   CU_ASSERT_STRING_EQUAL (job->definition->queue, "q");
   CU_ASSERT_STRING_EQUAL (job->definition->workspace, "");
   CU_ASSERT_EQUAL (job->state, SP__JOB_STATE__JOB_COMPLETED);
