--- a/tests/jobs/simulation.c
+++ b/tests/jobs/simulation.c
@@ -180,6 +180,8 @@
     .earlier_grants_until_ms = simulation->now_ms,
     .stop_ms = STOP_MS,
     .demand_trend = simulation->demand_trend,
+    .far_factor = simulation->far_factor,
+    .locality_wait_max_ms = simulation->locality_wait_max_ms,
   };
 
   simulation_log (simulation, "leader: epoch=%" G_GUINT64_FORMAT, simulation->epoch);
