--- a/lib/jobs/scheduler_state.h
+++ b/lib/jobs/scheduler_state.h
@@ -60,6 +60,9 @@
   struct share_order *shares;
   /* Errors of the forecasts of free capacity on its racks. */
   struct locality_forecast room_forecast;
+  /* Share of its ready work for which there is no free capacity, and when it was computed. */
+  double contention;
+  int64_t contention_ms;
 };
 
 /* A maintenance wave. */
@@ -167,6 +170,7 @@
   int64_t next_sizing_ms;
   int64_t next_jobs_check_ms;
   int64_t next_pools_log_ms;
+  int64_t next_load_log_ms;
   /* NULL while the configuration has had no workspaces. */
   struct workspace_usage *workspaces;
   int64_t share_window_ms;
@@ -289,6 +293,8 @@
 void scheduler_verify_forecast (struct scheduler *scheduler, struct job *job);
 /* Makes the forecasts of all pools, if they are needed. */
 void scheduler_update_outlook (struct scheduler *scheduler);
+/* Logs the learned durations, and how many late starts were held back, when it is due. */
+void scheduler_log_load (struct scheduler *scheduler);
 
 /* placement.c */
 void scheduler_place (struct scheduler *scheduler);
