locality: use the learned durations of tasks

Change: the expected duration comes from the model of durations, which is the estimate where nothing is learned.

--- a/lib/jobs/scheduler.c
+++ b/lib/jobs/scheduler.c
@@ -83,7 +83,7 @@
   scheduler->config = *config;
   scheduler->ops = *ops;
   scheduler->locality = task_locality_create (config);
-  scheduler->expected_ms = task_estimate_ms;
+  scheduler->expected_ms = task_predicted_ms;
   scheduler->all_jobs = all_jobs;
   scheduler->now_ms = now_ms;
   scheduler->wall_ms = wall_ms;
--- a/lib/jobs/scheduler_state.h
+++ b/lib/jobs/scheduler_state.h
@@ -292,7 +292,7 @@
 /* task_locality.c: tasks that wait for capacity on a rack */
 struct task_locality *task_locality_create (const struct scheduler_config *config);
 void task_locality_destroy (struct task_locality *locality);
-int64_t task_estimate_ms (void *ctx, const struct task *task);
+int64_t task_predicted_ms (void *ctx, const struct task *task);
 void scheduler_check_waits (struct scheduler *scheduler);
 bool task_waits_for_rack (struct scheduler *scheduler, struct pool *pool, struct task *task,
                           const struct endpoint *endpoint);
--- a/lib/jobs/task_locality.c
+++ b/lib/jobs/task_locality.c
@@ -79,12 +79,14 @@
   g_free (locality);
 }
 
-/* Returns the declared duration of a task. */
+/* Returns the expected duration of a task, by what its queue has shown. */
 int64_t
-task_estimate_ms (void *ctx, const struct task *task)
+task_predicted_ms (void *ctx, const struct task *task)
 {
   (void) ctx;
-  return MAX (task_step (task)->estimate_ms, 1);
+  struct duration_line line = job_durations (task->job);
+
+  return MAX (duration_line_task_ms (&line, task_step (task)->estimate_ms), 1);
 }
 
 static int64_t
@@ -427,7 +429,7 @@
     .places = &place,
     .n_places = 1,
     .left_ms = task->job->due_ms - scheduler->now_ms,
-    .rest_ms = MAX (job_critical_path_ms (task->job) - task_step (task)->estimate_ms, 0),
+    .rest_ms = MAX (job_critical_path_ms (task->job, 0) - task_expected_ms (scheduler, task), 0),
     .contention = pool_contention (scheduler, pool),
     .wait_max_ms = job_wait_budget_ms (scheduler, task->job),
     .forecast = &pool->room_forecast,
--- a/tests/jobs/test_jobs_random.c
+++ b/tests/jobs/test_jobs_random.c
@@ -10,7 +10,8 @@
  * close before the response, unreachable and restarted endpoints, also such that restart while they
  * are unreachable, changes of leader and cancellations. The simulation counts violations. For long
  * runs: test-jobs_random --seed N --rounds M, with --demand-trend 1 for that setting. With
- * --far-factor F, jobs name racks and gangs share one, and tasks take F times as long elsewhere. With
+ * --far-factor F, jobs name racks and gangs share one, and tasks take F times as long elsewhere.
+ * With
  * --load-rules 1 the leaders learn durations, place jobs by prospect and make forecasts. */
 
 enum
