--- a/lib/jobs/scheduled_workspaces.c
+++ b/lib/jobs/scheduled_workspaces.c
@@ -296,8 +296,8 @@
   request.gpus *= n;
   if (!pool->shares)
     pool->shares = share_order_create (scheduler->share_window_ms);
-  share_order_charge (pool->shares, account->index, &request, capacity, step->estimate_ms,
-                      scheduler->now_ms);
+  share_order_charge (pool->shares, account->index, &request, capacity,
+                      scheduler->expected_ms (scheduler->expected_ctx, task), scheduler->now_ms);
 }
 
 /* Returns what a job's ready tasks request. */
