--- a/include/lib/jobs/scheduler.h
+++ b/include/lib/jobs/scheduler.h
@@ -1,6 +1,7 @@
 #ifndef SESAMEPICK_LIB_JOBS_SCHEDULER_H
 #define SESAMEPICK_LIB_JOBS_SCHEDULER_H
 
+#include "lib/admission/load_admission.h"
 #include "lib/jobs/endpoint.h"
 #include "lib/jobs/host.h"
 #include "lib/jobs/job_table.h"
@@ -124,6 +125,12 @@
   int64_t earlier_grants_until_ms;
   /* How long a task may take to end after it is stopped. */
   int64_t stop_ms;
+  /* Durations are predicted from those of tasks that ended. */
+  bool learned_durations;
+  /* Jobs are placed by their prospect of meeting their objective. */
+  bool prospect_order;
+  /* Forecasts are made of when jobs that arrive would start. */
+  bool load_admission;
   /* Whether hosts are requested for an arrival rate as soon as it rises, and divided among pools
    * that all lack some by what each lacks. */
   bool demand_trend;
@@ -266,8 +273,20 @@
   uint64_t waits_lost;
   uint64_t waited_ms;
   unsigned far_factor_permille;
+  /* Number of times that a start of a late job was held back, to leave room for timely ones. */
+  uint64_t late_held;
 };
 
+/* Adds the forecasts that hosts are to be told of as struct admission_pool_entry, and the learned
+ * durations as struct admission_queue_line; their strings belong to the scheduler. Returns false if
+ * there is nothing to tell. */
+bool scheduler_list_outlook (const struct scheduler *scheduler, GArray *entries, GArray *lines);
+/* Calls a function for each pool that isn't a standby pool. */
+void scheduler_foreach_outlook (const struct scheduler *scheduler,
+                                void (*each) (void *ctx, const char *pool,
+                                              const struct pool_outlook *outlook),
+                                void *ctx);
+
 void scheduler_get_counts (const struct scheduler *scheduler, struct scheduler_counts *counts);
 
 #endif
--- a/jobd/scheduling.c
+++ b/jobd/scheduling.c
@@ -355,6 +355,9 @@
     .earlier_grants_until_ms =
         MAX (leader->claim_sent_ms, former_leaders_until_ms (&leader->former, leader->epoch)),
     .stop_ms = settings->stop_ms,
+    .learned_durations = settings->learned_durations,
+    .prospect_order = settings->prospect_order,
+    .load_admission = settings->load_admission,
     .demand_trend = settings->demand_trend,
     .far_factor = settings->far_factor,
     .locality_wait_max_ms = settings->locality_wait_max_ms,
--- a/lib/jobs/scheduler.c
+++ b/lib/jobs/scheduler.c
@@ -83,7 +83,7 @@
   scheduler->config = *config;
   scheduler->ops = *ops;
   scheduler->locality = task_locality_create (config);
-  scheduler->expected_ms = task_estimate_ms;
+  scheduler->expected_ms = task_predicted_ms;
   scheduler->all_jobs = all_jobs;
   scheduler->now_ms = now_ms;
   scheduler->wall_ms = wall_ms;
@@ -93,6 +93,7 @@
   scheduler->highest_fence = config->epoch * INCARNATIONS_PER_EPOCH;
   scheduler->host_commands_allowed = true;
   scheduler->starts_per_pass = STARTS_PER_PASS_DIRECT;
+  scheduler->durations = duration_model_create ();
   scheduler->endpoints = g_hash_table_new (g_str_hash, g_str_equal);
   scheduler->hosts_by_id = g_hash_table_new (g_str_hash, g_str_equal);
   scheduler->hosts_by_endpoint = g_hash_table_new (g_str_hash, g_str_equal);
@@ -145,6 +146,7 @@
   g_hash_table_destroy (scheduler->hosts_by_id);
   g_hash_table_destroy (scheduler->hosts_by_endpoint);
   g_hash_table_destroy (scheduler->dirty);
+  duration_model_destroy (scheduler->durations);
   g_free (scheduler);
 }
 
@@ -449,11 +451,13 @@
     pool_check_takeover (scheduler, pool);
   scheduler_place (scheduler);
   scheduler_log_pools (scheduler);
+  scheduler_log_load (scheduler);
   if (now_ms < scheduler->next_sizing_ms)
     return;
   scheduler->next_sizing_ms = now_ms + SIZING_INTERVAL_MS;
   scheduler_advance_waves (scheduler);
   scheduler_size_pools (scheduler);
+  scheduler_update_outlook (scheduler);
   /* Endpoints that were avoided for a while become usable again without any event. */
   TAILQ_FOREACH (pool, &scheduler->pools, link)
     pool->changed = true;
--- a/lib/jobs/scheduler_state.h
+++ b/lib/jobs/scheduler_state.h
@@ -27,6 +27,8 @@
   bool changed;
   /* Recent arrivals of jobs. */
   struct demand demand;
+  /* When jobs that arrive now would start. */
+  struct pool_outlook outlook;
   /* Sums of the requests of the jobs that can still meet their objective, and of the late ones.
    * Once scheduler_size_pools has computed hosts_urgent, request includes late_request. */
   struct resources request;
@@ -55,6 +57,9 @@
   int64_t starved_since_ms;
   /* Errors of the forecasts of free capacity on its racks. */
   struct locality_forecast room_forecast;
+  /* Share of its ready work for which there is no free capacity, and when it was computed. */
+  double contention;
+  int64_t contention_ms;
 };
 
 /* A maintenance wave. */
@@ -162,6 +167,13 @@
   int64_t next_sizing_ms;
   int64_t next_jobs_check_ms;
   int64_t next_pools_log_ms;
+  int64_t next_load_log_ms;
+  /* Durations of tasks that ended under this leadership, and the mean time from sending a start to
+   * its confirmation, in ms. */
+  struct duration_model *durations;
+  double start_time_ms;
+  /* When forecasts were last made; 0 if they have not been. */
+  int64_t outlook_ms;
   struct scheduler_counts counts;
 };
 
@@ -264,13 +276,23 @@
 void endpoint_set_unresponsive (struct scheduler *scheduler, struct endpoint *endpoint);
 bool endpoint_is_usable (const struct scheduler *scheduler, const struct endpoint *endpoint);
 
+/* outlook.c */
+/* Counts a job that arrives, and sets the wait that is forecast for it. */
+void scheduler_forecast_job (struct scheduler *scheduler, struct pool *pool, struct job *job);
+/* Compares the forecast for a job that starts now with its wait. */
+void scheduler_verify_forecast (struct scheduler *scheduler, struct job *job);
+/* Makes the forecasts of all pools, if they are needed. */
+void scheduler_update_outlook (struct scheduler *scheduler);
+/* Logs the learned durations, and how many late starts were held back, when it is due. */
+void scheduler_log_load (struct scheduler *scheduler);
+
 /* placement.c */
 void scheduler_place (struct scheduler *scheduler);
 
 /* task_locality.c: tasks that wait for capacity on a rack */
 struct task_locality *task_locality_create (const struct scheduler_config *config);
 void task_locality_destroy (struct task_locality *locality);
-int64_t task_estimate_ms (void *ctx, const struct task *task);
+int64_t task_predicted_ms (void *ctx, const struct task *task);
 void scheduler_check_waits (struct scheduler *scheduler);
 bool task_waits_for_rack (struct scheduler *scheduler, struct pool *pool, struct task *task,
                           const struct endpoint *endpoint);
--- a/tests/jobs/simulation.h
+++ b/tests/jobs/simulation.h
@@ -172,6 +172,8 @@
   int64_t locality_wait_max_ms;
   /* Attempts last as long as their step estimates, instead of work_ms. */
   bool estimates_hold;
+  /* Leaders learn durations, place jobs by prospect and make forecasts. */
+  bool load_rules;
 
   /* Name to struct crashing_task. */
   GHashTable *crashing_tasks;
