--- a/include/lib/jobs/scheduler.h
+++ b/include/lib/jobs/scheduler.h
@@ -265,8 +265,6 @@
   /* Number of endpoints considered for placements, which dominates the cost of a scheduling
    * pass. */
   uint64_t candidates;
-  /* Number of times that a start of a late job was held back, to leave room for timely ones. */
-  uint64_t late_held;
   /* Waits for capacity on a rack: begun, ended with a start there, ended without; the sum of their
    * times; and the factor that tasks far from their data take longer, in thousandths, as learned
    * for the image seen last. */
@@ -275,6 +273,8 @@
   uint64_t waits_lost;
   uint64_t waited_ms;
   unsigned far_factor_permille;
+  /* Number of times that a start of a late job was held back, to leave room for timely ones. */
+  uint64_t late_held;
 };
 
 /* Adds the forecasts that hosts are to be told of as struct admission_pool_entry, and the learned
--- a/tests/jobs/simulation.h
+++ b/tests/jobs/simulation.h
@@ -166,14 +166,14 @@
   /* Duration of batch attempts, and share of attempts that fail. */
   int64_t work_ms;
   int fail_permille;
-  /* Leaders learn durations, place jobs by prospect and make forecasts. */
-  bool load_rules;
   /* Settings of the leaders that start from now on; attempts away from the rack of their data take
    * far_factor times as long, if it is not 0. */
   double far_factor;
   int64_t locality_wait_max_ms;
   /* Attempts last as long as their step estimates, instead of work_ms. */
   bool estimates_hold;
+  /* Leaders learn durations, place jobs by prospect and make forecasts. */
+  bool load_rules;
 
   /* Name to struct crashing_task. */
   GHashTable *crashing_tasks;
