--- a/lib/jobs/scheduler_state.h
+++ b/lib/jobs/scheduler_state.h
@@ -118,9 +118,6 @@
   struct scheduler_ops ops;
   /* Tasks that wait for capacity on a rack; NULL if none may. */
   struct task_locality *locality;
-  /* Returns the expected duration of a task in ms, 1 at least, at a place near its data. */
-  int64_t (*expected_ms) (void *ctx, const struct task *task);
-  void *expected_ctx;
   struct job_table *all_jobs;
   int64_t now_ms;
   int64_t wall_ms;
@@ -292,7 +289,6 @@
 /* task_locality.c: tasks that wait for capacity on a rack */
 struct task_locality *task_locality_create (const struct scheduler_config *config);
 void task_locality_destroy (struct task_locality *locality);
-int64_t task_predicted_ms (void *ctx, const struct task *task);
 void scheduler_check_waits (struct scheduler *scheduler);
 bool task_waits_for_rack (struct scheduler *scheduler, struct pool *pool, struct task *task,
                           const struct endpoint *endpoint);
--- a/lib/jobs/task_locality.c
+++ b/lib/jobs/task_locality.c
@@ -79,22 +79,15 @@
   g_free (locality);
 }
 
-/* Returns the expected duration of a task, by what its queue has shown. */
-int64_t
-task_predicted_ms (void *ctx, const struct task *task)
+/* Returns the predicted duration of a task near its data, 1 at least. */
+static int64_t
+task_expected_ms (const struct task *task)
 {
-  (void) ctx;
   struct duration_line line = job_durations (task->job);
 
   return MAX (duration_line_task_ms (&line, task_step (task)->estimate_ms), 1);
 }
 
-static int64_t
-task_expected_ms (const struct scheduler *scheduler, const struct task *task)
-{
-  return scheduler->expected_ms (scheduler->expected_ctx, task);
-}
-
 /* Returns whether a task runs away from the data that it names. */
 static bool
 task_is_far (const struct task *task)
@@ -110,7 +103,7 @@
 task_remaining_ms (const struct scheduler *scheduler, const struct task *task)
 {
   int64_t elapsed_ms = scheduler->now_ms - task->start_sent_ms;
-  double expected_ms = (double) task_expected_ms (scheduler, task);
+  double expected_ms = (double) task_expected_ms (task);
 
   if (task->phase == TASK_STOPPING)
     return scheduler->config.stop_ms;
@@ -424,12 +417,12 @@
   struct task *task = subject->first;
   struct locality_place place = { .factor = 1, .room_in_ms = room_in_ms };
   struct locality_question question = {
-    .near_ms = task_expected_ms (scheduler, task),
+    .near_ms = task_expected_ms (task),
     .far_factor = locality_factor (scheduler->locality->factors, task_step (task)->image),
     .places = &place,
     .n_places = 1,
     .left_ms = task->job->due_ms - scheduler->now_ms,
-    .rest_ms = MAX (job_critical_path_ms (task->job, 0) - task_expected_ms (scheduler, task), 0),
+    .rest_ms = MAX (job_critical_path_ms (task->job, 0) - task_expected_ms (task), 0),
     .contention = pool_contention (scheduler, pool),
     .wait_max_ms = job_wait_budget_ms (scheduler, task->job),
     .forecast = &pool->room_forecast,
@@ -621,7 +614,7 @@
               .memory_mb = endpoint->capacity.memory_mb - endpoint->used.memory_mb,
               .gpus = endpoint->capacity.gpus - endpoint->used.gpus },
     .rank = task->job->definition->priority,
-    .duration_ms = task_expected_ms (scheduler, task),
+    .duration_ms = task_expected_ms (task),
   };
   if (locality_waits_allow (scheduler->locality->waits, &claim, scheduler->now_ms))
     return false;
@@ -653,22 +646,21 @@
     task_end_wait (scheduler, wait, LOCALITY_WAIT_WON);
 }
 
-/* Learns from a task that is done. The duration includes the time of the commands. */
+/* Learns from a task that is done, if the start of its attempt is known. */
 void
 task_note_duration (struct scheduler *scheduler, const struct task *task,
                     const struct endpoint *endpoint)
 {
   const Sp__JobStep *step = task_step (task);
-  int64_t actual_ms = scheduler->now_ms - task->start_sent_ms;
+  int64_t actual_ms = scheduler->now_ms - task->confirmed_start_ms;
 
-  /* Of a task of an earlier leader the start isn't known. */
   if (!scheduler->locality || step->data_rack[0] == '\0' || step->long_running ||
-      task->endpoint != endpoint || task->job->inherited)
+      task->endpoint != endpoint || task->confirmed_start_ms == 0)
     return;
   scheduler->locality->last_factor = locality_factor (scheduler->locality->factors, step->image);
   locality_factors_observe (scheduler->locality->factors, step->image,
-                            endpoint_has_label (endpoint, step->data_rack),
-                            task_expected_ms (scheduler, task), actual_ms);
+                            endpoint_has_label (endpoint, step->data_rack), task_expected_ms (task),
+                            actual_ms);
 }
 
 /* Adds the waits to the scheduler's counters. */
