--- a/include/lib/jobs/job.h
+++ b/include/lib/jobs/job.h
@@ -8,9 +8,11 @@
 
 #include "job.pb-c.h"
 #include "lib/admission/duration_model.h"
+#include "lib/resources.h"
 
 struct endpoint;
 struct job;
+struct workspace_account;
 
 enum task_phase
 {
@@ -139,6 +141,8 @@
   uint32_t tasks_per_occurrence;
   uint32_t n_occurrences;
   uint32_t n_tasks;
+  /* Largest amount of each resource that one of its tasks requests, once the job is reduced. */
+  struct resources largest_request;
   /* NULL until the job is scheduled or progress of its tasks is read, and after it is reduced. */
   struct task *tasks;
   /* Journal offset of the definition; -1 if it is not known, which counts as before any claim. */
@@ -151,6 +155,8 @@
   bool scheduled;
   /* An earlier leader may have started tasks of it. */
   bool inherited;
+  /* What its workspace uses; NULL while the configuration has had no workspaces. */
+  struct workspace_account *account;
   /* Is in the scheduler's set of jobs whose progress is to be recorded. */
   bool dirty;
   /* Its queue's tasks have crashed endpoints a short while ago, as far as is known. */
--- a/include/lib/workspaces/workspace_table.h
+++ b/include/lib/workspaces/workspace_table.h
@@ -74,6 +74,8 @@
 /* Returns a workspace by its name, or NULL. */
 const struct workspace *workspace_table_find (const struct workspace_table *table,
                                               const char *name);
+/* Adds copies of the workspaces of another version, in place of those of the same names. */
+void workspace_table_merge (struct workspace_table *table, const struct workspace_table *newer);
 /* Returns the workspace that a key belongs to, or NULL. */
 const struct workspace *workspace_table_find_key (const struct workspace_table *table,
                                                   const char *key);
--- a/jobd/inspect.c
+++ b/jobd/inspect.c
@@ -87,10 +87,10 @@
     }
   if (job->state == SP__JOB_STATE__JOB_COMPLETED)
     n_done = n_total;
-  return json_pack ("{s:s, s:s, s:b, s:s, s:s, s:I, s:I, s:I, s:I, s:b, s:o}", "job", id, "state",
-                    job_state_name (job->state), "cancelled", job->cancelled, "queue",
-                    definition->queue, "pool", definition->pool, "accepted_ms",
-                    (json_int_t) definition->accepted_ms, "max_attempts",
+  return json_pack ("{s:s, s:s, s:b, s:s, s:s, s:s, s:I, s:I, s:I, s:I, s:b, s:o}", "job", id,
+                    "state", job_state_name (job->state), "cancelled", job->cancelled, "queue",
+                    definition->queue, "pool", definition->pool, "workspace", definition->workspace,
+                    "accepted_ms", (json_int_t) definition->accepted_ms, "max_attempts",
                     (json_int_t) definition->max_attempts, "tasks_total", n_total, "tasks_done",
                     n_done, "reduced", job->n_tasks == 0, "tasks", tasks);
 }
--- a/lib/jobs/job.c
+++ b/lib/jobs/job.c
@@ -175,7 +175,15 @@
   if (!definition || definition->n_steps == 0)
     return;
   for (size_t i = 0; i < definition->n_steps; i++)
-    sp__job_step__free_unpacked (definition->steps[i], NULL);
+    {
+      const Sp__JobStep *step = definition->steps[i];
+      struct resources request = { .cpu_milli = step->fills ? 0 : step->cpu_milli,
+                                   .memory_mb = step->memory_mb,
+                                   .gpus = step->gpus };
+
+      job->largest_request = resources_max (&job->largest_request, &request);
+      sp__job_step__free_unpacked (definition->steps[i], NULL);
+    }
   free (definition->steps);
   definition->steps = NULL;
   definition->n_steps = 0;
--- a/lib/jobs/scheduled_jobs.c
+++ b/lib/jobs/scheduled_jobs.c
@@ -202,11 +202,13 @@
   job_reset_tasks (job);
   if (job->inherited)
     job_reserve_attempts (scheduler, job);
+  job_open_account (scheduler, job);
   job->durations = scheduler->config.learned_durations ? scheduler->durations : NULL;
   job_set_due (scheduler, job);
   pool = scheduler_pool (scheduler, job->definition->pool);
   TAILQ_INSERT_TAIL (&pool->jobs, job, pool_link);
-  if (!job->inherited)
+  /* A workspace at its cap starts none of them, and needs no hosts for more. */
+  if (!job->inherited && !(job->account && workspace_account_is_full (job->account)))
     demand_add_arrival (&pool->demand, job, HOST_READY_MS, scheduler->now_ms);
   scheduler_forecast_job (scheduler, pool, job);
   scheduler->counts.jobs++;
@@ -283,6 +285,7 @@
     }
   job_forget_waits (scheduler, job);
   job->scheduled = false;
+  job_close_account (job);
   job->durations = NULL;
   job->dirty = false;
   g_hash_table_remove (scheduler->dirty, job);
@@ -337,8 +340,8 @@
     }
 }
 
-/* Removes the jobs whose final state is durable and that have no active task and no command in
- * progress. */
+/* Removes the jobs whose final state is durable and that have no active task, no command in
+ * progress and, where workspaces have caps, no task that an earlier leader may have running. */
 void
 scheduler_remove_finished_jobs (struct scheduler *scheduler)
 {
@@ -353,7 +356,7 @@
           struct job *next = TAILQ_NEXT (job, pool_link);
 
           if (job_state_is_final (job->state) && job->n_active == 0 && job->n_commands == 0 &&
-              !job->dirty)
+              !job->dirty && !job_counts_unreported (scheduler, job))
             {
               scheduler_remove_job (scheduler, job);
               if (scheduler->ops.job_ended)
--- a/lib/jobs/scheduler.c
+++ b/lib/jobs/scheduler.c
@@ -125,6 +125,7 @@
       struct pool *pool = TAILQ_FIRST (&scheduler->pools);
 
       TAILQ_REMOVE (&scheduler->pools, pool, link);
+      share_order_destroy (pool->shares);
       g_free (pool->name);
       g_free (pool);
     }
@@ -140,6 +141,7 @@
   task_locality_destroy (scheduler->locality);
   scheduler_clear_crashes (scheduler);
   scheduler_clear_losses (scheduler);
+  scheduler_clear_workspaces (scheduler);
   g_hash_table_destroy (scheduler->cautious_queues);
   g_hash_table_destroy (scheduler->endpoints);
   g_hash_table_destroy (scheduler->hosts_by_id);
@@ -155,6 +157,7 @@
 {
   if (endpoint->member_of)
     TAILQ_REMOVE (&endpoint->member_of->endpoints, endpoint, pool_link);
+  endpoint_clear_unknown (endpoint);
   endpoint_destroy (endpoint);
 }
 
@@ -353,7 +356,8 @@
       endpoint_tick (scheduler, endpoint);
       scheduler->n_unresponsive_with_tasks +=
           endpoint->n_tasks > 0 && endpoint->unresponsive_since_ms > 0;
-      if (!endpoint->listed && endpoint->n_tasks == 0 && endpoint->calls == 0)
+      if (!endpoint->listed && endpoint->n_tasks == 0 && endpoint->calls == 0 &&
+          !endpoint_has_unknown (endpoint))
         {
           g_hash_table_iter_remove (&iter);
           endpoint_forget_waits (scheduler, endpoint);
@@ -423,6 +427,7 @@
                        pool->name, n_ready, n_running, pool->n_hosts, pool->hosts_wanted,
                        n_unresponsive, pool->takeover_complete);
     }
+  scheduler_log_workspaces (scheduler);
 }
 
 void
--- a/lib/jobs/scheduler_state.h
+++ b/lib/jobs/scheduler_state.h
@@ -4,6 +4,7 @@
 #include "lib/jobs/demand.h"
 #include "lib/jobs/scheduler.h"
 #include "lib/locality/locality_decision.h"
+#include "lib/workspaces/share_order.h"
 
 /* State and functions that the scheduler's files share. */
 
@@ -55,6 +56,8 @@
   unsigned n_exposures_left;
   /* Since when long-running tasks have waited for free capacity; 0 if none does. */
   int64_t starved_since_ms;
+  /* Service that workspaces got; NULL before the first start for a workspace. */
+  struct share_order *shares;
   /* Errors of the forecasts of free capacity on its racks. */
   struct locality_forecast room_forecast;
   /* Share of its ready work for which there is no free capacity, and when it was computed. */
@@ -165,6 +168,13 @@
   int64_t next_jobs_check_ms;
   int64_t next_pools_log_ms;
   int64_t next_load_log_ms;
+  /* NULL while the configuration has had no workspaces. */
+  struct workspace_usage *workspaces;
+  int64_t share_window_ms;
+  /* For how many pools it was last computed what attempts of earlier leaders may use there, and
+   * when to compute it next. */
+  unsigned n_assumed_pools;
+  int64_t next_assume_ms;
   /* Durations of tasks that ended under this leadership, and the mean time from sending a start to
    * its confirmation, in ms. */
   struct duration_model *durations;
@@ -286,6 +296,28 @@
 /* placement.c */
 void scheduler_place (struct scheduler *scheduler);
 
+/* scheduled_workspaces.c */
+bool scheduler_has_workspaces (const struct scheduler *scheduler);
+void job_open_account (struct scheduler *scheduler, struct job *job);
+void job_close_account (struct job *job);
+void task_count_unconfirmed (struct task *task, enum task_phase phase);
+void scheduler_assume_unreported (struct scheduler *scheduler);
+bool job_counts_unreported (struct scheduler *scheduler, const struct job *job);
+void endpoint_count_unknown (struct scheduler *scheduler, struct endpoint *endpoint,
+                             const char *name);
+void endpoint_clear_unknown (struct endpoint *endpoint);
+bool endpoint_has_unknown (const struct endpoint *endpoint);
+bool job_start_is_allowed (const struct scheduler *scheduler, struct job *job,
+                           const struct resources *request, const struct resources *one);
+struct resources pool_capacity (const struct pool *pool);
+void pool_charge_start (const struct scheduler *scheduler, struct pool *pool,
+                        const struct task *task, unsigned n, const struct resources *capacity);
+void scheduler_sum_workspace_demand (struct scheduler *scheduler);
+void job_limit_demand (const struct scheduler *scheduler, const struct job *job,
+                       struct resources *now, struct resources *suspects, struct resources *later);
+void scheduler_log_workspaces (struct scheduler *scheduler);
+void scheduler_clear_workspaces (struct scheduler *scheduler);
+
 /* task_locality.c: tasks that wait for capacity on a rack */
 struct task_locality *task_locality_create (const struct scheduler_config *config);
 void task_locality_destroy (struct task_locality *locality);
--- a/lib/workspaces/workspace_table.c
+++ b/lib/workspaces/workspace_table.c
@@ -89,6 +89,23 @@
   return copy;
 }
 
+void
+workspace_table_merge (struct workspace_table *table, const struct workspace_table *newer)
+{
+  for (guint i = 0; i < newer->workspaces->len; i++)
+    {
+      const struct workspace *workspace = g_ptr_array_index (newer->workspaces, i);
+      gpointer former = g_hash_table_lookup (table->by_name, workspace->name);
+
+      if (former)
+        {
+          g_hash_table_remove (table->by_name, workspace->name);
+          g_ptr_array_remove (table->workspaces, former);
+        }
+      workspace_table_add (table, workspace);
+    }
+}
+
 /* Computes the digest of a key. Returns false if the key is empty or too long, so that a caller
  * can't make a host hash arbitrarily long headers. */
 static bool
