--- a/lib/jobs/scheduled_workspaces.c
+++ b/lib/jobs/scheduled_workspaces.c
@@ -284,6 +284,7 @@
 {
   const Sp__JobStep *step = task_step (task);
   struct workspace_account *account = task->job->account;
+  struct duration_line durations = job_durations (task->job);
   struct resources request = task_resources (task);
 
   if (!account || !scheduler_has_workspaces (scheduler))
@@ -297,7 +298,7 @@
   if (!pool->shares)
     pool->shares = share_order_create (scheduler->share_window_ms);
   share_order_charge (pool->shares, account->index, &request, capacity,
-                      scheduler->expected_ms (scheduler->expected_ctx, task), scheduler->now_ms);
+                      duration_line_task_ms (&durations, step->estimate_ms), scheduler->now_ms);
 }
 
 /* Returns what a job's ready tasks request. */
