--- a/lib/jobs/pool_size.c
+++ b/lib/jobs/pool_size.c
@@ -20,6 +20,15 @@
   HOST_STAY_MIN_MS = 1500,
 };
 
+/* Returns whether the fleet is large enough for hosts to be requested by the trend of arrivals. */
+static bool
+scheduler_follows_trend (const struct scheduler *scheduler)
+{
+  unsigned endpoints = scheduler->config.demand_trend_endpoints;
+
+  return endpoints > 0 && g_hash_table_size (scheduler->endpoints) >= endpoints;
+}
+
 /* Forecasts what jobs yet to arrive will use, and logs the beginning and the end of a rise. */
 static struct resources
 pool_forecast (struct scheduler *scheduler, struct pool *pool)
@@ -27,7 +36,7 @@
   bool was_rising = pool->demand.rise.since_ms > 0;
   struct resources later;
 
-  if (!scheduler->config.demand_trend)
+  if (!scheduler_follows_trend (scheduler))
     return demand_forecast (&pool->demand, scheduler->now_ms);
   later = demand_forecast_rising (&pool->demand, scheduler->now_ms);
   if (was_rising != (pool->demand.rise.since_ms > 0))
@@ -439,7 +448,7 @@
         standby = pool;
     }
   scheduler->hosts_are_short = false;
-  if (scheduler->config.demand_trend)
+  if (scheduler_follows_trend (scheduler))
     scheduler_share_hosts (scheduler);
   else
     {
--- a/protocols/settings.pb-c.h
+++ b/protocols/settings.pb-c.h
@@ -759,12 +759,13 @@
   protobuf_c_boolean has_locality_wait_max_ms;
   uint32_t locality_wait_max_ms;
   /*
-   * Whether hosts are requested for the rate at which jobs arrive as soon as it rises, and divided
-   * among pools that lack some by what each lacks (1), or for the mean rate and in turn (0).
-   * range 0..1 flag
+   * Number of endpoints from which on hosts are requested for the rate at which jobs arrive as soon as
+   * it rises, and divided among pools that all lack some by what each lacks; 0 for never. In a small
+   * fleet single jobs look like a rise.
+   * range 0..1000000 endpoints
    */
-  protobuf_c_boolean has_demand_trend;
-  uint32_t demand_trend;
+  protobuf_c_boolean has_demand_trend_endpoints;
+  uint32_t demand_trend_endpoints;
 };
 extern char sp__jobd_settings__name__default_value[];
 extern char sp__jobd_settings__frontend__default_value[];
