--- a/lib/jobs/task_attempt.c
+++ b/lib/jobs/task_attempt.c
@@ -101,6 +101,8 @@
 {
   g_autofree char *name = task_name (task);
 
+  /* A task that is being stopped has an endpoint. */
+  g_assert (task->endpoint);
   task->command_in_flight = true;
   task->job->n_commands++;
   task->endpoint->calls++;
