Review: one job with an overflowing number of tasks ends all hosts (case 4)

Looked for what a caller's job can hold that the validation doesn't expect. The check of the number of tasks overflows, and each leader then uses a task that doesn't exist.

--- a/review/standin/platform_standin.py
+++ b/review/standin/platform_standin.py
@@ -23,6 +23,10 @@
     return time.monotonic() * 1000.0
 
 
+def wall_ms():
+    return int(time.time() * 1000)
+
+
 def pack(value):
     return json.dumps(value, separators=(",", ":")).encode()
 
@@ -305,7 +309,7 @@
         self.name = name
         self.labels = labels
         self.job_of = job_of
-        self.born = int(time.time() * 1000)
+        self.born = wall_ms()
         self.begun = now_ms()
         self.fence = 0
         self.lease_end = -1.0
--- a/review/standin/system.py
+++ b/review/standin/system.py
@@ -228,9 +228,10 @@
         return best[1] if best else None
 
     async def submit(self, host, queue, ident, spec, steps):
-        status, _ = await call(
-            host.frontend, "POST", "/%s/%s" % (queue, ident), {"spec": spec, "steps": steps}
-        )
+        return await self.submit_body(host, queue, ident, {"spec": spec, "steps": steps})
+
+    async def submit_body(self, host, queue, ident, body):
+        status, _ = await call(host.frontend, "POST", "/%s/%s" % (queue, ident), body)
         self.record.note("submit", host=host.name, job=ident, status=status)
         return status
 
