jobs: a stored definition that can't be run ends no leader

Cause: job_definition_is_valid multiplied tasks and repetitions in 64 bits, so that the product was 0 and passed the limit. job_define then had 0 tasks in 32 bits. Any other product or sum that wraps to a small number did the same, and a progress record of such a job made the followers allocate by the wrapped number.

Change: the limit is checked by a division, and the last due time of a repeated job must fit into 64 bits. The check is in a module of its own (job_definition) and is applied to what is read as to what is received: a stored definition that can't be run gets no tasks, and the leader records the job as failed, logs the reason and counts it. A gang of more than 256 tasks, which was accepted and never started, is refused and fails likewise. An objective is computed with a limit. A progress record with a state that this version doesn't know is refused: the answer to a caller read beyond the table of names.

--- a/include/lib/jobs/job.h
+++ b/include/lib/jobs/job.h
@@ -8,6 +8,7 @@
 
 #include "job.pb-c.h"
 #include "lib/admission/duration_model.h"
+#include "lib/jobs/job_definition.h"
 #include "lib/resources.h"
 
 struct endpoint;
@@ -135,6 +136,9 @@
 {
   char *id;
   Sp__JobDefinition *definition;
+  /* Why the definition can't be run, a constant string; NULL if it can. The job then has no tasks
+   * and fails. */
+  const char *definition_error;
   /* Durable state, which callers are shown. */
   Sp__JobState state;
   bool cancelled;
@@ -185,7 +189,6 @@
 
 bool job_state_is_final (Sp__JobState state);
 const char *job_state_name (Sp__JobState state);
-bool job_definition_is_valid (const Sp__JobDefinition *definition, const char **error);
 struct job *job_create (const char *id);
 void job_destroy (struct job *job);
 void job_define (struct job *job, Sp__JobDefinition *definition);
--- a/include/lib/jobs/scheduler.h
+++ b/include/lib/jobs/scheduler.h
@@ -262,6 +262,8 @@
   uint64_t trials;
   uint64_t trials_survived;
   uint64_t jobs_given_up;
+  /* Stored jobs that failed because their definition can't be run. */
+  uint64_t jobs_invalid;
   uint64_t moves;
   uint64_t maintenances;
   /* Number of endpoints considered for placements, which dominates the cost of a scheduling
--- a/jobd/job_admission.c
+++ b/jobd/job_admission.c
@@ -5,7 +5,6 @@
 
 enum
 {
-  PERMILLE = 1000,
   /* Pools with metrics of their own. */
   POOL_METRICS_MAX = 32,
   /* How long a host remembers which jobs' records it has appended. Callers don't repeat a request
@@ -286,8 +285,7 @@
     .cpu_milli = definition->steps[0]->cpu_milli,
     .memory_mb = definition->steps[0]->memory_mb,
   };
-  request.objective_ms =
-      request.path_ms * definition->slack_permille / PERMILLE + definition->target_ms;
+  request.objective_ms = job_definition_objective_ms (definition, request.path_ms);
   load_admission_decide (admission->load, &request, jobd_now_ms (admission->jobd), &decision);
   if (!decision.refused)
     return 0;
--- a/jobd/leader.c
+++ b/jobd/leader.c
@@ -114,6 +114,8 @@
                       "", "Trials that the endpoint outlived.");
   metric_add_counter (metrics, &leader->jobs_given_up, "sesamepick_jobd_jobs_given_up_total", "",
                       "Jobs that failed because a task crashes endpoints.");
+  metric_add_counter (metrics, &leader->jobs_invalid, "sesamepick_jobd_jobs_invalid_total", "",
+                      "Stored jobs that failed because their definition can't be run.");
   leader_add_locality_metrics (leader);
   metric_add_counter (metrics, &leader->moves, "sesamepick_jobd_host_moves_total", "",
                       "Moves of hosts that were ordered.");
@@ -178,7 +180,8 @@
                                      &leader->trials,        &leader->trials_survived,
                                      &leader->jobs_given_up, &leader->waits,
                                      &leader->waits_won,     &leader->waits_lost,
-                                     &leader->waited_ms,     &leader->far_factor };
+                                     &leader->waited_ms,     &leader->far_factor,
+                                     &leader->jobs_invalid };
 
   for (size_t i = 0; i < G_N_ELEMENTS (metrics); i++)
     metric_remove (metrics[i]);
@@ -572,6 +575,7 @@
   leader->trials.value = (int64_t) counts.trials;
   leader->trials_survived.value = (int64_t) counts.trials_survived;
   leader->jobs_given_up.value = (int64_t) counts.jobs_given_up;
+  leader->jobs_invalid.value = (int64_t) counts.jobs_invalid;
   leader->waits.value = (int64_t) counts.waits;
   leader->waits_won.value = (int64_t) counts.waits_won;
   leader->waits_lost.value = (int64_t) counts.waits_lost;
--- a/jobd/leader_state.h
+++ b/jobd/leader_state.h
@@ -121,6 +121,7 @@
   struct metric trials;
   struct metric trials_survived;
   struct metric jobs_given_up;
+  struct metric jobs_invalid;
   struct metric waits;
   struct metric waits_won;
   struct metric waits_lost;
--- a/lib/jobs/job.c
+++ b/lib/jobs/job.c
@@ -3,13 +3,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-enum
-{
-  /* Limits on one job, so that a single request can't exhaust the process's memory. */
-  STEPS_MAX = 256,
-  TASKS_MAX = 20000,
-};
-
 bool
 job_state_is_final (Sp__JobState state)
 {
@@ -26,43 +19,6 @@
   return (size_t) state < G_N_ELEMENTS (names) ? names[state] : "unknown";
 }
 
-/* Returns whether a step's dependencies are valid: all must have lower numbers. */
-static bool
-step_dependencies_are_valid (const Sp__JobStep *step, size_t number)
-{
-  for (size_t i = 0; i < step->n_prerequisites; i++)
-    {
-      if (step->prerequisites[i] >= number)
-        return false;
-    }
-  return true;
-}
-
-/* Validates a definition. Returns false and sets error if it is invalid. */
-bool
-job_definition_is_valid (const Sp__JobDefinition *definition, const char **error)
-{
-  uint64_t n_tasks = 0;
-  uint64_t occurrences = MAX (definition->repeats, 1);
-
-  *error = NULL;
-  if (definition->n_steps == 0 || definition->n_steps > STEPS_MAX)
-    *error = "a job needs between 1 and 256 steps";
-  for (size_t i = 0; i < definition->n_steps && !*error; i++)
-    {
-      const Sp__JobStep *step = definition->steps[i];
-
-      n_tasks += step->n_tasks;
-      if (step->n_tasks == 0)
-        *error = "a step needs at least one task";
-      else if (!step_dependencies_are_valid (step, i))
-        *error = "a step may depend on earlier steps only";
-    }
-  if (!*error && n_tasks * occurrences > TASKS_MAX)
-    *error = "a job may have 20000 tasks at most";
-  return !*error;
-}
-
 /* Creates a job of which only the id is known. */
 struct job *
 job_create (const char *id)
@@ -126,7 +82,8 @@
 }
 
 /* Sets the job's definition and takes ownership of it. If the job already has one, the new one is
- * freed. */
+ * freed. A definition that was read from the journal is not trusted: one that can't be run gives
+ * the job no tasks. */
 void
 job_define (struct job *job, Sp__JobDefinition *definition)
 {
@@ -136,6 +93,8 @@
       return;
     }
   job->definition = definition;
+  if (!job_definition_is_valid (definition, &job->definition_error))
+    return;
   for (size_t i = 0; i < definition->n_steps; i++)
     job->tasks_per_occurrence += definition->steps[i]->n_tasks;
   job->n_occurrences = MAX (definition->repeats, 1);
--- a/lib/jobs/job_table.c
+++ b/lib/jobs/job_table.c
@@ -67,6 +67,15 @@
     table->on_defined (table->ctx, job);
 }
 
+/* Returns whether a record names a state that this version knows. The wire format doesn't limit an
+ * enumeration to its values. */
+static bool
+job_record_state_is_known (const Sp__JobRecord *record)
+{
+  return record->body_case != SP__JOB_RECORD__BODY_PROGRESS ||
+         (unsigned) record->progress->state <= SP__JOB_STATE__JOB_CANCELLED;
+}
+
 /* Applies a progress record. */
 static void
 job_table_apply_progress (struct job_table *table, const Sp__JobProgress *progress, int64_t now_ms)
@@ -147,8 +156,11 @@
       return 0;
     }
   record = sp__job_record__unpack (NULL, len, value);
-  if (!record)
-    return -EBADMSG;
+  if (!record || !job_record_state_is_known (record))
+    {
+      sp__job_record__free_unpacked (record, NULL);
+      return -EBADMSG;
+    }
   switch (record->body_case)
     {
     case SP__JOB_RECORD__BODY_DEFINITION:
--- a/lib/jobs/placement.c
+++ b/lib/jobs/placement.c
@@ -20,7 +20,6 @@
   COST_OVER_AWAY_LIMIT = 2 * COST_UNUSED_CAPACITY_MAX,
   /* A long-running task would soon have to be moved again. */
   COST_MAINTENANCE_DUE = 8 * COST_UNUSED_CAPACITY_MAX,
-  GANG_TASKS_MAX = 256,
   /* Tasks come in a few sizes. A request that isn't kept only costs time, as it is tried again. */
   SHORTAGE_REQUESTS_MAX = 16,
   /* How long a task is kept away from the endpoint where it last failed. Without this, an endpoint
@@ -257,8 +256,6 @@
   const char *checkpoint = NULL;
   bool near;
 
-  if (step->n_tasks > GANG_TASKS_MAX)
-    return;
   for (uint32_t i = 0; i < step->n_tasks; i++)
     {
       if (!task_may_start (scheduler, &first[i]))
--- a/lib/jobs/scheduled_jobs.c
+++ b/lib/jobs/scheduled_jobs.c
@@ -7,7 +7,6 @@
 
 enum
 {
-  PERMILLE = 1000,
   /* A job's age is the difference of two hosts' clocks; more than this means that a clock
    * jumped. */
   JOB_AGE_MAX_MS = 30000,
@@ -61,7 +60,7 @@
 
   if (definition->repeats == 0)
     return true;
-  return scheduler->wall_ms >= definition->first_ms + occurrence * definition->interval_ms;
+  return scheduler->wall_ms >= job_definition_due_ms (definition, occurrence);
 }
 
 /* Makes the tasks of due occurrences ready whose dependencies are done, and completes a job whose
@@ -102,8 +101,7 @@
   const Sp__JobDefinition *definition = job->definition;
   int64_t age_ms = CLAMP (scheduler->wall_ms - definition->accepted_ms, 0, JOB_AGE_MAX_MS);
 
-  job->objective_ms =
-      job_critical_path_ms (job, 0) * definition->slack_permille / PERMILLE + definition->target_ms;
+  job->objective_ms = job_definition_objective_ms (definition, job_critical_path_ms (job, 0));
   job->due_ms = scheduler->now_ms - age_ms + job->objective_ms;
 }
 
@@ -185,6 +183,17 @@
   return progress;
 }
 
+/* Gives a job that can't be run its final state. It is not scheduled. */
+static void
+scheduler_fail_job (struct scheduler *scheduler, struct job *job)
+{
+  scheduler_log (scheduler, "job failed, its stored definition can't be run: job=%s reason=\"%s\"",
+                 job->id, job->definition_error);
+  scheduler->counts.jobs_invalid++;
+  job->next_state = job->cancelled ? SP__JOB_STATE__JOB_CANCELLED : SP__JOB_STATE__JOB_FAILED;
+  job_mark_dirty (scheduler, job);
+}
+
 /* Adds a job to the scheduler, with the state that its durable progress implies. inherited: an
  * earlier leader, or one that has replaced this one, may have started its tasks. */
 static void
@@ -195,6 +204,11 @@
 
   if (job->scheduled || !job->definition || job_state_is_final (job->state))
     return;
+  if (job->definition_error)
+    {
+      scheduler_fail_job (scheduler, job);
+      return;
+    }
   job->scheduled = true;
   job->inherited = inherited;
   job->n_commands = 0;
@@ -276,6 +290,9 @@
 void
 scheduler_remove_job (struct scheduler *scheduler, struct job *job)
 {
+  /* Also one that is not scheduled because it can't be run. */
+  job->dirty = false;
+  g_hash_table_remove (scheduler->dirty, job);
   if (!job->scheduled)
     return;
   for (uint32_t i = 0; i < job->n_tasks; i++)
@@ -287,8 +304,6 @@
   job->scheduled = false;
   job_close_account (job);
   job->durations = NULL;
-  job->dirty = false;
-  g_hash_table_remove (scheduler->dirty, job);
   TAILQ_REMOVE (&scheduler_pool (scheduler, job->definition->pool)->jobs, job, pool_link);
   scheduler->counts.jobs--;
   if (job_state_is_final (job->state))
--- a/tests/jobs/job_records.c
+++ b/tests/jobs/job_records.c
@@ -1,5 +1,11 @@
 #include "job_records.h"
 
+enum
+{
+  SLACK_PERMILLE = 2000,
+  TARGET_MS = 600,
+};
+
 GBytes *
 job_record_pack_definition (const struct job_spec *spec)
 {
@@ -14,9 +20,12 @@
   definition.queue = (char *) "q";
   if (spec->workspace)
     definition.workspace = (char *) spec->workspace;
+  definition.repeats = spec->repeats;
+  definition.first_ms = spec->first_ms;
+  definition.interval_ms = spec->interval_ms;
   definition.max_attempts = spec->max_attempts;
-  definition.slack_permille = 2000;
-  definition.target_ms = 600;
+  definition.slack_permille = spec->slack_permille > 0 ? spec->slack_permille : SLACK_PERMILLE;
+  definition.target_ms = spec->target_ms > 0 ? spec->target_ms : TARGET_MS;
   definition.n_steps = spec->n_steps;
   definition.steps = list;
   definition.accepted_ms = spec->accepted_ms;
--- a/tests/jobs/job_records.h
+++ b/tests/jobs/job_records.h
@@ -14,7 +14,13 @@
   const char *workspace;
   const Sp__JobStep *steps;
   size_t n_steps;
+  uint32_t repeats;
+  int64_t first_ms;
+  int64_t interval_ms;
   uint32_t max_attempts;
+  /* 0 for 2000 and 600. */
+  uint32_t slack_permille;
+  uint32_t target_ms;
   int64_t accepted_ms;
   uint64_t epoch;
 };
--- a/tests/jobs/simulation.c
+++ b/tests/jobs/simulation.c
@@ -244,6 +244,18 @@
   return step;
 }
 
+struct job *
+simulation_submit_spec (struct simulation *simulation, const struct job_spec *spec)
+{
+  g_autoptr (GBytes) record = job_record_pack_definition (spec);
+  struct job *job;
+
+  simulation_append (simulation, record);
+  job = job_table_find (simulation->all_jobs, spec->id);
+  scheduler_job_defined (simulation->scheduler, job, simulation->now_ms, simulation->now_ms);
+  return job;
+}
+
 struct job *
 simulation_submit (struct simulation *simulation, const char *id, const char *pool,
                    const Sp__JobStep *steps, size_t n_steps, uint32_t max_attempts)
@@ -256,13 +268,8 @@
                            .max_attempts = max_attempts,
                            .accepted_ms = simulation->now_ms,
                            .epoch = simulation->epoch };
-  g_autoptr (GBytes) record = job_record_pack_definition (&spec);
-  struct job *job;
 
-  simulation_append (simulation, record);
-  job = job_table_find (simulation->all_jobs, id);
-  scheduler_job_defined (simulation->scheduler, job, simulation->now_ms, simulation->now_ms);
-  return job;
+  return simulation_submit_spec (simulation, &spec);
 }
 
 void
--- a/tests/jobs/simulation.h
+++ b/tests/jobs/simulation.h
@@ -3,6 +3,7 @@
 
 #include <glib.h>
 
+#include "job_records.h"
 #include "lib/jobs/scheduler.h"
 
 /* A simulated cluster for the scheduler, without a network: endpoints with leases, fences and lists
@@ -224,6 +225,8 @@
 /* Accepts a job. */
 struct job *simulation_submit (struct simulation *simulation, const char *id, const char *pool,
                                const Sp__JobStep *steps, size_t n_steps, uint32_t max_attempts);
+/* The same with all fields of the definition. */
+struct job *simulation_submit_spec (struct simulation *simulation, const struct job_spec *spec);
 void simulation_cancel (struct simulation *simulation, const char *id);
 /* Adds or changes a workspace with a cap in milli-cores and MB, or removes it from the
  * configuration if the cap is NULL, and passes the configuration to the leader. */
--- a/tests/jobs/test_job.c
+++ b/tests/jobs/test_job.c
@@ -324,6 +324,30 @@
   job_table_finish (&all_jobs);
 }
 
+/* Guards against a state that no name exists for: a host that was asked for it read beyond its
+ * table of names. */
+static void
+test_unknown_state (void)
+{
+  struct job_table all_jobs;
+  Sp__JobRecord record = SP__JOB_RECORD__INIT;
+  Sp__JobProgress progress = SP__JOB_PROGRESS__INIT;
+  g_autoptr (GBytes) bytes = NULL;
+  gsize len;
+  const void *data;
+
+  progress.id = (char *) "a";
+  progress.state = (Sp__JobState) (SP__JOB_STATE__JOB_CANCELLED + 1);
+  record.body_case = SP__JOB_RECORD__BODY_PROGRESS;
+  record.progress = &progress;
+  bytes = job_record_pack (&record);
+  data = g_bytes_get_data (bytes, &len);
+  job_table_init (&all_jobs);
+  CU_ASSERT_NOT_EQUAL (job_table_apply (&all_jobs, "p/a", data, len, 0, NOW_MS), 0);
+  CU_ASSERT_EQUAL (g_hash_table_size (all_jobs.jobs), 0);
+  job_table_finish (&all_jobs);
+}
+
 /* Invalid definitions are rejected. */
 static void
 test_validity (void)
@@ -395,6 +419,7 @@
   { "older deletion", test_older_deletion },
   { "definition read last", test_definition_read_last },
   { "unreadable record", test_unreadable_record },
+  { "unknown state", test_unknown_state },
   { "validity", test_validity },
   { "queues", test_queues },
 };
