ingress: refuse faulty members of a job, and no accepted job

Callers saw: a job ran, but not as asked. And a job that one host had just accepted was answered 400 by another one when it came again with a body that is refused, as the other host had not read it yet.

Cause: the decoder of the body replaced what it could not read.

--- a/include/platform/callers.h
+++ b/include/platform/callers.h
@@ -12,10 +12,10 @@
 /* Returns how long the caller will still wait for its response, in milliseconds, from its
  * X-Deadline-Ms header: default_ms without the header, 0 if it isn't a number. */
 int64_t caller_deadline_ms (const struct http_request *request, int64_t default_ms);
-/* Decodes a submitted job; the fields that come from its queue are left empty. Returns NULL, with
- * the reason in error (a constant string), if the body is malformed. Free with
- * sp__job_definition__free_unpacked. */
-Sp__JobDefinition *decode_job (const void *data, size_t len, const char **error);
+/* Decodes a submitted job; the fields that come from its queue are left empty. Returns NULL if the
+ * body is malformed, with an error that names the first faulty member by the caller's words; free
+ * it with g_free. Free the job with sp__job_definition__free_unpacked. */
+Sp__JobDefinition *decode_job (const void *data, size_t len, char **error);
 
 /* Bodies of responses; free with g_free. */
 char *encode_job_state (Sp__JobState state);
--- a/jobd/ingress.c
+++ b/jobd/ingress.c
@@ -85,6 +85,8 @@
   int64_t config_age_ms;
   /* Waits for the configuration; nothing has been done for the request. */
   bool awaits_config;
+  /* Why a submitted job can't be run; NULL if it can. */
+  char *refusal;
   /* Key and value of the appended record. */
   char *key;
   GBytes *value;
@@ -149,6 +151,7 @@
   g_free (pending->id);
   g_free (pending->workspace);
   g_free (pending->key);
+  g_free (pending->refusal);
   if (pending->value)
     g_bytes_unref (pending->value);
   g_free (pending);
@@ -483,55 +486,6 @@
   return true;
 }
 
-/* Handles a submitted job: validates it and answers once its record is durable. A job that is
- * already known is answered at once. Jobs are accepted before the journal has been read: of two
- * definitions of a job the first one counts. */
-static void
-handle_submit (struct ingress *ingress, const struct call *call)
-{
-  struct jobd *jobd = ingress->jobd;
-  struct http_request *request = call->request;
-  const char *id = call->id;
-  const struct job *known = job_table_find (&jobd->jobs, id);
-  Sp__JobRecord record = SP__JOB_RECORD__INIT;
-  Sp__JobDefinition *definition;
-  const char *error;
-  const void *body;
-  size_t len;
-
-  if (known && known->definition)
-    {
-      if (call_may_concern_job (ingress, call, known))
-        answer_json (request, 200, EMPTY_RESPONSE_BODY);
-      return;
-    }
-  if (writer_is_stuck (jobd->writer))
-    {
-      answer_unresponsive (ingress, request, id);
-      return;
-    }
-  body = http_request_body (request, &len);
-  definition = decode_job (body, len, &error);
-  if (!definition || !job_definition_is_valid (definition, &error))
-    {
-      log_info ("ingress", "job refused: job=%s reason=\"%s\"", id, error);
-      answer_error (request, 400, error);
-      if (definition)
-        sp__job_definition__free_unpacked (definition, NULL);
-      return;
-    }
-  definition_fill (jobd, definition, call);
-  if (refuse_for_load (ingress, request, definition))
-    {
-      sp__job_definition__free_unpacked (definition, NULL);
-      return;
-    }
-  record.body_case = SP__JOB_RECORD__BODY_DEFINITION;
-  record.definition = definition;
-  pending_request_append (pending_request_create (ingress, call), &record);
-  sp__job_definition__free_unpacked (definition, NULL);
-}
-
 /* Answers with a job's state. A job whose cancellation is durable is reported as cancelled even
  * before its tasks have stopped. */
 static void
@@ -586,6 +540,99 @@
   return false;
 }
 
+/* Decodes the body of a submission. Returns NULL if the job can't be run, with the reason, to be
+ * freed, in refusal. */
+static Sp__JobDefinition *
+submission_decode (const struct http_request *request, char **refusal)
+{
+  size_t len;
+  const void *body = http_request_body (request, &len);
+  Sp__JobDefinition *definition = decode_job (body, len, refusal);
+  const char *error;
+
+  if (!definition || job_definition_is_valid (definition, &error))
+    return definition;
+  sp__job_definition__free_unpacked (definition, NULL);
+  *refusal = g_strdup (error);
+  return NULL;
+}
+
+/* Refuses a submission that can't be run, after a read of the journal: a job of this id that was
+ * accepted before, with another body or by an earlier version, remains accepted. */
+static void
+pending_request_on_refusal_read (void *ctx, bool success)
+{
+  struct pending_request *pending = ctx;
+  struct ingress *ingress = pending->ingress;
+  const struct job *job = job_table_find (&ingress->jobd->jobs, pending->id);
+  bool known = job && job->definition;
+  struct http_request *request;
+
+  if (pending->request && known && !pending_request_may_concern_job (pending, job))
+    return;
+  request = pending_request_detach (pending);
+  if (request && known)
+    answer_json (request, 200, EMPTY_RESPONSE_BODY);
+  else if (request && success && !ingress_has_appended (ingress, pending->id, NULL))
+    {
+      log_info ("ingress", "job refused: job=%s reason=\"%s\"", pending->id, pending->refusal);
+      answer_error (request, 400, pending->refusal);
+    }
+  else if (request)
+    {
+      log_info ("ingress", "job's fate is unknown: job=%s journal_read=%d refusal=\"%s\"",
+                pending->id, success, pending->refusal);
+      answer_error (request, 504, "an earlier request for the job may be stored");
+    }
+  pending_request_destroy (pending);
+}
+
+/* Handles a submitted job: validates it and answers once its record is durable. A job that is
+ * already known is answered at once. Jobs are accepted before the journal has been read: of two
+ * definitions of a job the first one counts. */
+static void
+handle_submit (struct ingress *ingress, const struct call *call)
+{
+  struct jobd *jobd = ingress->jobd;
+  struct http_request *request = call->request;
+  const char *id = call->id;
+  const struct job *known = job_table_find (&jobd->jobs, id);
+  Sp__JobRecord record = SP__JOB_RECORD__INIT;
+  Sp__JobDefinition *definition;
+  char *refusal;
+
+  if (known && known->definition)
+    {
+      if (call_may_concern_job (ingress, call, known))
+        answer_json (request, 200, EMPTY_RESPONSE_BODY);
+      return;
+    }
+  if (writer_is_stuck (jobd->writer))
+    {
+      answer_unresponsive (ingress, request, id);
+      return;
+    }
+  definition = submission_decode (request, &refusal);
+  if (!definition)
+    {
+      struct pending_request *pending = pending_request_create (ingress, call);
+
+      pending->refusal = refusal;
+      topic_reader_read_to_end (jobd->journal, pending_request_on_refusal_read, pending);
+      return;
+    }
+  definition_fill (jobd, definition, call);
+  if (refuse_for_load (ingress, request, definition))
+    {
+      sp__job_definition__free_unpacked (definition, NULL);
+      return;
+    }
+  record.body_case = SP__JOB_RECORD__BODY_DEFINITION;
+  record.definition = definition;
+  pending_request_append (pending_request_create (ingress, call), &record);
+  sp__job_definition__free_unpacked (definition, NULL);
+}
+
 /* Handles the end of a journal read for a job that was unknown here; success is false if the
  * journal could not be read. */
 static void
--- a/tests/jobd/test_jobd.c
+++ b/tests/jobd/test_jobd.c
@@ -103,6 +103,22 @@
   check_no_task_ran_twice ();
 }
 
+/* Guards against 400 for a job that another host has just accepted, when it comes again with a body
+ * that is refused by now. */
+static void
+test_accepted_is_not_refused (void)
+{
+  for (unsigned i = 0; i < JOB_COUNT; i++)
+    {
+      g_autofree char *id = next_job_id ();
+      g_autofree char *path = g_strdup_printf ("/one/%s", id);
+
+      CU_ASSERT_TRUE (submit (id, TWO_STEP_JOB, 0));
+      CU_ASSERT_EQUAL (hosts_call (&hosts, 1, "POST", path, "{\"steps\":[]}", NULL), 200);
+      CU_ASSERT_TRUE (hosts_wait_job_state (&hosts, 1, id, "completed", COMPLETION_LIMIT_MS));
+    }
+}
+
 /* Invalid requests and unknown queues and jobs get the right status. */
 static void
 test_statuses (void)
@@ -418,6 +434,7 @@
 
 static const struct suite_test tests[] = {
   { "calm", test_job_completes },
+  { "accepted is not refused", test_accepted_is_not_refused },
   { "answers", test_statuses },
   { "lasting", test_long_running },
   { "explained", test_explain },
