jobs: name a function by what it fails

Cause: scheduler_fail_job reads like the end of any failed job; the linter reports padding in a test's table. Change: scheduler_fail_invalid_job, a narrower field. Result: job_definition passes, the linter is clean on both files.

--- a/lib/jobs/scheduled_jobs.c
+++ b/lib/jobs/scheduled_jobs.c
@@ -185,7 +185,7 @@
 
 /* Gives a job that can't be run its final state. It is not scheduled. */
 static void
-scheduler_fail_job (struct scheduler *scheduler, struct job *job)
+scheduler_fail_invalid_job (struct scheduler *scheduler, struct job *job)
 {
   scheduler_log (scheduler, "job failed, its stored definition can't be run: job=%s reason=\"%s\"",
                  job->id, job->definition_error);
@@ -206,7 +206,7 @@
     return;
   if (job->definition_error)
     {
-      scheduler_fail_job (scheduler, job);
+      scheduler_fail_invalid_job (scheduler, job);
       return;
     }
   job->scheduled = true;
--- a/tests/jobs/test_job_definition.c
+++ b/tests/jobs/test_job_definition.c
@@ -15,7 +15,7 @@
 struct definition_case
 {
   uint32_t n_tasks[STEPS_MAX];
-  size_t n_steps;
+  uint32_t n_steps;
   uint32_t repeats;
   int64_t first_ms;
   int64_t interval_ms;
