common: the body of an empty HTTP message is not NULL

Users saw: ./demo ended with 1 on arm64; the load generator got signal 11 and left no report. path-outcomes and whole-kill failed with "no report" there.

Cause: the data of an empty byte array is NULL. The load generator made a string of an empty response: g_strndup returned NULL, and strtok_r went on from a pointer that was never set.

--- a/common/http_client.c
+++ b/common/http_client.c
@@ -369,7 +369,10 @@
 {
   struct http_client *client = call->client;
   GArray *headers = call_parse_headers (call);
-  struct http_call_done done = { .body = call->body->data, .body_len = call->body->len };
+  /* The data of an empty byte array is NULL. */
+  struct http_call_done done = { .body =
+                                     call->body->len > 0 ? call->body->data : (const uint8_t *) "",
+                                 .body_len = call->body->len };
   long status = 0;
   long connects = 0;
 
--- a/common/http_server.c
+++ b/common/http_server.c
@@ -587,12 +587,12 @@
   MHD_get_connection_values (request->mhd, MHD_HEADER_KIND, header_visit, &iteration);
 }
 
-/* Returns the complete body; it is valid as long as the request. */
+/* Returns the complete body, which is valid as long as the request; never NULL. */
 const void *
 http_request_body (const struct http_request *request, size_t *len)
 {
   *len = request->body->len;
-  return request->body->data;
+  return request->body->len > 0 ? request->body->data : (const uint8_t *) "";
 }
 
 /* Attaches a pointer of the handler to the request. */
--- a/include/common/http_client.h
+++ b/include/common/http_client.h
@@ -36,6 +36,7 @@
   int status;
   const struct http_header *headers;
   size_t n_headers;
+  /* Never NULL, also without a response. Not terminated by a zero byte. */
   const void *body;
   size_t body_len;
   bool reused_connection;
--- a/include/common/http_server.h
+++ b/include/common/http_server.h
@@ -72,7 +72,7 @@
 void http_request_headers (const struct http_request *request,
                            void (*each) (void *ctx, const char *name, const char *value),
                            void *ctx);
-/* Returns the complete body; it is valid as long as the request. */
+/* Returns the complete body, which is valid as long as the request; never NULL. */
 const void *http_request_body (const struct http_request *request, size_t *len);
 /* Attach a pointer of the handler to the request. */
 void http_request_set_data (struct http_request *request, void *data);
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -37,6 +37,8 @@
   char header[64];
   bool reused;
   unsigned n_sends;
+  /* Number of bodies, of requests and responses, that were NULL. */
+  unsigned null_bodies;
   /* Of the next calls. */
   bool repeatable;
 };
@@ -85,6 +87,7 @@
       return;
     }
   response.body = http_request_body (request, &response.body_len);
+  fixture->null_bodies += response.body == NULL;
   if (header.value)
     {
       response.headers = &header;
@@ -126,7 +129,9 @@
       if (g_ascii_strcasecmp (done->headers[i].name, "X-Query") == 0)
         g_strlcpy (fixture->header, done->headers[i].value, sizeof fixture->header);
     }
-  if (done->body_len > 0)
+  if (!done->body)
+    fixture->null_bodies++;
+  else
     memcpy (fixture->body, done->body, done->body_len);
   fixture->body[done->body_len] = '\0';
 }
@@ -228,6 +233,24 @@
   http_fixture_stop (&fixture);
 }
 
+/* Guards against an empty body that is NULL: who takes it for a string ends with a signal. */
+static void
+test_empty_body (void)
+{
+  struct http_fixture fixture;
+
+  http_fixture_start (&fixture);
+  http_fixture_call_and_wait (&fixture, "GET", fixture.port, "/echo", NULL, false);
+  CU_ASSERT_EQUAL (fixture.result, HTTP_CALL_ANSWERED);
+  CU_ASSERT_STRING_EQUAL (fixture.body, "");
+  http_fixture_call_and_wait (&fixture, "POST", fixture.port, "/echo", "", false);
+  CU_ASSERT_EQUAL (fixture.result, HTTP_CALL_ANSWERED);
+  http_fixture_call_and_wait (&fixture, "GET", (uint16_t) (fixture.port + 1), "/", NULL, false);
+  CU_ASSERT_EQUAL (fixture.result, HTTP_CALL_NOT_SENT);
+  CU_ASSERT_EQUAL (fixture.null_bodies, 0);
+  http_fixture_stop (&fixture);
+}
+
 /* Creating a server fails if another server listens on the port, instead of sharing it. */
 static void
 test_port_taken (void)
@@ -439,6 +462,7 @@
 
 static const struct suite_test tests[] = {
   { "calls", test_calls },
+  { "empty body", test_empty_body },
   { "port taken", test_port_taken },
   { "caller gone", test_caller_gone },
   { "quiesce", test_quiesce },
