--- a/review/standin-2/harness.py
+++ b/review/standin-2/harness.py
@@ -41,6 +41,10 @@
     raise RuntimeError("no free ports")
 
 
+# A script that takes longer is stopped.
+TIME_S = 117
+
+
 def stop(number, frame):
     sys.exit(NOT_RUN)
 
@@ -53,6 +57,8 @@
         after how many seconds it goes down."""
         # So that a script that is stopped ends its processes, too.
         signal.signal(signal.SIGTERM, stop)
+        signal.signal(signal.SIGALRM, stop)
+        signal.alarm(TIME_S)
         self.begun = time.time()
         self.record = open(os.path.join(folder, "record.txt"), "w", buffering=1)
         self.folder = tempfile.mkdtemp(prefix="review-")
@@ -181,8 +187,13 @@
                 connection.close()
         return names
 
+    def left_s(self):
+        """Returns the time that is left for a wait."""
+        return TIME_S - 8 - (time.time() - self.begun)
+
     def wait_for(self, what, condition, wait_s):
         begun = time.time()
+        wait_s = min(wait_s, self.left_s())
         while time.time() - begun < wait_s:
             if condition():
                 self.note("%s after %.1f s" % (what, time.time() - begun))
@@ -192,6 +203,7 @@
         return False
 
     def end(self, keep):
+        signal.alarm(0)
         for process in self.processes.values():
             process.kill()
         for process in self.processes.values():
--- a/review/standin-2/platform.py
+++ b/review/standin-2/platform.py
@@ -307,6 +307,9 @@
         self.faulty_s = about.get("faulty_s")
         self.down = False
         self.connections = set()
+        # Every second start gets no answer and is carried out this much later; 0 for none.
+        self.late_s = 0.0
+        self.starts = 0
         # Cut off until then: no call arrives or is answered, and the worker runs on.
         self.cut_until = 0.0
 
@@ -342,6 +345,10 @@
         done = self.progress(run) // SAVE_MS * SAVE_MS
         return "%08x%s" % (done, task[8:16]) if done > 0 else run["checkpoint"]
 
+    def is_quiet(self, task):
+        """Whether no events of a task's single runs are written: its job is a wide one."""
+        return bool(self.about["quiet"]) and task.startswith(self.about["quiet"])
+
     def end(self, task, how, checkpoint):
         run = self.running.pop(task)
         self.used[0] -= run["cpu"]
@@ -350,7 +357,7 @@
         self.lapses += how == "lapsed"
         self.highest[task] = max(self.highest.get(task, 0), run["attempt"])
         self.finished.append([self.number, task, run["attempt"], how, checkpoint])
-        if task.split(".")[0] != self.about["quiet"]:
+        if not self.is_quiet(task):
             self.events.add(event="end", task=task, attempt=run["attempt"], how=how,
                             number=self.number)
         self.answer_holds()
@@ -392,6 +399,14 @@
         reply(409, {"clock_ms": self.clock(), "reason": reason})
 
     def handle(self, method, path, query, headers, body, reply):
+        if path == "/late":
+            self.late_s = float(query["s"])
+            reply(200, {})
+            return
+        if path == "/crash":
+            reply(200, {})
+            self.loop.call_soon(self.crash)
+            return
         if path == "/cut":
             self.cut_until = time.monotonic() + float(query["s"])
             self.waiting = []
@@ -405,6 +420,15 @@
         if headers.get("x-expect-instance", self.about["id"]) != self.about["id"]:
             reply(421, {})
             return
+        self.starts += path == "/v1/run-start"
+        if path == "/v1/run-start" and self.late_s > 0 and self.starts % 2 == 1:
+            self.events.add(event="start held back", task=json.loads(body)["task"],
+                            attempt=json.loads(body)["attempt"], fence=json.loads(body)["fence"])
+            self.loop.call_later(self.late_s, self.carry_out, path, body, lambda *answer: None)
+            return
+        self.carry_out(path, body, reply)
+
+    def carry_out(self, path, body, reply):
         order = json.loads(body)
         if order.get("fence", 0) < self.fence:
             self.conflict(reply, "fence")
@@ -457,7 +481,7 @@
         self.used[1] += mem
         heapq.heappush(self.ends, (self.clock() + run["restore"] + work - run["from"], task,
                                    attempt, "done"))
-        if task.split(".")[0] != self.about["quiet"]:
+        if not self.is_quiet(task):
             self.events.add(event="start", task=task, attempt=attempt, fence=order["fence"])
         if self.faulty_s is not None:
             self.loop.call_later(self.faulty_s, self.crash)
