tests: crowds of clients that don't behave, at a quarter of a machine

Real processes on loopback meet one crowd each, with connections limited to a quarter of the default and the bounds a quarter of the platform's machine (260 MB, 4,100 descriptors). Checked: the process lives, resident memory and that with the bytes that the kernel holds unread, descriptors, one ordinary request beside the crowd and one after it. No times and no shares.

--- /dev/null
+++ b/tests/crowds/job_crowds.c
@@ -0,0 +1,74 @@
+#include "job_crowds.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "suite.h"
+
+enum
+{
+  LEADER_LIMIT_MS = 15000,
+  /* Less than the 60 s after which an idle connection is closed. */
+  ORDINARY_LIMIT_MS = 30000,
+  RETRY_MS = 200,
+};
+
+#define ORDINARY_JOB "{\"spec\":\"s\",\"steps\":[{\"count\":1,\"cpu\":100,\"mem_mb\":10}]}"
+
+void
+job_crowds_start (struct job_crowds *crowds, unsigned port_block)
+{
+  static const char *const flags[] = { "--caller-connection-limit=500", NULL };
+  int leader;
+
+  G_STATIC_ASSERT (MACHINE_CALLER_CONNECTIONS == 500);
+  memset (crowds, 0, sizeof *crowds);
+  crowds->hosts.flags = flags;
+  hosts_start (&crowds->hosts, port_block);
+  for (unsigned n = 0; n < HOSTS; n++)
+    SUITE_REQUIRE (hosts_wait_ready (&crowds->hosts, n, 0));
+  leader = hosts_wait_leader (&crowds->hosts, LEADER_LIMIT_MS);
+  SUITE_REQUIRE (leader >= 0);
+  crowds->leader = (unsigned) leader;
+}
+
+void
+job_crowds_stop (struct job_crowds *crowds)
+{
+  hosts_stop (&crowds->hosts);
+}
+
+struct crowd *
+job_crowds_create (const struct job_crowds *crowds, struct crowd_config config)
+{
+  if (config.port == 0)
+    config.port = hosts_caller_port (&crowds->hosts, crowds->leader);
+  return crowd_create (&config, crowds->hosts.jobds[crowds->leader]->pid);
+}
+
+bool
+job_crowds_serve_ordinary (struct job_crowds *crowds)
+{
+  g_autofree char *path = g_strdup_printf ("/one/abcdef%010x", ++crowds->n_jobs);
+  int64_t end_ms = test_now_ms () + ORDINARY_LIMIT_MS;
+
+  while (test_now_ms () < end_ms)
+    {
+      if (hosts_call (&crowds->hosts, crowds->leader, "POST", path, ORDINARY_JOB, NULL) == 200)
+        return true;
+      test_sleep_ms (RETRY_MS);
+    }
+  return false;
+}
+
+void
+job_crowds_check (struct job_crowds *crowds, struct crowd *crowd)
+{
+  struct crowd_usage usage;
+
+  CU_ASSERT (job_crowds_serve_ordinary (crowds));
+  usage = crowd_destroy (crowd);
+  CU_ASSERT (process_is_running (crowds->hosts.jobds[crowds->leader]));
+  machine_check_usage (&usage);
+  CU_ASSERT (job_crowds_serve_ordinary (crowds));
+}
--- a/tests/fleet/cluster.c
+++ b/tests/fleet/cluster.c
@@ -27,6 +27,12 @@
   return fleetd_port (cluster, i, 2);
 }
 
+uint16_t
+cluster_operator_port (const struct cluster *cluster, unsigned i)
+{
+  return fleetd_port (cluster, i, 0);
+}
+
 /* Returns the base URL of a fleetd's admin port. Free with g_free. */
 char *
 cluster_admin_url (const struct cluster *cluster, unsigned i)
--- a/tests/fleet/cluster.h
+++ b/tests/fleet/cluster.h
@@ -62,6 +62,7 @@
 void cluster_start_fleetd (struct cluster *cluster, unsigned i);
 bool cluster_wait_ready (const struct cluster *cluster, unsigned i, int64_t limit_ms);
 uint16_t cluster_feed_port (const struct cluster *cluster, unsigned i);
+uint16_t cluster_operator_port (const struct cluster *cluster, unsigned i);
 char *cluster_admin_url (const struct cluster *cluster, unsigned i);
 char *cluster_operator_url (const struct cluster *cluster, unsigned i, const char *path);
 
--- a/tests/jobd/hosts.c
+++ b/tests/jobd/hosts.c
@@ -22,6 +22,7 @@
   PROXY_PORT_OFFSET = 79,
   PROXY_START_MS = 5000,
   FIRST_VERSION = 7,
+  FLAGS_MAX = 8,
 };
 
 /* A version of the configuration, whether its second queue is public, and its workspaces. */
@@ -35,9 +36,8 @@
   "\"services\":[{\"name\":\"one\",\"standby\":false},{\"name\":\"two\",\"standby\":false},"       \
   "{\"name\":\"spare\",\"standby\":true}],\"tenants\":%s}}"
 
-/* Returns the callers' port of a host. The readiness port is the next one. */
-static uint16_t
-hosts_port (const struct hosts *hosts, unsigned n)
+uint16_t
+hosts_caller_port (const struct hosts *hosts, unsigned n)
 {
   return (uint16_t) (hosts->port + FIRST_HOST_PORT_OFFSET + n * PORTS_PER_HOST);
 }
@@ -46,7 +46,7 @@
 static uint16_t
 hosts_relay_port (const struct hosts *hosts, unsigned n)
 {
-  return hosts_port (hosts, HOSTS + n);
+  return hosts_caller_port (hosts, HOSTS + n);
 }
 
 /* Returns the port of the proxy through which a host reaches the relay of another one. */
@@ -69,14 +69,14 @@
 hosts_start_jobd (struct hosts *hosts, unsigned n)
 {
   char args[11][64];
-  const char *list[G_N_ELEMENTS (args) + 1] = { NULL };
+  const char *list[G_N_ELEMENTS (args) + FLAGS_MAX + 1] = { NULL };
   size_t n_list = 0;
   char name[16];
 
   snprintf (name, sizeof name, "jobd%u", n);
   snprintf (args[0], sizeof args[0], "--name=%s", name);
-  snprintf (args[1], sizeof args[1], "--frontend=127.0.0.1:%u", hosts_port (hosts, n));
-  snprintf (args[2], sizeof args[2], "--readiness=127.0.0.1:%u", hosts_port (hosts, n) + 1U);
+  snprintf (args[1], sizeof args[1], "--frontend=127.0.0.1:%u", hosts_caller_port (hosts, n));
+  snprintf (args[2], sizeof args[2], "--readiness=127.0.0.1:%u", hosts_caller_port (hosts, n) + 1U);
   snprintf (args[3], sizeof args[3], "--store=127.0.0.1:%u", hosts_store_port (hosts, n));
   snprintf (args[4], sizeof args[4], "--machines=127.0.0.1:%u", hosts->port + 1U);
   snprintf (args[5], sizeof args[5], "--seed=%u", n + 1);
@@ -92,6 +92,8 @@
         continue;
       list[n_list++] = args[i];
     }
+  for (size_t i = 0; hosts->flags && hosts->flags[i] && i < FLAGS_MAX; i++)
+    list[n_list++] = hosts->flags[i];
   hosts->jobds[n] = process_create (name, "jobd/sesamepick-jobd", list);
 }
 
@@ -104,7 +106,8 @@
   size_t n = 0;
 
   for (unsigned i = 0; i < HOSTS; i++)
-    g_string_append_printf (ports, "%s127.0.0.1:%u", i > 0 ? "," : "", hosts_port (hosts, i) + 1U);
+    g_string_append_printf (ports, "%s127.0.0.1:%u", i > 0 ? "," : "",
+                            hosts_caller_port (hosts, i) + 1U);
   args[n++] = ports->str;
   if (option)
     args[n++] = option;
@@ -252,7 +255,7 @@
 {
   char url[URL_BYTES];
 
-  snprintf (url, sizeof url, "http://127.0.0.1:%u/v1/readyz", hosts_port (hosts, n) + 1U);
+  snprintf (url, sizeof url, "http://127.0.0.1:%u/v1/readyz", hosts_caller_port (hosts, n) + 1U);
   return test_wait_ready (url, limit_ms > 0 ? limit_ms : READY_LIMIT_MS);
 }
 
@@ -261,7 +264,7 @@
 {
   char url[URL_BYTES];
 
-  snprintf (url, sizeof url, "http://127.0.0.1:%u", hosts_port (hosts, n) + 1U);
+  snprintf (url, sizeof url, "http://127.0.0.1:%u", hosts_caller_port (hosts, n) + 1U);
   return fetch_metric (url, name);
 }
 
@@ -303,7 +306,7 @@
                             hosts->key ? key : NULL, NULL };
   int status;
 
-  snprintf (url, sizeof url, "http://127.0.0.1:%u%s", hosts_port (hosts, n), path);
+  snprintf (url, sizeof url, "http://127.0.0.1:%u%s", hosts_caller_port (hosts, n), path);
   fetch (&fetched, method, url, headers, body, CALL_TIMEOUT_MS);
   status = fetched.status;
   if (response)
--- a/tests/jobd/hosts.h
+++ b/tests/jobd/hosts.h
@@ -37,6 +37,8 @@
   bool second_is_public;
   unsigned config_ms;
   unsigned config_skew_ms;
+  /* Additional flags of the daemons, terminated by NULL; may be NULL. Set before hosts_start. */
+  const char *const *flags;
   /* Key that is sent with calls; NULL for none. */
   const char *key;
   struct process *cluster;
@@ -50,6 +52,8 @@
 void hosts_configure (struct hosts *hosts, unsigned version, const char *tenants);
 void hosts_stop (struct hosts *hosts);
 void hosts_start_jobd (struct hosts *hosts, unsigned n);
+/* Returns the callers' port of a host; the readiness port is the next one. */
+uint16_t hosts_caller_port (const struct hosts *hosts, unsigned n);
 /* Waits until a host reports ready; limit_ms 0 means the default limit. */
 bool hosts_wait_ready (struct hosts *hosts, unsigned n, int64_t limit_ms);
 /* Returns the value of a host's metric. */
