http_server: a stop closes no socket twice

libmicrohttpd closes a socket that it is given also if it does not add it (microhttpd.h, MHD_add_connection: the socket is "managed (and closed!) by MHD after this call"). At its limit of connections a stopping server closed each socket of the backlog a second time; by then the number may be another thread's (ZeroMQ). Found by reading, not seen; no test shows it.

--- a/common/http_server.c
+++ b/common/http_server.c
@@ -484,8 +484,10 @@
       struct sockaddr_in peer;
       socklen_t len = sizeof peer;
 
-      if (getpeername (fd, (struct sockaddr *) &peer, &len) < 0 ||
-          MHD_add_connection (server->daemon, fd, (struct sockaddr *) &peer, len) != MHD_YES)
+      /* libmicrohttpd closes the socket, also if it doesn't add it. */
+      if (getpeername (fd, (struct sockaddr *) &peer, &len) == 0)
+        MHD_add_connection (server->daemon, fd, (struct sockaddr *) &peer, len);
+      else
         close (fd);
     }
   close (listening);
