--- a/common/http_server.c
+++ b/common/http_server.c
@@ -4,6 +4,7 @@
 #include <arpa/inet.h>
 #include <errno.h>
 #include <glib.h>
+#include <inttypes.h>
 #include <microhttpd.h>
 #include <stdio.h>
 #include <string.h>
@@ -12,17 +13,28 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "common/client_limits.h"
+#include "common/clock.h"
 #include "common/log.h"
+#include "common/loop_timer.h"
 
 enum
 {
+  /* Buffers of a connection, together CLIENT_CONNECTION_BYTES: libmicrohttpd's for heads and parts
+   * of bodies, and what the kernel keeps unread. */
   CONNECTION_MEMORY_BYTES = 24 * 1024,
+  RECEIVE_BUFFER_BYTES = 16 * 1024,
   CONNECTION_IDLE_S = 60,
   LISTEN_BACKLOG = 1024,
   HANGUP_EVENTS_MAX = 64,
   MS_PER_S = 1000,
+  LOOK_INTERVAL_MS = 1000,
+  BODY_BYTES_MIN = 1024,
+  RETRY_AFTER_S = 1,
 };
 
+G_STATIC_ASSERT (CONNECTION_MEMORY_BYTES + RECEIVE_BUFFER_BYTES == CLIENT_CONNECTION_BYTES);
+
 enum request_state
 {
   /* The request is being received. */
@@ -35,6 +47,14 @@
   REQUEST_ABANDONED,
 };
 
+/* Why a body is read and thrown away. */
+enum discard_reason
+{
+  DISCARD_NONE,
+  DISCARD_TOO_LARGE,
+  DISCARD_NO_MEMORY,
+};
+
 LIST_HEAD (http_request_list, http_request);
 
 struct http_server
@@ -51,6 +71,15 @@
    * connection while its request is suspended. */
   int hangup_fd;
   ev_io hangup;
+  struct client_limits limits;
+  /* Used if the configuration names none. */
+  struct memory_budget unlimited_memory;
+  /* Runs while connections are open. */
+  ev_timer look;
+  uint64_t counts_logged[N_CLIENT_REFUSALS];
+  /* Time of an iteration of the loop. */
+  struct clock clock;
+  unsigned clock_iteration;
   unsigned open_requests;
   unsigned connections;
   bool close_after_response;
@@ -60,7 +89,9 @@
 /* A caller's connection. */
 struct http_connection
 {
+  struct client client;
   int fd;
+  /* The caller has closed its sending side, or this server closes the connection. */
   bool hung_up;
   struct http_request *request;
 };
@@ -73,16 +104,34 @@
   enum request_state state;
   bool counted;
   bool suspended;
-  bool too_large;
+  enum discard_reason discard;
+  size_t n_discarded;
   char *path;
   const char *method;
-  GByteArray *body;
+  uint8_t *body;
+  size_t body_len;
+  size_t body_capacity;
+  /* As the head says; 0 if it doesn't. */
+  size_t expected_len;
   struct MHD_Response *response;
   int status;
   void *data;
   LIST_ENTRY (http_request) link;
 };
 
+/* Updates the server's time, once an iteration of the loop. */
+static void
+server_update_time (struct http_server *server)
+{
+  unsigned iteration = ev_iteration (server->loop);
+
+  if (server->clock_iteration == iteration && server->clock.now_ms > 0)
+    return;
+  server->clock_iteration = iteration;
+  clock_update (&server->clock);
+  client_limits_advance (&server->limits, server->clock.now_ms);
+}
+
 /* Schedules a run of the server in the present loop iteration, after the current callback. */
 static void
 server_schedule_run (struct http_server *server)
@@ -149,6 +198,66 @@
   request_resume (request);
 }
 
+static struct http_connection *
+connection_of_client (struct client *client)
+{
+  return (struct http_connection *) ((char *) client -
+                                     G_STRUCT_OFFSET (struct http_connection, client));
+}
+
+/* Closes the connection of a client for a reason. libmicrohttpd notices it in its next run. */
+static void
+server_close_client (struct http_server *server, struct client *client, enum client_refusal reason)
+{
+  struct http_connection *connection = connection_of_client (client);
+
+  client_close (&server->limits, client, reason);
+  connection->hung_up = true;
+  shutdown (connection->fd, SHUT_RDWR);
+  server_schedule_run (server);
+}
+
+/* Logs how many clients have been refused or closed since the last time. */
+static void
+server_log_refusals (struct http_server *server)
+{
+  const struct client_limits *limits = &server->limits;
+  g_autoptr (GString) text = g_string_new (NULL);
+
+  for (int reason = 0; reason < N_CLIENT_REFUSALS; reason++)
+    {
+      uint64_t n = limits->counts[reason] - server->counts_logged[reason];
+
+      server->counts_logged[reason] = limits->counts[reason];
+      if (n > 0 && reason != CLIENT_CLOSED_IDLE)
+        g_string_append_printf (text, " %s=%" PRIu64, client_refusal_name (reason), n);
+    }
+  if (text->len > 0)
+    log_warning ("http",
+                 "clients refused or closed: port=%u connections=%u limit=%u memory_bytes=%zu "
+                 "memory_limit_bytes=%zu%s",
+                 server->config.port, limits->n_clients, limits->connection_limit,
+                 limits->budget->used, limits->budget->limit, text->str);
+}
+
+/* Closes clients that take too long, once a second while there are any. */
+static void
+server_on_look (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  struct http_server *server = watcher->data;
+  enum client_refusal reason;
+  struct client *client;
+
+  (void) events;
+  server_update_time (server);
+  while ((client = client_limits_next_late (&server->limits, &reason)))
+    server_close_client (server, client, reason);
+  client_limits_end_look (&server->limits);
+  server_log_refusals (server);
+  if (server->connections > 0)
+    loop_timer_arm (loop, watcher, LOOK_INTERVAL_MS);
+}
+
 /* Handles hang-ups of callers. */
 static void
 server_on_hangup (struct ev_loop *loop, ev_io *watcher, int events)
@@ -182,6 +291,7 @@
   if (code == MHD_CONNECTION_NOTIFY_CLOSED)
     {
       epoll_ctl (server->hangup_fd, EPOLL_CTL_DEL, connection->fd, NULL);
+      client_finish (&server->limits, &connection->client);
       g_free (connection);
       *socket_context = NULL;
       server->connections--;
@@ -193,6 +303,10 @@
   epoll_ctl (server->hangup_fd, EPOLL_CTL_ADD, connection->fd, &event);
   *socket_context = connection;
   server->connections++;
+  server_update_time (server);
+  client_open (&server->limits, &connection->client);
+  if (!ev_is_active (&server->look))
+    loop_timer_arm (server->loop, &server->look, LOOK_INTERVAL_MS);
 }
 
 /* libmicrohttpd's callback for a request line: creates the request, which libmicrohttpd then passes
@@ -207,7 +321,9 @@
   request->connection =
       MHD_get_connection_info (mhd, MHD_CONNECTION_INFO_SOCKET_CONTEXT)->socket_context;
   request->path = g_strdup (uri);
-  request->body = g_byte_array_new ();
+  request->connection->request = request;
+  server_update_time (request->server);
+  client_begin_request (&request->server->limits, &request->connection->client);
   return request;
 }
 
@@ -225,13 +341,13 @@
   if (!request)
     return;
   request_abandon (request);
-  if (request->connection && request->connection->request == request)
-    request->connection->request = NULL;
+  request->connection->request = NULL;
+  client_end_response (&server->limits, &request->connection->client);
   if (request->counted)
     server->open_requests--;
   if (request->response)
     MHD_destroy_response (request->response);
-  g_byte_array_unref (request->body);
+  g_free (request->body);
   g_free (request->path);
   g_free (request);
   *request_context = NULL;
@@ -243,12 +359,11 @@
 {
   struct http_server *server = request->server;
 
-  if (request->connection->hung_up || server->destroying)
-    return MHD_NO;
-  request->state = REQUEST_HANDLING;
+  server_update_time (server);
+  client_complete_request (&server->limits, &request->connection->client);
   request->counted = true;
-  request->connection->request = request;
   server->open_requests++;
+  request->state = REQUEST_HANDLING;
   server->config.handle (server->config.ctx, request);
   if (request->state == REQUEST_ABANDONED)
     return MHD_NO;
@@ -260,18 +375,28 @@
   return MHD_YES;
 }
 
-/* Returns whether Content-Length exceeds the limit or is not a number. */
+/* Reads Content-Length into expected_len. Returns false if it is not a number or exceeds the
+ * limit. */
 static bool
-request_length_exceeds_limit (const struct http_request *request)
+request_read_length (struct http_request *request)
 {
   const char *length = http_request_header (request, "Content-Length");
-  guint64 bytes;
+  guint64 bytes = 0;
 
-  if (!length)
+  if (length && !g_ascii_string_to_unsigned (length, 10, 0, G_MAXUINT64, &bytes, NULL))
     return false;
-  if (!g_ascii_string_to_unsigned (length, 10, 0, G_MAXUINT64, &bytes, NULL))
-    return true;
-  return bytes > request->server->config.body_limit;
+  if (bytes > request->server->config.body_limit)
+    return false;
+  request->expected_len = (size_t) bytes;
+  return true;
+}
+
+/* Queues the response that one of the functions of this server or its handler has given. */
+static enum MHD_Result
+request_queue_response (struct http_request *request)
+{
+  g_assert (request->state == REQUEST_RESPONDED);
+  return MHD_queue_response (request->mhd, (unsigned) request->status, request->response);
 }
 
 /* Rejects a request whose body exceeds the limit. */
@@ -285,8 +410,110 @@
   else
     http_request_respond_text (request, MHD_HTTP_CONTENT_TOO_LARGE, "text/plain",
                                "The body is larger than the limit.\n");
-  g_assert (request->state == REQUEST_RESPONDED);
-  return MHD_queue_response (request->mhd, (unsigned) request->status, request->response);
+  return request_queue_response (request);
+}
+
+/* Rejects a request whose body does not fit into the memory. It has not been run. */
+static enum MHD_Result
+request_reject_for_memory (struct http_request *request)
+{
+  static const char text[] = "Too much is being received; the request was not run.\n";
+  const struct http_server_config *config = &request->server->config;
+  char seconds[16];
+  struct http_header header = { MHD_HTTP_HEADER_RETRY_AFTER, seconds };
+  struct http_response response = {
+    .status = MHD_HTTP_SERVICE_UNAVAILABLE,
+    .headers = &header,
+    .n_headers = 1,
+    .body = text,
+    .body_len = sizeof text - 1,
+  };
+
+  g_snprintf (seconds, sizeof seconds, "%d", RETRY_AFTER_S);
+  if (config->reject_for_memory)
+    config->reject_for_memory (config->ctx, request);
+  else
+    http_request_respond (request, &response);
+  return request_queue_response (request);
+}
+
+/* Frees the body and throws away what still comes of it. */
+static void
+request_discard_body (struct http_request *request, enum discard_reason reason)
+{
+  http_request_release_body (request);
+  request->discard = reason;
+}
+
+/* Returns the capacity that a body of a length gets. */
+static size_t
+request_capacity (const struct http_request *request, size_t len)
+{
+  size_t capacity = BODY_BYTES_MIN;
+
+  while (capacity < len)
+    capacity *= 2;
+  return request->expected_len >= len ? MIN (capacity, request->expected_len) : capacity;
+}
+
+/* Keeps a part of the body, if it is within the limit and there is memory for it. */
+static void
+request_add_part (struct http_request *request, const char *part, size_t len)
+{
+  struct http_server *server = request->server;
+  size_t capacity = request->body_capacity;
+
+  if (request->body_len + len > server->config.body_limit)
+    {
+      request_discard_body (request, DISCARD_TOO_LARGE);
+      return;
+    }
+  if (request->body_len + len > capacity)
+    capacity = request_capacity (request, request->body_len + len);
+  if (!client_receive (&server->limits, &request->connection->client, len, capacity))
+    {
+      request_discard_body (request, DISCARD_NO_MEMORY);
+      return;
+    }
+  if (capacity > request->body_capacity)
+    {
+      request->body = g_realloc (request->body, capacity);
+      request->body_capacity = capacity;
+    }
+  memcpy (request->body + request->body_len, part, len);
+  request->body_len += len;
+}
+
+/* Handles a part of the body. A body that is thrown away is read no further than the limit, so that
+ * the caller gets its response unless it goes on for ever. */
+static enum MHD_Result
+request_receive (struct http_request *request, const char *part, size_t *len)
+{
+  struct http_server *server = request->server;
+
+  server_update_time (server);
+  if (request->discard == DISCARD_NONE)
+    request_add_part (request, part, *len);
+  else
+    request->n_discarded += *len;
+  *len = 0;
+  return request->n_discarded > server->config.body_limit ? MHD_NO : MHD_YES;
+}
+
+/* Answers a request whose body was thrown away, or passes it to the handler. */
+static enum MHD_Result
+request_finish_receiving (struct http_request *request)
+{
+  switch (request->discard)
+    {
+    case DISCARD_TOO_LARGE:
+      return request_reject_body_size (request);
+    case DISCARD_NO_MEMORY:
+      return request_reject_for_memory (request);
+    case DISCARD_NONE:
+      break;
+    }
+  return request_pass_to_handler (request);
 }
 
 /* Header properties that determine where the request ends and which host it is for: numbers of
@@ -355,7 +582,20 @@
   };
 
   http_request_respond (request, &response);
-  return MHD_queue_response (request->mhd, (unsigned) request->status, request->response);
+  return request_queue_response (request);
+}
+
+/* Handles a complete head: rejects a request that can't be served, before its body is read. */
+static enum MHD_Result
+request_begin (struct http_request *request, const char *version)
+{
+  if (request_framing_is_ambiguous (request, version))
+    return request_reject_framing (request);
+  if (!request_read_length (request))
+    return request_reject_body_size (request);
+  if (!client_may_receive (&request->server->limits, request->expected_len))
+    return request_reject_for_memory (request);
+  return MHD_YES;
 }
 
 /* libmicrohttpd's request callback. It is called when the headers are complete (the method is not
@@ -365,33 +605,23 @@
 server_on_request (void *ctx, struct MHD_Connection *mhd, const char *url, const char *method,
                    const char *version, const char *upload, size_t *upload_len, void **context)
 {
+  const struct http_server *server = ctx;
   struct http_request *request = *context;
 
-  (void) ctx;
   (void) mhd;
   (void) url;
+  if (request->state == REQUEST_RESPONDED)
+    return request_queue_response (request);
+  if (request->state == REQUEST_ABANDONED || request->connection->hung_up || server->destroying)
+    return MHD_NO;
   if (!request->method)
     {
       request->method = method;
-      if (request_framing_is_ambiguous (request, version))
-        return request_reject_framing (request);
-      return request_length_exceeds_limit (request) ? request_reject_body_size (request) : MHD_YES;
+      return request_begin (request, version);
     }
-  if (request->state == REQUEST_ABANDONED)
-    return MHD_NO;
-  if (request->state == REQUEST_RESPONDED)
-    return MHD_queue_response (mhd, (unsigned) request->status, request->response);
   if (*upload_len > 0)
-    {
-      if (request->body->len + *upload_len > request->server->config.body_limit)
-        request->too_large = true;
-      else
-        g_byte_array_append (request->body, (const guint8 *) upload, (guint) *upload_len);
-      *upload_len = 0;
-      return MHD_YES;
-    }
-  return request->too_large ? request_reject_body_size (request)
-                            : request_pass_to_handler (request);
+    return request_receive (request, upload, upload_len);
+  return request_finish_receiving (request);
 }
 
 /* Writes libmicrohttpd's own error messages to the log. */
@@ -405,20 +635,42 @@
   log_debug ("http", "%s", g_strchomp (line));
 }
 
+/* Opens the listening socket. Returns -1 if the address can't be bound. Accepted connections
+ * inherit the size of its receive buffer. */
+static int
+server_listen (const struct http_server_config *config)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET, .sin_port = htons (config->port) };
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+
+  if (fd < 0)
+    return -1;
+  setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &(int){ 1 }, sizeof (int));
+  if (setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &(int){ RECEIVE_BUFFER_BYTES }, sizeof (int)) < 0)
+    log_warning ("http", "The receive buffer of port %u can't be set: %s.", config->port,
+                 g_strerror (errno));
+  if (inet_pton (AF_INET, config->address, &address.sin_addr) == 1 &&
+      bind (fd, (struct sockaddr *) &address, sizeof address) == 0 &&
+      listen (fd, LISTEN_BACKLOG) == 0)
+    return fd;
+  close (fd);
+  return -1;
+}
+
 /* Starts libmicrohttpd on the configured address. */
 static struct MHD_Daemon *
 server_start (struct http_server *server)
 {
   const struct http_server_config *config = &server->config;
-  struct sockaddr_in address = { .sin_family = AF_INET, .sin_port = htons (config->port) };
+  int fd = server_listen (config);
 
-  if (inet_pton (AF_INET, config->address, &address.sin_addr) != 1)
+  if (fd < 0)
     return NULL;
+  /* libmicrohttpd closes the socket, also if it fails. */
   return MHD_start_daemon (
       MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ERROR_LOG, config->port, NULL, NULL,
       server_on_request, server, MHD_OPTION_EXTERNAL_LOGGER, server_on_log, server,
-      MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_SOCK_ADDR, (struct sockaddr *) &address,
-      MHD_OPTION_LISTEN_BACKLOG_SIZE, (unsigned) LISTEN_BACKLOG, MHD_OPTION_CONNECTION_LIMIT,
+      MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_LISTEN_SOCKET, fd, MHD_OPTION_CONNECTION_LIMIT,
       config->connection_limit, MHD_OPTION_CONNECTION_TIMEOUT, (unsigned) CONNECTION_IDLE_S,
       MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t) CONNECTION_MEMORY_BYTES,
       MHD_OPTION_URI_LOG_CALLBACK, server_on_request_line, server, MHD_OPTION_NOTIFY_COMPLETED,
@@ -436,6 +688,14 @@
   server->config = *config;
   server->loop = loop;
   LIST_INIT (&server->suspended);
+  memory_budget_init (&server->unlimited_memory, G_MAXSIZE / 2);
+  client_limits_init (&server->limits, config->memory ? config->memory : &server->unlimited_memory,
+                      config->connection_limit);
+  if (!memory_budget_fits (server->limits.budget, config->body_limit))
+    log_warning ("http",
+                 "bodies within the limit don't fit into the memory for clients: port=%u "
+                 "body_limit_bytes=%zu memory_limit_bytes=%zu",
+                 config->port, config->body_limit, server->limits.budget->limit);
   server->hangup_fd = epoll_create1 (EPOLL_CLOEXEC);
   server->daemon = server->hangup_fd < 0 ? NULL : server_start (server);
   if (!server->daemon)
@@ -449,6 +709,8 @@
   ev_io_init (&server->ready, server_on_ready, epoll_fd, EV_READ);
   ev_io_init (&server->hangup, server_on_hangup, server->hangup_fd, EV_READ);
   ev_timer_init (&server->timeout, server_on_timeout, 0.0, 0.0);
+  ev_timer_init (&server->look, server_on_look, 0.0, 0.0);
+  server->look.data = server;
   server->ready.data = server;
   server->hangup.data = server;
   server->timeout.data = server;
@@ -515,6 +777,7 @@
   ev_io_stop (server->loop, &server->hangup);
   ev_timer_stop (server->loop, &server->timeout);
   MHD_stop_daemon (server->daemon);
+  ev_timer_stop (server->loop, &server->look);
   close (server->hangup_fd);
   g_free (server);
 }
@@ -534,6 +797,32 @@
   return server->connections;
 }
 
+void
+http_server_print_metrics (GString *text, const char *prefix,
+                           const struct http_server_metrics *servers, size_t n,
+                           const struct memory_budget *memory)
+{
+  g_string_append_printf (text,
+                          "# HELP %sclient_memory_bytes Memory of bodies, records and responses of "
+                          "clients.\n# TYPE %sclient_memory_bytes gauge\n"
+                          "%sclient_memory_bytes %zu\n"
+                          "# HELP %sclient_connections Open connections by port.\n"
+                          "# TYPE %sclient_connections gauge\n",
+                          prefix, prefix, prefix, memory->used, prefix, prefix);
+  for (size_t i = 0; i < n; i++)
+    g_string_append_printf (text, "%sclient_connections{port=\"%s\"} %u\n", prefix, servers[i].port,
+                            servers[i].server->connections);
+  g_string_append_printf (text,
+                          "# HELP %sclients_refused_total Requests refused and connections closed, "
+                          "by port and reason.\n# TYPE %sclients_refused_total counter\n",
+                          prefix, prefix);
+  for (size_t i = 0; i < n; i++)
+    for (int reason = 0; reason < N_CLIENT_REFUSALS; reason++)
+      g_string_append_printf (
+          text, "%sclients_refused_total{port=\"%s\",reason=\"%s\"} %" PRIu64 "\n", prefix,
+          servers[i].port, client_refusal_name (reason), servers[i].server->limits.counts[reason]);
+}
+
 const char *
 http_request_method (const struct http_request *request)
 {
@@ -593,8 +882,17 @@
 const void *
 http_request_body (const struct http_request *request, size_t *len)
 {
-  *len = request->body->len;
-  return request->body->len > 0 ? request->body->data : (const uint8_t *) "";
+  *len = request->body_len;
+  return request->body_len > 0 ? request->body : (const uint8_t *) "";
+}
+
+void
+http_request_release_body (struct http_request *request)
+{
+  client_release_body (&request->server->limits, &request->connection->client);
+  g_clear_pointer (&request->body, g_free);
+  request->body_len = 0;
+  request->body_capacity = 0;
 }
 
 /* Attaches a pointer of the handler to the request. */
@@ -663,6 +961,23 @@
   return copy;
 }
 
+/* Gives the memory of the request's body to its response. A response that has been waited for is
+ * sent in any case; the responses that others have not read for the longest time make room for it.
+ */
+static void
+request_begin_sending (struct http_request *request, size_t len)
+{
+  struct http_server *server = request->server;
+  struct client *sender = &request->connection->client;
+  struct client *client;
+
+  http_request_release_body (request);
+  server_update_time (server);
+  client_begin_response (&server->limits, sender, len);
+  while ((client = client_limits_next_for_memory (&server->limits, sender)))
+    server_close_client (server, client, CLIENT_CLOSED_FOR_MEMORY);
+}
+
 /* Sends a copy of the response; the request is invalid afterwards. */
 void
 http_request_respond (struct http_request *request, const struct http_response *response)
@@ -671,6 +986,7 @@
   request->response = response_create (request, response);
   request->status = response->status;
   request->state = REQUEST_RESPONDED;
+  request_begin_sending (request, response->body_len);
   request_resume (request);
 }
 
--- a/entryd/admin.c
+++ b/entryd/admin.c
@@ -115,13 +115,17 @@
 
 /* Responds with all metrics in the Prometheus text format. */
 static void
-admin_metrics (const struct entry *entry, struct http_request *request)
+admin_metrics (const struct admin *admin, struct http_request *request)
 {
+  const struct entry *entry = admin->entry;
+  const struct http_server_metrics servers[] = { { entry->server, "callers" },
+                                                 { admin->server, "admin" } };
   GString *text = g_string_new (NULL);
 
   print_dispatch (text, entry);
   print_results (text, &entry->stats);
   print_daemon (text, entry);
+  http_server_print_metrics (text, "sesamepick_", servers, G_N_ELEMENTS (servers), &entry->memory);
   http_request_respond_text (request, 200, "text/plain; version=0.0.4", text->str);
   g_string_free (text, TRUE);
 }
@@ -143,7 +147,8 @@
 static void
 admin_handle (void *ctx, struct http_request *request)
 {
-  struct entry *entry = ((struct admin *) ctx)->entry;
+  const struct admin *admin = ctx;
+  struct entry *entry = admin->entry;
   const char *path = http_request_path (request);
 
   if (strcmp (http_request_method (request), "GET") != 0)
@@ -151,7 +156,7 @@
   else if (strcmp (path, "/healthz") == 0)
     admin_health (entry, request);
   else if (strcmp (path, "/metrics") == 0)
-    admin_metrics (entry, request);
+    admin_metrics (admin, request);
   else if (strcmp (path, "/routes") == 0)
     admin_routes (entry, request);
   else
@@ -169,6 +174,7 @@
     .port = (uint16_t) settings->admin_port,
     .body_limit = BODY_LIMIT_BYTES,
     .connection_limit = CONNECTION_LIMIT,
+    .memory = &entry->memory,
     .handle = admin_handle,
     .ctx = admin,
   };
--- a/entryd/caller.c
+++ b/entryd/caller.c
@@ -1,6 +1,7 @@
 #include <errno.h>
 #include <string.h>
 
+#include "common/client_limits.h"
 #include "common/log.h"
 #include "entry.h"
 #include "headers.h"
@@ -9,6 +10,7 @@
 enum
 {
   SERVICE_NAME_BYTES = 128,
+  RETRY_AFTER_MS = 1000,
 };
 
 /* Splits /SERVICE/PATH?QUERY into the service name and the remaining target. Returns -EINVAL if the
@@ -80,6 +82,21 @@
   caller_reject (ctx, request, 413, "The body is larger than the limit.");
 }
 
+/* Refuses a request whose body does not fit into the memory now. */
+static void
+caller_reject_for_memory (void *ctx, struct http_request *request)
+{
+  struct entry *entry = ctx;
+  const struct request_result result = {
+    .outcome = REQUEST_NOT_RUN,
+    .reason = REASON_QUEUE_FULL,
+    .retry_after_ms = RETRY_AFTER_MS,
+  };
+
+  entry->stats.done_by_reason[result.reason]++;
+  problem_respond (request, &result);
+}
+
 /* Handles a caller that disconnected before its request was answered. */
 static void
 caller_disconnected (void *ctx, struct http_request *request)
@@ -144,12 +161,15 @@
     .port = (uint16_t) settings->caller_port,
     .body_limit = settings->body_limit_bytes,
     .connection_limit = settings->caller_connection_limit,
+    .memory = &entry->memory,
     .handle = caller_handle,
     .caller_disconnected = caller_disconnected,
     .reject_body_size = caller_reject_body_size,
+    .reject_for_memory = caller_reject_for_memory,
     .ctx = entry,
   };
 
+  memory_budget_init (&entry->memory, client_memory_limit (settings->memory_mb));
   entry->server = http_server_create (entry->loop, &config);
   if (entry->server)
     return 0;
--- a/entryd/entry.h
+++ b/entryd/entry.h
@@ -10,6 +10,7 @@
 #include "common/clock.h"
 #include "common/http_client.h"
 #include "common/http_server.h"
+#include "common/memory_budget.h"
 #include "lib/dispatch/dispatch.h"
 #include "settings.pb-c.h"
 
@@ -49,6 +50,8 @@
   uint64_t attempt_salt;
   uint64_t next_id;
   bool stopping;
+  /* Of callers' bodies and of responses to them. */
+  struct memory_budget memory;
   ev_timer tick;
   struct entry_stats stats;
 };
--- a/fleetd/admin.c
+++ b/fleetd/admin.c
@@ -3,6 +3,8 @@
 #include <string.h>
 #include <time.h>
 
+#include "common/client_limits.h"
+
 enum
 {
   BODY_LIMIT_BYTES = 1024,
@@ -88,6 +90,21 @@
   metrics->processor_ms.value = processor_time_ms ();
 }
 
+/* Answers with all metrics. */
+static void
+answer_metrics (struct fleetd *fleetd, struct http_request *request)
+{
+  const struct http_server_metrics servers[] = { { fleetd->operators.server, "operators" },
+                                                 { fleetd->admin, "admin" } };
+  g_autoptr (GString) text = NULL;
+
+  metrics_update (fleetd);
+  text = metrics_print (&fleetd->metrics.all);
+  http_server_print_metrics (text, "sesamepick_fleetd_", servers, G_N_ELEMENTS (servers),
+                             &fleetd->memory);
+  http_request_respond_text (request, 200, "text/plain; version=0.0.4", text->str);
+}
+
 /* Serves /healthz and /metrics. */
 static void
 admin_handle (void *ctx, struct http_request *request)
@@ -101,14 +118,7 @@
     http_request_respond_text (request, ready ? 200 : 503, "text/plain",
                                ready ? "ready\n" : "not ready\n");
   else if (strcmp (path, "/metrics") == 0)
-    {
-      GString *text;
-
-      metrics_update (fleetd);
-      text = metrics_print (&fleetd->metrics.all);
-      http_request_respond_text (request, 200, "text/plain; version=0.0.4", text->str);
-      g_string_free (text, TRUE);
-    }
+    answer_metrics (fleetd, request);
   else
     http_request_respond_text (request, 404, "text/plain", "not found\n");
 }
@@ -121,11 +131,13 @@
     .port = (uint16_t) fleetd->settings->admin_port,
     .body_limit = BODY_LIMIT_BYTES,
     .connection_limit = MAX_CONNECTIONS,
+    .memory = &fleetd->memory,
     .handle = admin_handle,
     .ctx = fleetd,
   };
 
   metrics_register (&fleetd->metrics);
+  memory_budget_init (&fleetd->memory, client_memory_limit (fleetd->settings->memory_mb));
   fleetd->admin = http_server_create (fleetd->loop, &config);
   return fleetd->admin != NULL;
 }
--- a/fleetd/fleetd.h
+++ b/fleetd/fleetd.h
@@ -327,6 +327,8 @@
   struct operators operators;
   struct http_server *admin;
   struct fleetd_metrics metrics;
+  /* Of operators' bodies and of responses to them. */
+  struct memory_budget memory;
   GRand *random;
   bool stopping;
   bool claim_released;
--- a/fleetd/operators.c
+++ b/fleetd/operators.c
@@ -210,6 +210,7 @@
     .port = (uint16_t) fleetd->settings->operator_port,
     .body_limit = BODY_LIMIT_BYTES,
     .connection_limit = MAX_CONNECTIONS,
+    .memory = &fleetd->memory,
     .handle = operators_handle,
     .caller_disconnected = operators_disconnected,
     .ctx = operators,
--- a/include/common/http_server.h
+++ b/include/common/http_server.h
@@ -4,10 +4,14 @@
 #include <ev.h>
 #include <stdbool.h>
 #include <stddef.h>
+#include <glib.h>
 #include <stdint.h>
 
+#include "common/memory_budget.h"
+
 /* HTTP server on a libev loop, based on libmicrohttpd. The handler gets each request once it has
- * arrived completely, and responds to it at once or later with http_request_respond. */
+ * arrived completely, and responds to it at once or later with http_request_respond. Clients that
+ * take too much or too long are refused or closed (common/client_limits.h). */
 struct http_server;
 struct http_request;
 
@@ -33,6 +37,8 @@
   /* Largest request body in bytes. */
   size_t body_limit;
   unsigned connection_limit;
+  /* Memory of bodies and responses, shared by the process; NULL for no bound. */
+  struct memory_budget *memory;
   /* Called for each complete request. The handler must respond to it or drop it exactly once, at
    * once or later, unless the caller disconnects first. */
   void (*handle) (void *ctx, struct http_request *request);
@@ -44,6 +50,9 @@
    * Must respond before it returns; the body is not available. If NULL, the server responds with a
    * plain 413. */
   void (*reject_body_size) (void *ctx, struct http_request *request);
+  /* Called for a request whose body does not fit into the memory now. Must respond before it
+   * returns; the body is not available. If NULL, the server responds with a plain 503. */
+  void (*reject_for_memory) (void *ctx, struct http_request *request);
   void *ctx;
 };
 
@@ -60,6 +69,18 @@
 unsigned http_server_open_requests (const struct http_server *server);
 /* Returns the number of open connections. */
 unsigned http_server_connections (const struct http_server *server);
+/* A server in the metrics, and the value of its label "port". */
+struct http_server_metrics
+{
+  const struct http_server *server;
+  const char *port;
+};
+
+/* Appends the servers' connections and refusals, and what the budget holds, in the Prometheus text
+ * format. prefix begins the metrics' names. */
+void http_server_print_metrics (GString *text, const char *prefix,
+                                const struct http_server_metrics *servers, size_t n,
+                                const struct memory_budget *memory);
 
 const char *http_request_method (const struct http_request *request);
 /* Returns the path and query as they appear in the request line. */
@@ -74,6 +95,8 @@
                            void *ctx);
 /* Returns the complete body, which is valid as long as the request; never NULL. */
 const void *http_request_body (const struct http_request *request, size_t *len);
+/* Frees the body of a request that needs it no more. */
+void http_request_release_body (struct http_request *request);
 /* Attach a pointer of the handler to the request. */
 void http_request_set_data (struct http_request *request, void *data);
 void *http_request_data (const struct http_request *request);
--- a/jobd/admin.c
+++ b/jobd/admin.c
@@ -64,6 +64,20 @@
                  inspect_job (&jobd->jobs, id), "lines", job_trace_lines (admin->trace, id)));
 }
 
+/* Answers with all metrics. */
+static void
+answer_metrics (const struct admin *admin, struct http_request *request)
+{
+  const struct jobd *jobd = admin->jobd;
+  g_autoptr (GString) text = metrics_print (&jobd->metrics);
+  const struct http_server_metrics servers[] = { { ingress_server (jobd->ingress), "callers" },
+                                                 { admin->server, "admin" } };
+
+  http_server_print_metrics (text, "sesamepick_jobd_", servers, G_N_ELEMENTS (servers),
+                             &jobd->memory);
+  http_request_respond_text (request, 200, "text/plain; version=0.0.4", text->str);
+}
+
 /* Dispatches a request by its path. */
 static void
 admin_on_request (void *ctx, struct http_request *request)
@@ -76,12 +90,7 @@
     http_request_respond_text (request, ready ? 200 : 503, "text/plain",
                                ready ? "ready\n" : "not ready\n");
   else if (strcmp (path, "/metrics") == 0)
-    {
-      GString *text = metrics_print (&admin->jobd->metrics);
-
-      http_request_respond_text (request, 200, "text/plain; version=0.0.4", text->str);
-      g_string_free (text, TRUE);
-    }
+    answer_metrics (admin, request);
   else if (strcmp (path, PATH_JOBS) == 0)
     answer_jobs (admin, request);
   else if (g_str_has_prefix (path, PATH_JOBS "/"))
@@ -101,6 +110,7 @@
     .address = ip,
     .body_limit = BODY_BYTES_MAX,
     .connection_limit = CONNECTIONS_MAX,
+    .memory = &jobd->memory,
     .handle = admin_on_request,
     .ctx = admin,
   };
--- a/jobd/ingress.c
+++ b/jobd/ingress.c
@@ -168,22 +168,29 @@
   return request;
 }
 
-/* Creates a pending request. Its deadline is the caller's, counted from the arrival and limited to
- * DEADLINE_MAX_MS, less the margin. */
+/* Returns how long after its arrival a request is answered at the latest: the caller's deadline,
+ * limited to DEADLINE_MAX_MS, less the margin. */
+static int64_t
+request_wait_ms (const struct http_request *request)
+{
+  int64_t wait_ms = caller_deadline_ms (request, DEFAULT_DEADLINE_MS);
+
+  return CLAMP (wait_ms, DEADLINE_MARGIN_MS, DEADLINE_MAX_MS) - DEADLINE_MARGIN_MS;
+}
+
+/* Creates a pending request. */
 static struct pending_request *
 pending_request_create (struct ingress *ingress, const struct call *call)
 {
   struct pending_request *pending = g_new0 (struct pending_request, 1);
-  int64_t wait_ms = caller_deadline_ms (call->request, DEFAULT_DEADLINE_MS);
 
-  wait_ms = CLAMP (wait_ms, DEADLINE_MARGIN_MS, DEADLINE_MAX_MS) - DEADLINE_MARGIN_MS;
   pending->ingress = ingress;
   pending->request = call->request;
   pending->id = g_strdup (call->id);
   pending->workspace = g_strdup (call->workspace);
   pending->config_age_ms = call->config_age_ms;
   pending->created_ms = call->arrived_ms;
-  pending->deadline_ms = call->arrived_ms + wait_ms;
+  pending->deadline_ms = call->arrived_ms + request_wait_ms (call->request);
   http_request_set_data (call->request, pending);
   LIST_INSERT_HEAD (&ingress->pending_requests, pending, link);
   return pending;
@@ -267,22 +274,6 @@
     }
 }
 
-/* Appends a record to the journal for a pending request. */
-static void
-pending_request_append (struct pending_request *pending, const Sp__JobRecord *record)
-{
-  gsize len;
-  const void *value;
-
-  pending->key = job_record_key (record);
-  pending->value = job_record_pack (record);
-  pending->appended = true;
-  job_admission_on_append (pending->ingress->jobd->admission, pending->id);
-  value = g_bytes_get_data (pending->value, &len);
-  record_sender_append (pending->ingress->jobd->records, pending->key, value, len,
-                        pending_request_on_append, pending);
-}
-
 /* Rejects a submission or a cancellation because the store does not respond: nothing is stored for
  * this request, but a record of an earlier request for the job may still be. */
 static void
@@ -332,21 +323,43 @@
             age_ms == INT64_MAX ? -1 : age_ms);
 }
 
-/* Answers 503 because the configuration may be out of date. The request has had no effect. What an
- * earlier request for the job has stored is no refusal's to deny. */
+/* Answers 503 for a reason: the request has had no effect. What an earlier request for the job has
+ * stored is no refusal's to deny: then the answer is 504. */
 static void
-answer_old_config (struct ingress *ingress, struct http_request *request, const char *id)
+answer_not_run (struct ingress *ingress, struct http_request *request, const char *id,
+                const char *reason)
 {
   const struct job *job = job_table_find (&ingress->jobd->jobs, id);
   const char *method = http_request_method (request);
   bool stored =
       job && job->definition &&
       (strcmp (method, "POST") == 0 || (strcmp (method, "DELETE") == 0 && job->cancelled));
+  bool unknown =
+      strcmp (method, "GET") != 0 && (stored || ingress_has_appended (ingress, id, NULL));
+  g_autofree char *text = g_strdup_printf (
+      "%s; %s", reason, unknown ? "an earlier request may be stored" : "the request was not run");
 
-  if (strcmp (method, "GET") != 0 && (stored || ingress_has_appended (ingress, id, NULL)))
-    answer_error (request, 504, "the configuration is too old; an earlier request may be stored");
+  if (unknown)
+    answer_error (request, 504, text);
   else
-    answer_unavailable (request, "the configuration is too old; the request was not run");
+    answer_unavailable (request, text);
+}
+
+/* Appends a record to the journal for a pending request. */
+static void
+pending_request_append (struct pending_request *pending, const Sp__JobRecord *record)
+{
+  struct ingress *ingress = pending->ingress;
+  gsize len;
+  const void *value;
+
+  pending->key = job_record_key (record);
+  pending->value = job_record_pack (record);
+  value = g_bytes_get_data (pending->value, &len);
+  pending->appended = true;
+  job_admission_on_append (ingress->jobd->admission, pending->id);
+  record_sender_append (ingress->jobd->records, pending->key, value, len, pending_request_on_append,
+                        pending);
 }
 
 /* Refuses a request because of its key. */
@@ -359,7 +372,7 @@
   else if (reason == REFUSED_OTHER_WORKSPACE)
     answer_error (request, 403, "the job belongs to another workspace");
   else
-    answer_old_config (ingress, request, id);
+    answer_not_run (ingress, request, id, "the configuration is too old");
 }
 
 /* Returns whether the queue that a job was submitted to needs no key now. */
@@ -613,6 +626,7 @@
       return;
     }
   definition = submission_decode (request, &refusal);
+  http_request_release_body (request);
   if (!definition)
     {
       struct pending_request *pending = pending_request_create (ingress, call);
@@ -829,6 +843,30 @@
     ingress_dispatch (ingress, request, arrived_ms, true);
 }
 
+/* Returns the id of the job that a request names by its path; empty if it names none. */
+static const char *
+request_job_id (const struct ingress *ingress, const struct http_request *request)
+{
+  const char *host = http_request_header (request, "Host");
+  const char *id = "";
+
+  if (ingress->jobd->queues && host)
+    queue_table_find (ingress->jobd->queues, host, http_request_path (request), &id);
+  return id ? id : "";
+}
+
+/* Refuses a request, none of which has been carried out. */
+static void
+ingress_refuse (struct ingress *ingress, struct http_request *request, const char *reason)
+{
+  const char *id = request_job_id (ingress, request);
+
+  log_info ("ingress", "request refused: job=%s method=%s reason=\"%s\"",
+            id_is_valid (id) ? id : "-", http_request_method (request), reason);
+  ingress->refused.value++;
+  answer_not_run (ingress, request, id, reason);
+}
+
 static void
 ingress_on_request (void *ctx, struct http_request *request)
 {
@@ -837,6 +875,13 @@
   ingress_dispatch (ingress, request, jobd_now_ms (ingress->jobd), false);
 }
 
+/* Refuses a request whose body does not fit into the memory for clients. */
+static void
+ingress_on_no_memory (void *ctx, struct http_request *request)
+{
+  ingress_refuse (ctx, request, "too much is being received");
+}
+
 /* Handles a caller that disconnected before its response. A record that was appended for it
  * stays. */
 static void
@@ -957,8 +1002,10 @@
     .address = ip,
     .body_limit = jobd->settings->body_limit_bytes,
     .connection_limit = jobd->settings->caller_connection_limit,
+    .memory = &jobd->memory,
     .handle = ingress_on_request,
     .caller_disconnected = ingress_on_gone,
+    .reject_for_memory = ingress_on_no_memory,
     .ctx = ingress,
   };
   int error = settings_parse_endpoint (jobd->settings->frontend, ip, &port);
@@ -999,6 +1046,12 @@
   http_server_quiesce (ingress->server);
 }
 
+const struct http_server *
+ingress_server (const struct ingress *ingress)
+{
+  return ingress->server;
+}
+
 unsigned
 ingress_open_requests (const struct ingress *ingress)
 {
--- a/jobd/jobd.h
+++ b/jobd/jobd.h
@@ -6,6 +6,7 @@
 #include "common/clock.h"
 #include "common/http_client.h"
 #include "common/http_server.h"
+#include "common/memory_budget.h"
 #include "common/metrics.h"
 #include "config_state.h"
 #include "lib/jobs/host_command_guard.h"
@@ -71,6 +72,8 @@
   GHashTable *relays;
   GHashTable *ample_hosts;
   struct metrics metrics;
+  /* Of what callers send, their records on the way to the store and their responses. */
+  struct memory_budget memory;
   bool stopping;
   /* Time of the last tick; 0 before the first. */
   int64_t last_tick_ms;
@@ -126,6 +129,8 @@
 void ingress_quiesce (struct ingress *ingress);
 /* Returns the number of requests that have not been answered yet. */
 unsigned ingress_open_requests (const struct ingress *ingress);
+/* Returns the callers' port. */
+const struct http_server *ingress_server (const struct ingress *ingress);
 
 /* admin.c */
 int admin_create (struct jobd *jobd);
--- a/jobd/main.c
+++ b/jobd/main.c
@@ -4,6 +4,7 @@
 #include <string.h>
 #include <sys/random.h>
 
+#include "common/client_limits.h"
 #include "common/log.h"
 #include "common/loop_timer.h"
 #include "common/program.h"
@@ -376,6 +377,7 @@
     }
   clock_update (&jobd->clock);
   metrics_init (&jobd->metrics);
+  memory_budget_init (&jobd->memory, client_memory_limit (jobd->settings->memory_mb));
   jobd->client = http_client_create (jobd->loop, IDLE_REUSE_MS, CONNECTIONS_MAX);
   jobd->store = store_create (jobd->client, jobd->settings->store);
   job_table_init (&jobd->jobs);
--- a/protocols/settings.pb-c.c
+++ b/protocols/settings.pb-c.c
@@ -431,7 +431,8 @@
 static const uint32_t sp__entryd_settings__connect_timeout_ms__default_value = 300u;
 static const uint32_t sp__entryd_settings__idle_reuse_ms__default_value = 5000u;
 static const uint32_t sp__entryd_settings__seed__default_value = 0u;
-static const ProtobufCFieldDescriptor sp__entryd_settings__field_descriptors[19] =
+static const uint32_t sp__entryd_settings__memory_mb__default_value = 260u;
+static const ProtobufCFieldDescriptor sp__entryd_settings__field_descriptors[20] =
 {
   {
     "name",
@@ -661,6 +662,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "memory_mb",
+    20,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Sp__EntrydSettings, has_memory_mb),
+    offsetof(Sp__EntrydSettings, memory_mb),
+    NULL,
+    &sp__entryd_settings__memory_mb__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sp__entryd_settings__field_indices_by_name[] = {
   4,   /* field[4] = admin_port */
@@ -673,6 +686,7 @@
   13,   /* field[13] = idle_reuse_ms */
   2,   /* field[2] = listen_address */
   17,   /* field[17] = log_level */
+  19,   /* field[19] = memory_mb */
   0,   /* field[0] = name */
   5,   /* field[5] = peer_port */
   15,   /* field[15] = peer_public_key */
@@ -686,7 +700,7 @@
 static const ProtobufCIntRange sp__entryd_settings__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 19 }
+  { 0, 20 }
 };
 const ProtobufCMessageDescriptor sp__entryd_settings__descriptor =
 {
@@ -696,7 +710,7 @@
   "Sp__EntrydSettings",
   "sp",
   sizeof(Sp__EntrydSettings),
-  19,
+  20,
   sp__entryd_settings__field_descriptors,
   sp__entryd_settings__field_indices_by_name,
   1,  sp__entryd_settings__number_ranges,
@@ -729,7 +743,8 @@
 static const uint32_t sp__fleetd_settings__log_wait_ms__default_value = 1000u;
 static const uint32_t sp__fleetd_settings__task_period_ms__default_value = 500u;
 static const uint32_t sp__fleetd_settings__task_lease_ms__default_value = 30000u;
-static const ProtobufCFieldDescriptor sp__fleetd_settings__field_descriptors[26] =
+static const uint32_t sp__fleetd_settings__memory_mb__default_value = 260u;
+static const ProtobufCFieldDescriptor sp__fleetd_settings__field_descriptors[27] =
 {
   {
     "name",
@@ -1043,6 +1058,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "memory_mb",
+    27,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Sp__FleetdSettings, has_memory_mb),
+    offsetof(Sp__FleetdSettings, memory_mb),
+    NULL,
+    &sp__fleetd_settings__memory_mb__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sp__fleetd_settings__field_indices_by_name[] = {
   4,   /* field[4] = admin_port */
@@ -1057,6 +1084,7 @@
   2,   /* field[2] = listen_address */
   14,   /* field[14] = log_level */
   21,   /* field[21] = log_wait_ms */
+  26,   /* field[26] = memory_mb */
   19,   /* field[19] = move_ms */
   0,   /* field[0] = name */
   3,   /* field[3] = operator_port */
@@ -1075,7 +1103,7 @@
 static const ProtobufCIntRange sp__fleetd_settings__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 26 }
+  { 0, 27 }
 };
 const ProtobufCMessageDescriptor sp__fleetd_settings__descriptor =
 {
@@ -1085,7 +1113,7 @@
   "Sp__FleetdSettings",
   "sp",
   sizeof(Sp__FleetdSettings),
-  26,
+  27,
   sp__fleetd_settings__field_descriptors,
   sp__fleetd_settings__field_indices_by_name,
   1,  sp__fleetd_settings__number_ranges,
@@ -1873,7 +1901,8 @@
 static const uint32_t sp__jobd_settings__load_admission__default_value = 0u;
 static const double sp__jobd_settings__far_factor__default_value = 1;
 static const uint32_t sp__jobd_settings__locality_wait_max_ms__default_value = 1000u;
-static const ProtobufCFieldDescriptor sp__jobd_settings__field_descriptors[26] =
+static const uint32_t sp__jobd_settings__memory_mb__default_value = 260u;
+static const ProtobufCFieldDescriptor sp__jobd_settings__field_descriptors[27] =
 {
   {
     "name",
@@ -2187,6 +2216,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "memory_mb",
+    32,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Sp__JobdSettings, has_memory_mb),
+    offsetof(Sp__JobdSettings, memory_mb),
+    NULL,
+    &sp__jobd_settings__memory_mb__default_value,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sp__jobd_settings__field_indices_by_name[] = {
   9,   /* field[9] = body_limit_bytes */
@@ -2204,6 +2245,7 @@
   25,   /* field[25] = locality_wait_max_ms */
   12,   /* field[12] = log_level */
   4,   /* field[4] = machines */
+  26,   /* field[26] = memory_mb */
   0,   /* field[0] = name */
   14,   /* field[14] = processor_share */
   22,   /* field[22] = prospect_order */
@@ -2216,12 +2258,13 @@
   10,   /* field[10] = stop_ms */
   3,   /* field[3] = store */
 };
-static const ProtobufCIntRange sp__jobd_settings__number_ranges[3 + 1] =
+static const ProtobufCIntRange sp__jobd_settings__number_ranges[4 + 1] =
 {
   { 1, 0 },
   { 7, 5 },
   { 18, 13 },
-  { 0, 26 }
+  { 32, 26 },
+  { 0, 27 }
 };
 const ProtobufCMessageDescriptor sp__jobd_settings__descriptor =
 {
@@ -2231,10 +2274,10 @@
   "Sp__JobdSettings",
   "sp",
   sizeof(Sp__JobdSettings),
-  26,
+  27,
   sp__jobd_settings__field_descriptors,
   sp__jobd_settings__field_indices_by_name,
-  3,  sp__jobd_settings__number_ranges,
+  4,  sp__jobd_settings__number_ranges,
   (ProtobufCMessageInit) sp__jobd_settings__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/protocols/settings.pb-c.h
+++ b/protocols/settings.pb-c.h
@@ -133,6 +133,13 @@
    */
   protobuf_c_boolean has_seed;
   uint32_t seed;
+  /*
+   * Memory that this process may use. A quarter of it is for bodies of callers and responses to them,
+   * three eighths are for their connections.
+   * range 32..1048576 MB
+   */
+  protobuf_c_boolean has_memory_mb;
+  uint32_t memory_mb;
 };
 extern char sp__entryd_settings__name__default_value[];
 extern char sp__entryd_settings__data_centre__default_value[];
@@ -145,7 +152,7 @@
 extern char sp__entryd_settings__log_level__default_value[];
 #define SP__ENTRYD_SETTINGS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sp__entryd_settings__descriptor) \
-    , sp__entryd_settings__name__default_value, sp__entryd_settings__data_centre__default_value, sp__entryd_settings__listen_address__default_value, 0, 8080u, 0, 8081u, 0, 8082u, sp__entryd_settings__peers__default_value, sp__entryd_settings__fleetds__default_value, 0, 1048576u, 0, 1024u, 0, 4096u, 0, 2000u, 0, 300u, 0, 5000u, sp__entryd_settings__peer_secret_key__default_value, sp__entryd_settings__peer_public_key__default_value, sp__entryd_settings__slot_policy__default_value, sp__entryd_settings__log_level__default_value, 0, 0u }
+    , sp__entryd_settings__name__default_value, sp__entryd_settings__data_centre__default_value, sp__entryd_settings__listen_address__default_value, 0, 8080u, 0, 8081u, 0, 8082u, sp__entryd_settings__peers__default_value, sp__entryd_settings__fleetds__default_value, 0, 1048576u, 0, 1024u, 0, 4096u, 0, 2000u, 0, 300u, 0, 5000u, sp__entryd_settings__peer_secret_key__default_value, sp__entryd_settings__peer_public_key__default_value, sp__entryd_settings__slot_policy__default_value, sp__entryd_settings__log_level__default_value, 0, 0u, 0, 260u }
 
 
 struct  Sp__FleetdSettings
@@ -292,6 +299,13 @@
    */
   protobuf_c_boolean has_task_lease_ms;
   uint32_t task_lease_ms;
+  /*
+   * Memory that this process may use. A quarter of it is for bodies of operators and responses to them,
+   * three eighths are for their connections.
+   * range 64..1048576 MB
+   */
+  protobuf_c_boolean has_memory_mb;
+  uint32_t memory_mb;
 };
 extern char sp__fleetd_settings__name__default_value[];
 extern char sp__fleetd_settings__data_centre__default_value[];
@@ -303,7 +317,7 @@
 extern char sp__fleetd_settings__feed_public_key__default_value[];
 #define SP__FLEETD_SETTINGS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sp__fleetd_settings__descriptor) \
-    , sp__fleetd_settings__name__default_value, sp__fleetd_settings__data_centre__default_value, sp__fleetd_settings__listen_address__default_value, 0, 8090u, 0, 8091u, 0, 8092u, sp__fleetd_settings__peers__default_value, sp__fleetd_settings__platform__default_value, 0, 2000u, 0, 15u, 0, 500u, 0, 5000u, 0, 2000u, 0, 65536u, sp__fleetd_settings__log_level__default_value, 0, 0u, 0, 3000u, 0, 8000u, 0, 5000u, 0, 5000u, 0, 1000u, 0, 1000u, sp__fleetd_settings__feed_secret_key__default_value, sp__fleetd_settings__feed_public_key__default_value, 0, 500u, 0, 30000u }
+    , sp__fleetd_settings__name__default_value, sp__fleetd_settings__data_centre__default_value, sp__fleetd_settings__listen_address__default_value, 0, 8090u, 0, 8091u, 0, 8092u, sp__fleetd_settings__peers__default_value, sp__fleetd_settings__platform__default_value, 0, 2000u, 0, 15u, 0, 500u, 0, 5000u, 0, 2000u, 0, 65536u, sp__fleetd_settings__log_level__default_value, 0, 0u, 0, 3000u, 0, 8000u, 0, 5000u, 0, 5000u, 0, 1000u, 0, 1000u, sp__fleetd_settings__feed_secret_key__default_value, sp__fleetd_settings__feed_public_key__default_value, 0, 500u, 0, 30000u, 0, 260u }
 
 
 struct  Sp__CliSettings
@@ -758,6 +772,13 @@
    */
   protobuf_c_boolean has_locality_wait_max_ms;
   uint32_t locality_wait_max_ms;
+  /*
+   * Memory that this process may use. A quarter of it is for bodies, records and responses of
+   * callers, three eighths are for their connections.
+   * range 32..1048576 MB
+   */
+  protobuf_c_boolean has_memory_mb;
+  uint32_t memory_mb;
 };
 extern char sp__jobd_settings__name__default_value[];
 extern char sp__jobd_settings__frontend__default_value[];
@@ -768,7 +789,7 @@
 extern char sp__jobd_settings__relay__default_value[];
 #define SP__JOBD_SETTINGS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sp__jobd_settings__descriptor) \
-    , sp__jobd_settings__name__default_value, sp__jobd_settings__frontend__default_value, sp__jobd_settings__readiness__default_value, sp__jobd_settings__store__default_value, sp__jobd_settings__machines__default_value, 0, 3500u, 0, 1300u, 0, 6000u, 0, 2000u, 0, 262144u, 0, 400u, 0, 120000u, sp__jobd_settings__log_level__default_value, 0, 0u, 0, 1, 0, 1u, sp__jobd_settings__relay__default_value, 0, 100u, 0, 0u, 0, 0u, 0, 5000u, 0, 0u, 0, 0u, 0, 0u, 0, 1, 0, 1000u }
+    , sp__jobd_settings__name__default_value, sp__jobd_settings__frontend__default_value, sp__jobd_settings__readiness__default_value, sp__jobd_settings__store__default_value, sp__jobd_settings__machines__default_value, 0, 3500u, 0, 1300u, 0, 6000u, 0, 2000u, 0, 262144u, 0, 400u, 0, 120000u, sp__jobd_settings__log_level__default_value, 0, 0u, 0, 1, 0, 1u, sp__jobd_settings__relay__default_value, 0, 100u, 0, 0u, 0, 0u, 0, 5000u, 0, 0u, 0, 0u, 0, 0u, 0, 1, 0, 1000u, 0, 260u }
 
 
 struct  Sp__ClusterSettings
--- a/protocols/settings_table.c
+++ b/protocols/settings_table.c
@@ -22,6 +22,7 @@
   { "slot_policy", "Policy by which entry hosts share the slots of workers: lend, own-count, fixed-share or random.", "", 0u, 0u },
   { "log_level", "Minimum level of the messages that are logged: debug, info, warning or error.", "", 0u, 0u },
   { "seed", "Seed of the random number generator; 0 draws one from the system.", "seed", 0u, 4294967295u },
+  { "memory_mb", "Memory that this process may use. A quarter of it is for bodies of callers and responses to them, three eighths are for their connections.", "MB", 32u, 1048576u },
 };
 
 const struct settings_schema entryd_schema = {
@@ -57,6 +58,7 @@
   { "feed_public_key", "Public key of the feeds, 40 characters in Z85 encoding.", "", 0u, 0u },
   { "task_period_ms", "Interval between scheduling passes over the batch tasks.", "ms", 10u, 60000u },
   { "task_lease_ms", "Duration of a batch task's lease.", "ms", 500u, 3600000u },
+  { "memory_mb", "Memory that this process may use. A quarter of it is for bodies of operators and responses to them, three eighths are for their connections.", "MB", 64u, 1048576u },
 };
 
 const struct settings_schema fleetd_schema = {
@@ -182,6 +184,7 @@
   { "load_admission", "Whether jobs that can't be served in time are refused (1).", "flag", 0u, 1u },
   { "far_factor", "Factor by which a task takes longer away from the rack of its data or its gang; 1 if placement makes no difference, so that no task waits for a rack.", "factor", 1u, 1000u },
   { "locality_wait_max_ms", "Longest time that a task waits for free capacity on its rack; 0 if it never waits.", "ms", 0u, 60000u },
+  { "memory_mb", "Memory that this process may use. A quarter of it is for bodies, records and responses of callers, three eighths are for their connections.", "MB", 32u, 1048576u },
 };
 
 const struct settings_schema jobd_schema = {
--- a/tests/crowds/job_crowds.c
+++ b/tests/crowds/job_crowds.c
@@ -18,7 +18,7 @@
 void
 job_crowds_start (struct job_crowds *crowds, unsigned port_block)
 {
-  static const char *const flags[] = { "--caller-connection-limit=500", NULL };
+  static const char *const flags[] = { "--caller-connection-limit=500", MACHINE_MEMORY_FLAG, NULL };
   int leader;
 
   G_STATIC_ASSERT (MACHINE_CALLER_CONNECTIONS == 500);
--- a/tests/crowds/machine.h
+++ b/tests/crowds/machine.h
@@ -13,6 +13,9 @@
   MACHINE_CALLER_CONNECTIONS = 2000 / 4,
 };
 
+/* The setting by which a process knows its memory. */
+#define MACHINE_MEMORY_FLAG "--memory-mb=65"
+
 /* Checks that a process has stayed within the machine's memory and descriptors. */
 void machine_check_usage (const struct crowd_usage *usage);
 
--- a/tests/crowds/test_crowd_entry.c
+++ b/tests/crowds/test_crowd_entry.c
@@ -22,7 +22,7 @@
 #define HEADERS "Host: entry\r\n"
 #define REQUEST "GET /seats/book HTTP/1.1\r\n" HEADERS "\r\n"
 
-static const char *const flags[] = { "--caller-connection-limit=500", NULL };
+static const char *const flags[] = { "--caller-connection-limit=500", MACHINE_MEMORY_FLAG, NULL };
 
 static const struct path_config config = {
   .block = 105,
--- a/tests/crowds/test_crowd_operators.c
+++ b/tests/crowds/test_crowd_operators.c
@@ -41,12 +41,15 @@
 static void
 play (struct crowd_config config)
 {
+  static const char *const flags[] = { MACHINE_MEMORY_FLAG, NULL };
   struct cluster cluster;
   struct crowd *crowd;
   struct crowd_usage usage;
 
-  cluster_init (&cluster, &(struct cluster_config){
-                              .block = PORT_BLOCK, .n_fleetds = 2, .n_seats = 2, .n_tools = 1 });
+  cluster_init (
+      &cluster,
+      &(struct cluster_config){
+          .block = PORT_BLOCK, .n_fleetds = 2, .n_seats = 2, .n_tools = 1, .fleetd_args = flags });
   config.port = cluster_operator_port (&cluster, 0);
   crowd = crowd_create (&config, cluster.fleetds[0]->pid);
   crowd_settle (crowd);
