http_server: a connection is closed for each one beyond the limit

Callers, operators and the platform's readiness check saw no answer for as long as clients stayed that send nothing, or a head without its end.

Cause: from connection_limit on the server accepts nothing, whoever has the connections.

Change: beyond the limit one connection is closed for each that comes: the longest idle one (a second or more), else the one whose request has been incomplete for the longest time, never one whose complete request waits for its answer. libmicrohttpd may accept 64 more while others are being closed. A server has no more connections than fit into three eighths of memory_mb and half of its descriptors, the rest is for the program and its own calls. A stop takes no more than the backlog from a crowd that goes on connecting.

--- a/common/http_server.c
+++ b/common/http_server.c
@@ -10,6 +10,7 @@
 #include <string.h>
 #include <sys/epoll.h>
 #include <sys/queue.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -25,6 +26,8 @@
   CONNECTION_MEMORY_BYTES = 24 * 1024,
   RECEIVE_BUFFER_BYTES = 16 * 1024,
   CONNECTION_IDLE_S = 60,
+  /* Connections beyond the limit that libmicrohttpd accepts while others are being closed. */
+  CLOSING_CONNECTIONS_MAX = 64,
   LISTEN_BACKLOG = 1024,
   HANGUP_EVENTS_MAX = 64,
   MS_PER_S = 1000,
@@ -217,6 +220,17 @@
   server_schedule_run (server);
 }
 
+/* Closes connections until no more than the limit are open, if they may be closed. */
+static void
+server_close_excess (struct http_server *server, const struct client *newcomer)
+{
+  enum client_refusal reason;
+  struct client *client;
+
+  while ((client = client_limits_next_excess (&server->limits, newcomer, &reason)))
+    server_close_client (server, client, reason);
+}
+
 /* Logs how many clients have been refused or closed since the last time. */
 static void
 server_log_refusals (struct http_server *server)
@@ -253,6 +267,7 @@
   while ((client = client_limits_next_late (&server->limits, &reason)))
     server_close_client (server, client, reason);
   client_limits_end_look (&server->limits);
+  server_close_excess (server, NULL);
   server_log_refusals (server);
   if (server->connections > 0)
     loop_timer_arm (loop, watcher, LOOK_INTERVAL_MS);
@@ -305,6 +320,7 @@
   server->connections++;
   server_update_time (server);
   client_open (&server->limits, &connection->client);
+  server_close_excess (server, &connection->client);
   if (!ev_is_active (&server->look))
     loop_timer_arm (server->loop, &server->look, LOOK_INTERVAL_MS);
 }
@@ -671,11 +687,11 @@
       MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ERROR_LOG, config->port, NULL, NULL,
       server_on_request, server, MHD_OPTION_EXTERNAL_LOGGER, server_on_log, server,
       MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_LISTEN_SOCKET, fd, MHD_OPTION_CONNECTION_LIMIT,
-      config->connection_limit, MHD_OPTION_CONNECTION_TIMEOUT, (unsigned) CONNECTION_IDLE_S,
-      MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t) CONNECTION_MEMORY_BYTES,
-      MHD_OPTION_URI_LOG_CALLBACK, server_on_request_line, server, MHD_OPTION_NOTIFY_COMPLETED,
-      server_on_completed, server, MHD_OPTION_NOTIFY_CONNECTION, server_on_connection, server,
-      MHD_OPTION_END);
+      config->connection_limit + CLOSING_CONNECTIONS_MAX, MHD_OPTION_CONNECTION_TIMEOUT,
+      (unsigned) CONNECTION_IDLE_S, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+      (size_t) CONNECTION_MEMORY_BYTES, MHD_OPTION_URI_LOG_CALLBACK, server_on_request_line, server,
+      MHD_OPTION_NOTIFY_COMPLETED, server_on_completed, server, MHD_OPTION_NOTIFY_CONNECTION,
+      server_on_connection, server, MHD_OPTION_END);
 }
 
 /* Starts a server. Returns NULL if the address cannot be bound. */
@@ -741,11 +757,18 @@
   listening = MHD_quiesce_daemon (server->daemon);
   if (listening == MHD_INVALID_SOCKET)
     return;
-  while ((fd = accept4 (listening, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0)
+  /* No more than the backlog holds: a crowd may go on connecting. */
+  for (int i = 0; i < LISTEN_BACKLOG; i++)
     {
       struct sockaddr_in peer;
       socklen_t len = sizeof peer;
 
+      fd = accept4 (listening, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+      if (fd < 0)
+        break;
+      /* Connections that are being closed make room only when the server runs. */
+      if (server->connections >= server->config.connection_limit + CLOSING_CONNECTIONS_MAX)
+        MHD_run (server->daemon);
       /* libmicrohttpd closes the socket, also if it doesn't add it. */
       if (getpeername (fd, (struct sockaddr *) &peer, &len) == 0)
         MHD_add_connection (server->daemon, fd, (struct sockaddr *) &peer, len);
@@ -797,6 +820,22 @@
   return server->connections;
 }
 
+unsigned
+http_server_connection_limit (unsigned wanted, uint32_t memory_mb)
+{
+  struct rlimit descriptors = { .rlim_cur = RLIM_INFINITY };
+  unsigned limit;
+
+  getrlimit (RLIMIT_NOFILE, &descriptors);
+  limit = client_connection_limit (wanted, memory_mb, descriptors.rlim_cur);
+  if (limit < wanted)
+    log_warning ("http",
+                 "fewer connections than configured, for want of memory or descriptors: "
+                 "connections=%u configured=%u memory_mb=%" PRIu32 " descriptors=%" PRIu64,
+                 limit, wanted, memory_mb, (uint64_t) descriptors.rlim_cur);
+  return limit;
+}
+
 void
 http_server_print_metrics (GString *text, const char *prefix,
                            const struct http_server_metrics *servers, size_t n,
--- a/entryd/caller.c
+++ b/entryd/caller.c
@@ -160,7 +160,8 @@
     .address = settings->listen_address,
     .port = (uint16_t) settings->caller_port,
     .body_limit = settings->body_limit_bytes,
-    .connection_limit = settings->caller_connection_limit,
+    .connection_limit =
+        http_server_connection_limit (settings->caller_connection_limit, settings->memory_mb),
     .memory = &entry->memory,
     .handle = caller_handle,
     .caller_disconnected = caller_disconnected,
--- a/fleetd/operators.c
+++ b/fleetd/operators.c
@@ -209,7 +209,7 @@
     .address = fleetd->settings->listen_address,
     .port = (uint16_t) fleetd->settings->operator_port,
     .body_limit = BODY_LIMIT_BYTES,
-    .connection_limit = MAX_CONNECTIONS,
+    .connection_limit = http_server_connection_limit (MAX_CONNECTIONS, fleetd->settings->memory_mb),
     .memory = &fleetd->memory,
     .handle = operators_handle,
     .caller_disconnected = operators_disconnected,
--- a/include/common/http_server.h
+++ b/include/common/http_server.h
@@ -36,6 +36,7 @@
   uint16_t port;
   /* Largest request body in bytes. */
   size_t body_limit;
+  /* When more connections are open, one is closed (client_limits_next_excess). */
   unsigned connection_limit;
   /* Memory of bodies and responses, shared by the process; NULL for no bound. */
   struct memory_budget *memory;
@@ -69,6 +70,10 @@
 unsigned http_server_open_requests (const struct http_server *server);
 /* Returns the number of open connections. */
 unsigned http_server_connections (const struct http_server *server);
+/* Returns the number of connections that a server of a process may have: as many as wanted, within
+ * its memory and its limit of descriptors. Logs if these are fewer. */
+unsigned http_server_connection_limit (unsigned wanted, uint32_t memory_mb);
+
 /* A server in the metrics, and the value of its label "port". */
 struct http_server_metrics
 {
--- a/jobd/ingress.c
+++ b/jobd/ingress.c
@@ -1001,7 +1001,8 @@
   struct http_server_config config = {
     .address = ip,
     .body_limit = jobd->settings->body_limit_bytes,
-    .connection_limit = jobd->settings->caller_connection_limit,
+    .connection_limit = http_server_connection_limit (jobd->settings->caller_connection_limit,
+                                                      jobd->settings->memory_mb),
     .memory = &jobd->memory,
     .handle = ingress_on_request,
     .caller_disconnected = ingress_on_gone,
