http_server: the work of one iteration of the loop is bounded

The same loop renews the lease, sends heartbeats and answers readiness.

Cause: libmicrohttpd reads each ready connection and calls the handler for each complete request before it returns to the loop.

Change: turn_queue gives each iteration 256 KB of small and 256 KB of large work (over 16 KB), or one large request; the rest waits, suspended and unread, in the order in which it came. Work is counted in bytes, so the bound does not depend on the machine. Each part of a body counts 64 bytes more, so that one byte a chunk is not free. A request that has waited until its deadline gets 503 without being decoded; 504 where an earlier one for the job may be stored.

--- a/common/http_server.c
+++ b/common/http_server.c
@@ -18,6 +18,7 @@
 #include "common/clock.h"
 #include "common/log.h"
 #include "common/loop_timer.h"
+#include "common/turn_queue.h"
 
 enum
 {
@@ -32,6 +33,11 @@
   HANGUP_EVENTS_MAX = 64,
   MS_PER_S = 1000,
   LOOK_INTERVAL_MS = 1000,
+  /* Work of one iteration of the loop, in bytes that are read and in bytes that are handled, and
+   * what each part and each request counts beside its bytes. */
+  ITERATION_WORK_BYTES = 256 * 1024,
+  PART_WORK_BYTES = 64,
+  REQUEST_WORK_BYTES = 1024,
   BODY_BYTES_MIN = 1024,
   RETRY_AFTER_S = 1,
 };
@@ -42,6 +48,8 @@
 {
   /* The request is being received. */
   REQUEST_READING,
+  /* It is complete and waits for its turn to be handled. */
+  REQUEST_COMPLETE,
   /* The handler is working on it. */
   REQUEST_HANDLING,
   /* The response is ready to be sent. */
@@ -80,6 +88,9 @@
   /* Runs while connections are open. */
   ev_timer look;
   uint64_t counts_logged[N_CLIENT_REFUSALS];
+  /* Parts of bodies and complete requests that wait for a later iteration. */
+  struct turn_queue turns;
+  ev_timer turn;
   /* Time of an iteration of the loop. */
   struct clock clock;
   unsigned clock_iteration;
@@ -107,6 +118,11 @@
   enum request_state state;
   bool counted;
   bool suspended;
+  /* Waits for its turn to be read on or to be handled, and whether its turn has come. */
+  struct turn turn;
+  bool has_turn;
+  /* Work that its parts have been so far. */
+  size_t work;
   enum discard_reason discard;
   size_t n_discarded;
   char *path;
@@ -116,6 +132,7 @@
   size_t body_capacity;
   /* As the head says; 0 if it doesn't. */
   size_t expected_len;
+  int64_t complete_ms;
   struct MHD_Response *response;
   int status;
   void *data;
@@ -186,17 +203,19 @@
   server_schedule_run (request->server);
 }
 
-/* Abandons a request whose caller has disconnected: notifies the handler and closes the connection
- * in the next run. */
+/* Abandons a request whose caller has disconnected: notifies the handler if it has the request, and
+ * closes the connection in the next run. */
 static void
 request_abandon (struct http_request *request)
 {
   struct http_server *server = request->server;
+  bool handling = request->state == REQUEST_HANDLING;
 
-  if (request->state != REQUEST_HANDLING)
+  if (!handling && request->state != REQUEST_COMPLETE)
     return;
   request->state = REQUEST_ABANDONED;
-  if (server->config.caller_disconnected)
+  turn_queue_remove (&server->turns, &request->turn);
+  if (handling && server->config.caller_disconnected)
     server->config.caller_disconnected (server->config.ctx, request);
   request_resume (request);
 }
@@ -217,6 +236,11 @@
   client_close (&server->limits, client, reason);
   connection->hung_up = true;
   shutdown (connection->fd, SHUT_RDWR);
+  if (connection->request)
+    {
+      turn_queue_remove (&server->turns, &connection->request->turn);
+      request_resume (connection->request);
+    }
   server_schedule_run (server);
 }
 
@@ -273,6 +297,50 @@
     loop_timer_arm (loop, watcher, LOOK_INTERVAL_MS);
 }
 
+/* Returns whether a request may do work of a cost now. Otherwise suspends it until its turn; it is
+ * called again then. */
+static bool
+request_take_turn (struct http_request *request, size_t cost)
+{
+  struct http_server *server = request->server;
+  enum turn_size size = request->work + cost > MEMORY_SMALL_BYTES ? TURN_LARGE : TURN_SMALL;
+
+  if (request->has_turn ||
+      turn_queue_take (&server->turns, ev_iteration (server->loop), cost, size))
+    {
+      request->has_turn = false;
+      request->work += cost;
+      return true;
+    }
+  turn_queue_wait (&server->turns, &request->turn, cost, size);
+  request->suspended = true;
+  LIST_INSERT_HEAD (&server->suspended, request, link);
+  MHD_suspend_connection (request->mhd);
+  if (!ev_is_active (&server->turn))
+    loop_timer_arm (server->loop, &server->turn, 0);
+  return false;
+}
+
+/* Lets waiting requests do the work of this iteration. */
+static void
+server_on_turn (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  struct http_server *server = watcher->data;
+  struct turn *turn;
+
+  (void) events;
+  while ((turn = turn_queue_next (&server->turns, ev_iteration (loop))))
+    {
+      struct http_request *request =
+          (struct http_request *) ((char *) turn - G_STRUCT_OFFSET (struct http_request, turn));
+
+      request->has_turn = true;
+      request_resume (request);
+    }
+  if (!turn_queue_is_empty (&server->turns))
+    loop_timer_arm (loop, watcher, 0);
+}
+
 /* Handles hang-ups of callers. */
 static void
 server_on_hangup (struct ev_loop *loop, ev_io *watcher, int events)
@@ -357,6 +425,7 @@
   if (!request)
     return;
   request_abandon (request);
+  turn_queue_remove (&server->turns, &request->turn);
   request->connection->request = NULL;
   client_end_response (&server->limits, &request->connection->client);
   if (request->counted)
@@ -369,16 +438,33 @@
   *request_context = NULL;
 }
 
-/* Passes a complete request to the handler and suspends it unless the handler responded at once. */
-static enum MHD_Result
-request_pass_to_handler (struct http_request *request)
+/* Notes that a request is complete. */
+static void
+request_complete (struct http_request *request)
 {
   struct http_server *server = request->server;
 
   server_update_time (server);
   client_complete_request (&server->limits, &request->connection->client);
+  request->complete_ms = server->clock.now_ms;
+  request->state = REQUEST_COMPLETE;
   request->counted = true;
+  /* Its handling is work of its own. */
+  request->work = 0;
   server->open_requests++;
+}
+
+/* Passes a complete request to the handler when its turn has come, and suspends it unless the
+ * handler responded at once. */
+static enum MHD_Result
+request_pass_to_handler (struct http_request *request)
+{
+  struct http_server *server = request->server;
+
+  if (request->state == REQUEST_READING)
+    request_complete (request);
+  if (!request_take_turn (request, request->body_len + REQUEST_WORK_BYTES))
+    return MHD_YES;
   request->state = REQUEST_HANDLING;
   server->config.handle (server->config.ctx, request);
   if (request->state == REQUEST_ABANDONED)
@@ -507,6 +593,8 @@
 {
   struct http_server *server = request->server;
 
+  if (!request_take_turn (request, *len + PART_WORK_BYTES))
+    return MHD_YES;
   server_update_time (server);
   if (request->discard == DISCARD_NONE)
     request_add_part (request, part, *len);
@@ -707,6 +795,7 @@
   memory_budget_init (&server->unlimited_memory, G_MAXSIZE / 2);
   client_limits_init (&server->limits, config->memory ? config->memory : &server->unlimited_memory,
                       config->connection_limit);
+  turn_queue_init (&server->turns, ITERATION_WORK_BYTES);
   if (!memory_budget_fits (server->limits.budget, config->body_limit))
     log_warning ("http",
                  "bodies within the limit don't fit into the memory for clients: port=%u "
@@ -726,7 +815,9 @@
   ev_io_init (&server->hangup, server_on_hangup, server->hangup_fd, EV_READ);
   ev_timer_init (&server->timeout, server_on_timeout, 0.0, 0.0);
   ev_timer_init (&server->look, server_on_look, 0.0, 0.0);
+  ev_timer_init (&server->turn, server_on_turn, 0.0, 0.0);
   server->look.data = server;
+  server->turn.data = server;
   server->ready.data = server;
   server->hangup.data = server;
   server->timeout.data = server;
@@ -792,6 +883,7 @@
       struct http_request *next = LIST_NEXT (request, link);
 
       request->state = REQUEST_ABANDONED;
+      turn_queue_remove (&server->turns, &request->turn);
       request_resume (request);
       request = next;
     }
@@ -799,6 +891,7 @@
   ev_io_stop (server->loop, &server->ready);
   ev_io_stop (server->loop, &server->hangup);
   ev_timer_stop (server->loop, &server->timeout);
+  ev_timer_stop (server->loop, &server->turn);
   MHD_stop_daemon (server->daemon);
   ev_timer_stop (server->loop, &server->look);
   close (server->hangup_fd);
@@ -934,6 +1027,12 @@
   request->body_capacity = 0;
 }
 
+int64_t
+http_request_complete_ms (const struct http_request *request)
+{
+  return request->complete_ms;
+}
+
 /* Attaches a pointer of the handler to the request. */
 void
 http_request_set_data (struct http_request *request, void *data)
--- a/entryd/caller.c
+++ b/entryd/caller.c
@@ -71,7 +71,8 @@
   http_request_set_data (request, exchange_find (entry, spec.id));
   spec.idempotent = options.idempotent;
   spec.key = options.key;
-  spec.deadline_ms = options.timeout_ms > 0 ? now_ms + options.timeout_ms : 0;
+  spec.deadline_ms =
+      options.timeout_ms > 0 ? http_request_complete_ms (request) + options.timeout_ms : 0;
   dispatch_request (entry->dispatch, &spec, now_ms);
 }
 
--- a/include/common/http_server.h
+++ b/include/common/http_server.h
@@ -11,7 +11,8 @@
 
 /* HTTP server on a libev loop, based on libmicrohttpd. The handler gets each request once it has
  * arrived completely, and responds to it at once or later with http_request_respond. Clients that
- * take too much or too long are refused or closed (common/client_limits.h). */
+ * take too much or too long are refused or closed (common/client_limits.h), and what one iteration
+ * of the loop reads and handles is bounded (common/turn_queue.h). */
 struct http_server;
 struct http_request;
 
@@ -102,6 +103,9 @@
 const void *http_request_body (const struct http_request *request, size_t *len);
 /* Frees the body of a request that needs it no more. */
 void http_request_release_body (struct http_request *request);
+/* Returns when the request was complete, in the time of struct clock: it may have waited for its
+ * turn since. */
+int64_t http_request_complete_ms (const struct http_request *request);
 /* Attach a pointer of the handler to the request. */
 void http_request_set_data (struct http_request *request, void *data);
 void *http_request_data (const struct http_request *request);
--- a/jobd/ingress.c
+++ b/jobd/ingress.c
@@ -867,12 +867,18 @@
   answer_not_run (ingress, request, id, reason);
 }
 
+/* Handles a request whose turn has come. */
 static void
 ingress_on_request (void *ctx, struct http_request *request)
 {
   struct ingress *ingress = ctx;
+  int64_t arrived_ms = http_request_complete_ms (request);
 
-  ingress_dispatch (ingress, request, jobd_now_ms (ingress->jobd), false);
+  http_request_set_data (request, NULL);
+  if (jobd_now_ms (ingress->jobd) - arrived_ms >= request_wait_ms (request))
+    ingress_refuse (ingress, request, "too many requests came before it");
+  else
+    ingress_dispatch (ingress, request, arrived_ms, false);
 }
 
 /* Refuses a request whose body does not fit into the memory for clients. */
