jobd: records on their way count as memory for clients

Callers saw: the process ended by memory while the store was slow, by whole requests inside all limits.

Cause: once a job is decoded its body is given back, but its record is kept up to four times until its fate is known (by the request, the sender of records, the writer and the call, or the queue to the leader), also if the caller has left, and the leader keeps the records of all other hosts.

Change: a record takes its copies from the process's budget until its fate is known; one that doesn't fit is refused with 503 (504 where an earlier request may be stored). A leader leaves another host's record alone if it doesn't fit: that host appends it itself when it hears nothing of it, as before.

--- a/jobd/command_sender.c
+++ b/jobd/command_sender.c
@@ -20,6 +20,8 @@
   /* A relay that has not responded for this long is removed from the journal. Its host announces
    * itself again if it is there. */
   RELAY_FORGET_MS = 60000,
+  /* A record of another host is kept by the writer, in the call and in the call's buffer. */
+  HANDED_RECORD_COPIES = 3,
 };
 
 /* A command whose result is not known yet. */
@@ -69,6 +71,8 @@
   /* The process that handed it over, and its number there. */
   uint64_t incarnation;
   uint64_t number;
+  /* What it has of the memory for clients. */
+  size_t memory;
 };
 
 struct command_sender
@@ -166,6 +170,14 @@
     report_destroy (report);
 }
 
+static void
+appending_record_destroy (struct appending_record *record)
+{
+  memory_budget_force (&record->sender->jobd->memory, &record->memory, 0);
+  TAILQ_REMOVE (&record->sender->handed, record, entry);
+  g_free (record);
+}
+
 /* Handles the result of an append for another host. Without a response that host appends the record
  * itself. */
 static void
@@ -178,17 +190,28 @@
                                 outcome->offset);
   if (record->link)
     record->link->n_appending--;
-  TAILQ_REMOVE (&record->sender->handed, record, entry);
-  g_free (record);
+  appending_record_destroy (record);
 }
 
-/* Appends a record that another host has handed over. */
+/* Appends a record that another host has handed over. If there is no memory for it, does nothing:
+ * that host appends it itself when it hears nothing of it. */
 static void
 relay_link_append (struct relay_link *link, const Sp__HandedRecord *message)
 {
   struct command_sender *sender = link->sender;
-  struct appending_record *record = g_new0 (struct appending_record, 1);
+  struct appending_record *record;
+  size_t memory = 0;
 
+  if (!memory_budget_resize (&sender->jobd->memory, &memory,
+                             message->value.len * HANDED_RECORD_COPIES))
+    {
+      log_info ("relay",
+                "record of another host not taken, too many wait: relay=%s key=%s bytes=%zu",
+                link->relay->name, message->key, message->value.len);
+      return;
+    }
+  record = g_new0 (struct appending_record, 1);
+  record->memory = memory;
   record->sender = sender;
   record->link = link;
   record->incarnation = message->incarnation;
@@ -365,12 +388,7 @@
     command_sender_remove_relay (sender, TAILQ_FIRST (&sender->relays.relays));
   relay_set_finish (&sender->relays);
   while (!TAILQ_EMPTY (&sender->handed))
-    {
-      struct appending_record *record = TAILQ_FIRST (&sender->handed);
-
-      TAILQ_REMOVE (&sender->handed, record, entry);
-      g_free (record);
-    }
+    appending_record_destroy (TAILQ_FIRST (&sender->handed));
   g_hash_table_destroy (sender->commands);
   g_free (sender);
 }
--- a/jobd/ingress.c
+++ b/jobd/ingress.c
@@ -21,6 +21,9 @@
   /* Subtracted from the caller's deadline, so that the response arrives before it. */
   DEADLINE_MARGIN_MS = 100,
   RETRY_AFTER_S = 1,
+  /* A record is kept here, by the sender of records, and by the writer or the queue to the leader.
+   */
+  RECORD_COPIES = 4,
 };
 
 /* Why calls are refused because of their key. */
@@ -90,6 +93,8 @@
   /* Key and value of the appended record. */
   char *key;
   GBytes *value;
+  /* What the record has of the memory for clients. */
+  size_t memory;
   int64_t deadline_ms;
   int64_t created_ms;
   bool appended;
@@ -146,6 +151,7 @@
 pending_request_destroy (struct pending_request *pending)
 {
   LIST_REMOVE (pending, link);
+  memory_budget_force (&pending->ingress->jobd->memory, &pending->memory, 0);
   if (pending->request)
     http_request_set_data (pending->request, NULL);
   g_free (pending->id);
@@ -345,7 +351,8 @@
     answer_unavailable (request, text);
 }
 
-/* Appends a record to the journal for a pending request. */
+/* Appends a record to the journal for a pending request. Refuses and frees the request if there is
+ * no memory for the record. */
 static void
 pending_request_append (struct pending_request *pending, const Sp__JobRecord *record)
 {
@@ -356,6 +363,16 @@
   pending->key = job_record_key (record);
   pending->value = job_record_pack (record);
   value = g_bytes_get_data (pending->value, &len);
+  if (!memory_budget_resize (&ingress->jobd->memory, &pending->memory, len * RECORD_COPIES))
+    {
+      log_info ("ingress", "request refused, too many records wait: job=%s bytes=%zu", pending->id,
+                len);
+      ingress->refused.value++;
+      answer_not_run (ingress, pending_request_detach (pending), pending->id,
+                      "too much waits for the store");
+      pending_request_destroy (pending);
+      return;
+    }
   pending->appended = true;
   job_admission_on_append (ingress->jobd->admission, pending->id);
   record_sender_append (ingress->jobd->records, pending->key, value, len, pending_request_on_append,
--- a/tests/crowds/test_crowd_whole.c
+++ b/tests/crowds/test_crowd_whole.c
@@ -12,6 +12,9 @@
   BODY_BYTES = 256000,
   CHUNK_BYTES = 16 * 1024,
   PIPELINED_BYTES = 256000,
+  STEPS = 250,
+  /* Of a step's text beside its image. */
+  STEP_TEXT_BYTES = 50,
 };
 
 #define CHUNKED_HEADERS                                                                            \
@@ -38,12 +41,27 @@
   return body;
 }
 
-/* Guards against a crowd that stays inside all limits: requests keep their bodies while the store
- * doesn't respond. */
+/* Returns the body of a job whose record is large too, in chunks. */
+static GByteArray *
+large_job (void)
+{
+  g_autofree char *name = g_strnfill (BODY_BYTES / STEPS - STEP_TEXT_BYTES, 'x');
+  g_autoptr (GString) text = g_string_new ("{\"spec\":\"s\",\"steps\":[");
+  GByteArray *body;
+
+  for (unsigned i = 0; i < STEPS; i++)
+    g_string_append_printf (text, "%s{\"count\":1,\"cpu\":100,\"mem_mb\":10,\"image\":\"%s\"}",
+                            i > 0 ? "," : "", name);
+  g_string_append (text, "]}");
+  body = crowd_chunks (text->str, text->len, CHUNK_BYTES);
+  g_byte_array_append (body, (const guint8 *) "0\r\n\r\n", 5);
+  return body;
+}
+
+/* Plays whole requests with a body while the store doesn't respond. */
 static void
-test_store_silent (void)
+play_store_silent (const GByteArray *body)
 {
-  g_autoptr (GByteArray) body = wide_job ();
   struct job_crowds crowds;
   struct crowd *crowd;
 
@@ -60,7 +78,26 @@
   job_crowds_stop (&crowds);
 }
 
-/* The same while the store is up: parsing them must not keep ordinary requests from their turn. */
+/* Guards against a crowd that stays inside all limits: requests keep their bodies while the store
+ * doesn't respond. */
+static void
+test_store_silent (void)
+{
+  g_autoptr (GByteArray) body = wide_job ();
+
+  play_store_silent (body);
+}
+
+/* Guards against records that nothing adds up on their way to the store. */
+static void
+test_large_records (void)
+{
+  g_autoptr (GByteArray) body = large_job ();
+
+  play_store_silent (body);
+}
+
+/* Whole requests while the store is up: parsing them must not keep ordinary requests from their turn. */
 static void
 test_store_up (void)
 {
@@ -100,6 +137,7 @@
 
 static const struct suite_test tests[] = {
   { "store silent", test_store_silent },
+  { "large records", test_large_records },
   { "store up", test_store_up },
   { "pipelined", test_pipelined },
 };
