entryd: responses that are being received count as memory for clients

Related path of the same cause, found by reading: each response of an endpoint is kept whole while it arrives, up to 1 MiB for each request that runs, and nothing adds up; callers decide how many run.

Change: http_client_set_memory. A response that doesn't fit is not read on until there is room, with 64 KB unread in the kernel at most; the one that began first goes on, so that each arrives. Nothing is refused, as the requests have run.

Evidence: http_crowd, "responses": 20 responses of 4 MB at once stay within half of a budget of 16 MB and one response, and all arrive whole. The function is new, so the test can't run on the former code; there nothing counted them.

--- a/common/http_client.c
+++ b/common/http_client.c
@@ -8,6 +8,8 @@
 #include <sys/queue.h>
 #include <sys/socket.h>
 
+#include "common/loop_timer.h"
+
 enum
 {
   MS_PER_S = 1000,
@@ -27,6 +29,10 @@
   /* Number of CURL handles kept for later calls; creating one is the most expensive part of most
    * calls. */
   STORED_HANDLES_MAX = 256,
+  /* How often responses that wait for memory are tried again. */
+  RESUME_INTERVAL_MS = 20,
+  /* What the kernel may keep unread of a response, if the memory of responses is bounded. */
+  LIMITED_RECEIVE_BUFFER_BYTES = 64 * 1024,
 };
 
 /* A socket that libcurl has asked the loop to watch. */
@@ -39,6 +45,7 @@
 
 LIST_HEAD (client_socket_list, client_socket);
 LIST_HEAD (http_call_list, http_call);
+TAILQ_HEAD (receiving_list, http_call);
 
 struct http_client
 {
@@ -48,6 +55,11 @@
   long idle_reuse_ms;
   struct client_socket_list sockets;
   struct http_call_list calls;
+  /* Memory of responses, NULL for no bound; the calls that have some of it, in the order in which
+   * their bodies began, and when to go on with those that wait for more. */
+  struct memory_budget *memory;
+  struct receiving_list receiving;
+  ev_timer resume;
   /* Reset CURL handles of completed calls. */
   GPtrArray *stored_handles;
   /* Time of the last failure at each endpoint: maps IP:PORT to int64_t milliseconds. */
@@ -63,6 +75,12 @@
   GByteArray *head;
   GByteArray *body;
   size_t body_limit;
+  /* What the body has of the client's memory; whether the call is in the list of those that have
+   * some, and whether it waits for more. */
+  size_t memory;
+  bool receiving;
+  bool paused;
+  TAILQ_ENTRY (http_call) receiving_link;
   bool head_done;
   bool too_large;
   bool head_request;
@@ -179,6 +197,9 @@
 
   (void) purpose;
   setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacked_ms, sizeof unacked_ms);
+  /* A response that waits for memory must not fill the kernel's instead. */
+  if (call->client->memory)
+    setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &(int){ LIMITED_RECEIVE_BUFFER_BYTES }, sizeof (int));
   return CURL_SOCKOPT_OK;
 }
 
@@ -212,6 +233,60 @@
   return CURL_PREREQFUNC_OK;
 }
 
+/* Returns whether a call may keep a body of this length. */
+static bool
+call_take_memory (struct http_call *call, size_t len)
+{
+  struct http_client *client = call->client;
+
+  if (!client->memory)
+    return true;
+  if (!call->receiving)
+    TAILQ_INSERT_TAIL (&client->receiving, call, receiving_link);
+  call->receiving = true;
+  if (memory_budget_resize (client->memory, &call->memory, len))
+    return true;
+  if (call != TAILQ_FIRST (&client->receiving))
+    return false;
+  memory_budget_force (client->memory, &call->memory, len);
+  return true;
+}
+
+/* Gives back the memory of a call's body. */
+static void
+call_release_memory (struct http_call *call)
+{
+  struct http_client *client = call->client;
+
+  if (!call->receiving)
+    return;
+  memory_budget_force (client->memory, &call->memory, 0);
+  TAILQ_REMOVE (&client->receiving, call, receiving_link);
+  call->receiving = false;
+}
+
+/* Goes on with the calls that wait for memory. Those for which there is still none wait again. */
+static void
+client_on_resume (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  struct http_client *client = watcher->data;
+  struct http_call *call;
+
+  (void) loop;
+  (void) events;
+  TAILQ_FOREACH (call, &client->receiving, receiving_link)
+    {
+      if (!call->paused)
+        continue;
+      call->paused = false;
+      curl_easy_pause (call->easy, CURLPAUSE_CONT);
+      /* The rest comes after it. */
+      if (call->paused)
+        break;
+    }
+  client_socket_action (client, CURL_SOCKET_TIMEOUT, 0);
+}
+
 /* Appends a part of the response body; aborts the call if the body exceeds the limit. */
 static size_t
 call_append_body (const char *data, size_t size, size_t n, void *ctx)
@@ -223,6 +298,13 @@
       call->too_large = true;
       return 0;
     }
+  if (!call_take_memory (call, call->body->len + size * n))
+    {
+      call->paused = true;
+      if (!ev_is_active (&call->client->resume))
+        loop_timer_arm (call->client->loop, &call->client->resume, RESUME_INTERVAL_MS);
+      return CURL_WRITEFUNC_PAUSE;
+    }
   g_byte_array_append (call->body, (const guint8 *) data, (guint) (size * n));
   return size * n;
 }
@@ -345,6 +427,7 @@
 call_destroy (struct http_call *call)
 {
   LIST_REMOVE (call, link);
+  call_release_memory (call);
   client_release_handle (call->client, call->easy);
   curl_slist_free_all (call->request_headers);
   g_byte_array_unref (call->head);
@@ -425,6 +508,9 @@
   client->stored_handles = g_ptr_array_new_with_free_func (curl_easy_cleanup);
   ev_init (&client->timeout, client_on_timeout);
   client->timeout.data = client;
+  TAILQ_INIT (&client->receiving);
+  ev_timer_init (&client->resume, client_on_resume, 0.0, 0.0);
+  client->resume.data = client;
   client->multi = curl_multi_init ();
   curl_multi_setopt (client->multi, CURLMOPT_SOCKETFUNCTION, client_watch_socket);
   curl_multi_setopt (client->multi, CURLMOPT_SOCKETDATA, client);
@@ -434,6 +520,12 @@
   return client;
 }
 
+void
+http_client_set_memory (struct http_client *client, struct memory_budget *memory)
+{
+  client->memory = memory;
+}
+
 void
 http_client_limit_endpoint_connections (struct http_client *client, long max)
 {
@@ -456,6 +548,7 @@
   g_ptr_array_free (client->stored_handles, TRUE);
   curl_multi_cleanup (client->multi);
   ev_timer_stop (client->loop, &client->timeout);
+  ev_timer_stop (client->loop, &client->resume);
   g_hash_table_destroy (client->last_failures_ms);
   g_free (client);
 }
--- a/entryd/caller.c
+++ b/entryd/caller.c
@@ -1,7 +1,6 @@
 #include <errno.h>
 #include <string.h>
 
-#include "common/client_limits.h"
 #include "common/log.h"
 #include "entry.h"
 #include "headers.h"
@@ -171,7 +170,6 @@
     .ctx = entry,
   };
 
-  memory_budget_init (&entry->memory, client_memory_limit (settings->memory_mb));
   entry->server = http_server_create (entry->loop, &config);
   if (entry->server)
     return 0;
--- a/entryd/main.c
+++ b/entryd/main.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "common/client_limits.h"
 #include "common/log.h"
 #include "common/program.h"
 #include "entry.h"
@@ -185,8 +186,10 @@
   entry->attempt_salt = (uint64_t) g_random_int () << 32 | g_random_int ();
   if (!entry_create_dispatch (entry))
     return -EINVAL;
+  memory_budget_init (&entry->memory, client_memory_limit (entry->settings->memory_mb));
   entry->client =
       http_client_create (entry->loop, entry->settings->idle_reuse_ms, IDLE_CONNECTIONS_MAX);
+  http_client_set_memory (entry->client, &entry->memory);
   for (size_t i = 0; i < G_N_ELEMENTS (steps); i++)
     {
       int error = steps[i](entry);
--- a/include/common/http_client.h
+++ b/include/common/http_client.h
@@ -7,6 +7,7 @@
 #include <stdint.h>
 
 #include "common/http_server.h"
+#include "common/memory_budget.h"
 
 /* HTTP client on a libev loop, based on libcurl's multi interface. */
 struct http_client;
@@ -80,6 +81,9 @@
 void http_client_destroy (struct http_client *client);
 /* Limits the connections that are open to one endpoint at a time. Further calls wait for one, which
  * counts towards their timeout. */
+/* Bounds the bodies of responses that are being received: one that doesn't fit into the memory is
+ * not read on until there is room. The one that began first is read on in any case. */
+void http_client_set_memory (struct http_client *client, struct memory_budget *memory);
 void http_client_limit_endpoint_connections (struct http_client *client, long max);
 /* Excludes all present connections to an endpoint, given as IP:PORT as in the URL, from reuse. */
 void http_client_exclude_connections (struct http_client *client, const char *endpoint);
--- a/tests/crowds/test_http_crowd.c
+++ b/tests/crowds/test_http_crowd.c
@@ -334,10 +334,50 @@
   fixture_stop (&fixture);
 }
 
+/* Responses that arrive at once stay within the memory of a client, but for the oldest, and all
+ * arrive. */
+static void
+test_responses (void)
+{
+  struct fixture fixture;
+  struct memory_budget memory;
+  g_autofree char *url = NULL;
+  size_t memory_max = 0;
+
+  fixture_start (&fixture);
+  fixture.memory.limit = (size_t) 2 * RESPONSES * RESPONSE_BYTES;
+  fixture.response_len = RESPONSE_BYTES;
+  memory_budget_init (&memory, (size_t) 4 * RESPONSE_BYTES);
+  http_client_set_memory (fixture.client, &memory);
+  url = g_strdup_printf ("http://127.0.0.1:%u/x", fixture.port);
+  for (unsigned i = 0; i < RESPONSES; i++)
+    http_call_create (fixture.client, &(struct http_call_config){
+                                          .method = "GET",
+                                          .url = url,
+                                          .connect_timeout_ms = CALL_TIMEOUT_MS,
+                                          .timeout_ms = CALL_TIMEOUT_MS,
+                                          .body_limit = RESPONSE_BYTES,
+                                          .fresh_connection = true,
+                                          .done = fixture_on_done,
+                                          .ctx = &fixture,
+                                      });
+  while (fixture.n_done < RESPONSES)
+    {
+      ev_run (fixture.loop, EVRUN_ONCE);
+      memory_max = MAX (memory_max, memory.used);
+    }
+  CU_ASSERT_EQUAL (fixture.n_whole, RESPONSES);
+  CU_ASSERT (memory_max > 0 && memory_max <= memory.limit / 2 + RESPONSE_BYTES);
+  CU_ASSERT (memory.n_refusals > 0);
+  CU_ASSERT_EQUAL (memory.used, 0);
+  fixture_stop (&fixture);
+}
+
 static const struct suite_test tests[] = {
   { "whole requests", test_whole_requests }, { "memory used up", test_memory_used_up },
   { "kept requests", test_kept_requests },   { "largest in calm", test_largest_in_calm },
   { "endless body", test_endless_body },     { "connections", test_connections },
+  { "responses", test_responses },
 };
 
 int
