jobd: a request is late only when its whole deadline has passed

Since a caller with a deadline of 100 ms or less got 503 for whatever it asked, as the margin left it no time at all; before that, what could be answered at once was. Found by reading.

--- a/jobd/ingress.c
+++ b/jobd/ingress.c
@@ -884,7 +884,7 @@
   answer_not_run (ingress, request, id, reason);
 }
 
-/* Handles a request whose turn has come. */
+/* Handles a request whose turn has come, unless its deadline has passed meanwhile. */
 static void
 ingress_on_request (void *ctx, struct http_request *request)
 {
@@ -892,7 +892,7 @@
   int64_t arrived_ms = http_request_complete_ms (request);
 
   http_request_set_data (request, NULL);
-  if (jobd_now_ms (ingress->jobd) - arrived_ms >= request_wait_ms (request))
+  if (jobd_now_ms (ingress->jobd) - arrived_ms >= request_wait_ms (request) + DEADLINE_MARGIN_MS)
     ingress_refuse (ingress, request, "too many requests came before it");
   else
     ingress_dispatch (ingress, request, arrived_ms, false);
