--- a/common/client_limits.c
+++ b/common/client_limits.c
@@ -262,7 +262,7 @@
 }
 
 void
-client_limits_end_look (struct client_limits *limits)
+client_limits_end_sweep (struct client_limits *limits)
 {
   limits->n_refusals_seen = limits->budget->n_refusals;
 }
--- a/common/http_server.c
+++ b/common/http_server.c
@@ -32,7 +32,7 @@
   LISTEN_BACKLOG = 1024,
   HANGUP_EVENTS_MAX = 64,
   MS_PER_S = 1000,
-  LOOK_INTERVAL_MS = 1000,
+  SWEEP_INTERVAL_MS = 1000,
   /* Work of one iteration of the loop, in bytes that are read and in bytes that are handled, and
    * what each part and each request counts beside its bytes. */
   ITERATION_WORK_BYTES = 256 * 1024,
@@ -86,7 +86,7 @@
   /* Used if the configuration names none. */
   struct memory_budget unlimited_memory;
   /* Runs while connections are open. */
-  ev_timer look;
+  ev_timer sweep;
   uint64_t counts_logged[N_CLIENT_REFUSALS];
   /* Parts of bodies and complete requests that wait for a later iteration. */
   struct turn_queue turns;
@@ -280,7 +280,7 @@
 
 /* Closes clients that take too long, once a second while there are any. */
 static void
-server_on_look (struct ev_loop *loop, ev_timer *watcher, int events)
+server_on_sweep (struct ev_loop *loop, ev_timer *watcher, int events)
 {
   struct http_server *server = watcher->data;
   enum client_refusal reason;
@@ -290,11 +290,11 @@
   server_update_time (server);
   while ((client = client_limits_next_late (&server->limits, &reason)))
     server_close_client (server, client, reason);
-  client_limits_end_look (&server->limits);
+  client_limits_end_sweep (&server->limits);
   server_close_excess (server, NULL);
   server_log_refusals (server);
   if (server->connections > 0)
-    loop_timer_arm (loop, watcher, LOOK_INTERVAL_MS);
+    loop_timer_arm (loop, watcher, SWEEP_INTERVAL_MS);
 }
 
 /* Returns whether a request may do work of a cost now. Otherwise suspends it until its turn; it is
@@ -389,8 +389,8 @@
   server_update_time (server);
   client_open (&server->limits, &connection->client);
   server_close_excess (server, &connection->client);
-  if (!ev_is_active (&server->look))
-    loop_timer_arm (server->loop, &server->look, LOOK_INTERVAL_MS);
+  if (!ev_is_active (&server->sweep))
+    loop_timer_arm (server->loop, &server->sweep, SWEEP_INTERVAL_MS);
 }
 
 /* libmicrohttpd's callback for a request line: creates the request, which libmicrohttpd then passes
@@ -814,9 +814,9 @@
   ev_io_init (&server->ready, server_on_ready, epoll_fd, EV_READ);
   ev_io_init (&server->hangup, server_on_hangup, server->hangup_fd, EV_READ);
   ev_timer_init (&server->timeout, server_on_timeout, 0.0, 0.0);
-  ev_timer_init (&server->look, server_on_look, 0.0, 0.0);
+  ev_timer_init (&server->sweep, server_on_sweep, 0.0, 0.0);
   ev_timer_init (&server->turn, server_on_turn, 0.0, 0.0);
-  server->look.data = server;
+  server->sweep.data = server;
   server->turn.data = server;
   server->ready.data = server;
   server->hangup.data = server;
@@ -893,7 +893,7 @@
   ev_timer_stop (server->loop, &server->timeout);
   ev_timer_stop (server->loop, &server->turn);
   MHD_stop_daemon (server->daemon);
-  ev_timer_stop (server->loop, &server->look);
+  ev_timer_stop (server->loop, &server->sweep);
   close (server->hangup_fd);
   g_free (server);
 }
--- a/include/common/client_limits.h
+++ b/include/common/client_limits.h
@@ -77,7 +77,7 @@
    * clients aren't closed for a pause of the process. */
   int64_t now_ms;
   int64_t clock_ms;
-  /* The budget's refusals at the last look for stalled clients. */
+  /* The budget's refusals at the last sweep for late clients. */
   uint64_t n_refusals_seen;
   uint64_t counts[N_CLIENT_REFUSALS];
 };
@@ -127,8 +127,8 @@
  * long much sooner. */
 struct client *client_limits_next_late (const struct client_limits *limits,
                                         enum client_refusal *reason);
-/* Ends a look for late clients. */
-void client_limits_end_look (struct client_limits *limits);
+/* Ends a sweep for late clients: what is refused from now on counts for the next one. */
+void client_limits_end_sweep (struct client_limits *limits);
 
 /* Returns how many connections a server may have: as many as wanted, within the memory and the
  * descriptors of a process, of which the rest of the program needs its part. */
--- a/tests/test_client_limits.c
+++ b/tests/test_client_limits.c
@@ -194,7 +194,7 @@
     }
   CU_ASSERT_EQUAL (n_closed, 2);
   CU_ASSERT_EQUAL (fixture.budget.used, MEMORY_SMALL_BYTES);
-  client_limits_end_look (&fixture.limits);
+  client_limits_end_sweep (&fixture.limits);
   CU_ASSERT (client_may_receive (&fixture.limits, LARGE_BYTES));
 }
 
