--- a/tests/crowds/test_crowd_whole.c
+++ b/tests/crowds/test_crowd_whole.c
@@ -97,7 +97,8 @@
   play_store_silent (body);
 }
 
-/* Whole requests while the store is up: parsing them must not keep ordinary requests from their turn. */
+/* Whole requests while the store is up: parsing them must not keep ordinary requests from their
+ * turn. */
 static void
 test_store_up (void)
 {
