--- a/tests/crowds/test_crowd_bodies.c
+++ b/tests/crowds/test_crowd_bodies.c
@@ -5,7 +5,6 @@
 
 enum
 {
-  PORT_BLOCK = 104,
   CLIENTS = 1800 / 4,
   BODY_BYTES = 256000,
   SMALL_CHUNKS_BODY_BYTES = 120000,
@@ -21,18 +20,12 @@
 static void
 play_bodies (const char *headers, const GByteArray *body)
 {
-  struct job_crowds crowds;
-  struct crowd *crowd;
-
-  job_crowds_start (&crowds, PORT_BLOCK);
-  crowd = job_crowds_create (&crowds, (struct crowd_config){ .n_clients = CLIENTS,
-                                                             .method = "POST",
-                                                             .path = "/one/",
-                                                             .headers = headers,
-                                                             .body = body });
-  crowd_settle (crowd);
-  job_crowds_check (&crowds, crowd);
-  job_crowds_stop (&crowds);
+  job_crowds_play (&(struct crowd_config){ .n_clients = CLIENTS,
+                                           .method = "POST",
+                                           .path = "/one/",
+                                           .headers = headers,
+                                           .body = body },
+                   "up");
 }
 
 /* Guards against memory that nothing adds up: each body and each connection is within its limit. */
--- a/tests/crowds/test_crowd_connections.c
+++ b/tests/crowds/test_crowd_connections.c
@@ -7,7 +7,6 @@
 
 enum
 {
-  PORT_BLOCK = 104,
   CLIENTS = 2500 / 4,
   /* More than the admin port accepts at once. */
   ADMIN_CLIENTS = 100,
@@ -20,33 +19,21 @@
 
 #define HEADERS "Host: jobs.example\r\n"
 
-/* Plays a crowd of which each client sends the same. */
-static void
-play_connections (struct crowd_config config)
-{
-  struct job_crowds crowds;
-  struct crowd *crowd;
-
-  config.n_clients = CLIENTS;
-  job_crowds_start (&crowds, PORT_BLOCK);
-  crowd = job_crowds_create (&crowds, config);
-  crowd_settle (crowd);
-  job_crowds_check (&crowds, crowd);
-  job_crowds_stop (&crowds);
-}
-
 /* Guards against clients that send nothing and keep all connections. */
 static void
 test_silent (void)
 {
-  play_connections ((struct crowd_config){ 0 });
+  job_crowds_play (&(struct crowd_config){ .n_clients = CLIENTS }, "up");
 }
 
 /* The same with a head that doesn't end. */
 static void
 test_heads (void)
 {
-  play_connections ((struct crowd_config){ .method = "POST", .path = "/one/", .headers = HEADERS });
+  job_crowds_play (
+      &(struct crowd_config){
+          .n_clients = CLIENTS, .method = "POST", .path = "/one/", .headers = HEADERS },
+      "up");
 }
 
 /* The crowd connects again as soon as its connections are closed. */
@@ -57,9 +44,9 @@
   struct crowd *crowd;
   bool served = true;
 
-  job_crowds_start (&crowds, PORT_BLOCK);
+  job_crowds_start (&crowds);
   crowd = job_crowds_create (&crowds,
-                             (struct crowd_config){ .n_clients = CLIENTS, .reconnects = true });
+                             &(struct crowd_config){ .n_clients = CLIENTS, .reconnects = true });
   for (unsigned i = 0; i < ORDINARY_REQUESTS && served; i++)
     served = job_crowds_serve_ordinary (&crowds);
   CU_ASSERT (served);
@@ -74,11 +61,11 @@
   struct job_crowds crowds;
   struct crowd *crowd;
 
-  job_crowds_start (&crowds, PORT_BLOCK);
+  job_crowds_start (&crowds);
   crowd = job_crowds_create (
       &crowds,
-      (struct crowd_config){ .n_clients = ADMIN_CLIENTS,
-                             .port = hosts_caller_port (&crowds.hosts, crowds.leader) + 1 });
+      &(struct crowd_config){ .n_clients = ADMIN_CLIENTS,
+                              .port = hosts_caller_port (&crowds.hosts, crowds.leader) + 1 });
   crowd_settle (crowd);
   CU_ASSERT (hosts_wait_ready (&crowds.hosts, crowds.leader, READY_LIMIT_MS));
   job_crowds_check (&crowds, crowd);
@@ -94,13 +81,13 @@
   struct crowd *crowd;
   struct crowd_usage usage;
 
-  job_crowds_start (&crowds, PORT_BLOCK);
+  job_crowds_start (&crowds);
   host = crowds.hosts.jobds[crowds.leader];
-  crowd = job_crowds_create (&crowds, (struct crowd_config){ .n_clients = CLIENTS,
-                                                             .method = "POST",
-                                                             .path = "/one/",
-                                                             .headers = HEADERS,
-                                                             .reconnects = true });
+  crowd = job_crowds_create (&crowds, &(struct crowd_config){ .n_clients = CLIENTS,
+                                                              .method = "POST",
+                                                              .path = "/one/",
+                                                              .headers = HEADERS,
+                                                              .reconnects = true });
   test_sleep_ms (1000);
   process_signal (host, SIGTERM);
   CU_ASSERT_EQUAL (process_wait (host, STOP_LIMIT_MS), 0);
--- a/tests/crowds/test_crowd_whole.c
+++ b/tests/crowds/test_crowd_whole.c
@@ -7,7 +7,6 @@
 
 enum
 {
-  PORT_BLOCK = 104,
   CLIENTS = 1800 / 4,
   BODY_BYTES = 256000,
   CHUNK_BYTES = 16 * 1024,
@@ -58,24 +57,16 @@
   return body;
 }
 
-/* Plays whole requests with a body while the store doesn't respond. */
+/* Plays whole requests with a body in a mode of the store. */
 static void
-play_store_silent (const GByteArray *body)
+play_whole (const GByteArray *body, const char *store)
 {
-  struct job_crowds crowds;
-  struct crowd *crowd;
-
-  job_crowds_start (&crowds, PORT_BLOCK);
-  hosts_set_faults (&crowds.hosts, "{\"store\":\"silent\"}");
-  crowd = job_crowds_create (&crowds, (struct crowd_config){ .n_clients = CLIENTS,
-                                                             .method = "POST",
-                                                             .path = "/one/",
-                                                             .headers = CHUNKED_HEADERS,
-                                                             .body = body });
-  crowd_settle (crowd);
-  hosts_set_faults (&crowds.hosts, "{\"store\":\"up\"}");
-  job_crowds_check (&crowds, crowd);
-  job_crowds_stop (&crowds);
+  job_crowds_play (&(struct crowd_config){ .n_clients = CLIENTS,
+                                           .method = "POST",
+                                           .path = "/one/",
+                                           .headers = CHUNKED_HEADERS,
+                                           .body = body },
+                   store);
 }
 
 /* Guards against a crowd that stays inside all limits: requests keep their bodies while the store
@@ -85,7 +76,7 @@
 {
   g_autoptr (GByteArray) body = wide_job ();
 
-  play_store_silent (body);
+  play_whole (body, "silent");
 }
 
 /* Guards against records that nothing adds up on their way to the store. */
@@ -94,7 +85,7 @@
 {
   g_autoptr (GByteArray) body = large_job ();
 
-  play_store_silent (body);
+  play_whole (body, "silent");
 }
 
 /* Whole requests while the store is up: parsing them must not keep ordinary requests from their
@@ -103,18 +94,8 @@
 test_store_up (void)
 {
   g_autoptr (GByteArray) body = wide_job ();
-  struct job_crowds crowds;
-  struct crowd *crowd;
-
-  job_crowds_start (&crowds, PORT_BLOCK);
-  crowd = job_crowds_create (&crowds, (struct crowd_config){ .n_clients = CLIENTS,
-                                                             .method = "POST",
-                                                             .path = "/one/",
-                                                             .headers = CHUNKED_HEADERS,
-                                                             .body = body });
-  crowd_settle (crowd);
-  job_crowds_check (&crowds, crowd);
-  job_crowds_stop (&crowds);
+
+  play_whole (body, "up");
 }
 
 /* Many requests on each connection, and no response is read. */
@@ -122,18 +103,13 @@
 test_pipelined (void)
 {
   g_autoptr (GByteArray) requests = crowd_repeated (PIPELINED_REQUEST, PIPELINED_BYTES);
-  struct job_crowds crowds;
-  struct crowd *crowd;
-
-  job_crowds_start (&crowds, PORT_BLOCK);
-  crowd = job_crowds_create (&crowds, (struct crowd_config){ .n_clients = CLIENTS,
-                                                             .method = "GET",
-                                                             .path = "/one/",
-                                                             .headers = PIPELINED_HEADERS,
-                                                             .body = requests });
-  crowd_settle (crowd);
-  job_crowds_check (&crowds, crowd);
-  job_crowds_stop (&crowds);
+
+  job_crowds_play (&(struct crowd_config){ .n_clients = CLIENTS,
+                                           .method = "GET",
+                                           .path = "/one/",
+                                           .headers = PIPELINED_HEADERS,
+                                           .body = requests },
+                   "up");
 }
 
 static const struct suite_test tests[] = {
