--- a/tests/jobd/test_handed_records.c
+++ b/tests/jobd/test_handed_records.c
@@ -1,4 +1,5 @@
 #include "command_sender.h"
+#include "common/client_limits.h"
 #include "job_admission.h"
 #include "process.h"
 #include "record_sender.h"
@@ -190,6 +191,7 @@
   host->jobd.writer = (struct writer *) host;
   host->jobd.relays = g_hash_table_new (g_str_hash, g_str_equal);
   metrics_init (&host->jobd.metrics);
+  memory_budget_init (&host->jobd.memory, client_memory_limit (host->settings.memory_mb));
   host->jobd.records = record_sender_create (&host->jobd);
   host->jobd.relay_server = relay_server_create (&host->jobd);
   g_assert (host->jobd.relay_server != NULL);
@@ -298,6 +300,34 @@
   test_host_stop (&host);
 }
 
+/* A leader that has no memory for a record leaves it alone; the host appends it itself when it
+ * hears nothing of it. */
+static void
+test_leader_without_memory (void)
+{
+  struct memory_budget *memory = &leader.jobd.memory;
+  size_t limit = memory->limit;
+  struct test_host host;
+  struct report report = { 0 };
+  int64_t end_ms;
+  unsigned n_own;
+
+  test_host_start (&host, "host", HOST_PORT, 1);
+  memory->limit = 0;
+  CU_ASSERT_PTR_NULL (test_host_hand_over (&host, "d/first", &report));
+  CU_ASSERT (memory->n_refusals > 0);
+  n_own = n_host_appends;
+  end_ms = test_now_ms () + LINK_LIMIT_MS;
+  while (n_host_appends == n_own && test_now_ms () < end_ms)
+    {
+      run_for (TICK_MS);
+      record_sender_tick (host.jobd.records);
+    }
+  CU_ASSERT_EQUAL (n_host_appends, n_own + 1);
+  memory->limit = limit;
+  test_host_stop (&host);
+}
+
 /* Waits until the other host has confirmed the leader's epoch since a time. Returns whether it
  * has. */
 static bool
@@ -379,6 +409,7 @@
 {
   static const struct suite_test tests[] = {
     { "host restarts", test_host_restarts },
+    { "leader without memory", test_leader_without_memory },
     { "confirmations", test_confirmations },
     { "small fleet forgets a host", test_small_fleet_forgets_host },
   };
