--- a/review/standin-3/world.py
+++ b/review/standin-3/world.py
@@ -280,6 +280,7 @@
         self.reject = None
         self.slow_answer_s = 0
         self.alive = False
+        self.dark = False
         self.state = "ready"
 
     async def begin(self):
@@ -296,6 +297,16 @@
         self.write()
         self.loops = [asyncio.ensure_future(self.beat()), asyncio.ensure_future(self.work())]
 
+    async def go_dark(self):
+        """Ends it as a crash does after which the machine doesn't respond: nothing is answered."""
+        self.dark = True
+        self.alive = False
+        for loop in self.loops:
+            loop.cancel()
+        for run in list(self.running.values()):
+            self.world.on_end(self, run, "lost")
+        self.running = {}
+
     async def end(self):
         self.alive = False
         for loop in self.loops:
@@ -353,6 +364,10 @@
         if headers.get("x-expect-instance", self.id) != self.id:
             return 421, {}
         call = json.loads(body)
+        if path == "/v1/run-start":
+            self.world.on_arrival(self)
+        if self.dark:
+            return NO_ANSWER
         if path == "/v1/run-start":
             answer = self.run_start(call)
             if self.slow_answer_s:
@@ -421,6 +436,8 @@
                 await asyncio.wait_for(self.changed.wait(), min(call["wait_ms"], 2000) / 1000)
             except asyncio.TimeoutError:
                 pass
+        if self.dark:
+            return NO_ANSWER
         rows = []
         for run in self.running.values():
             part = 100 if not run.work_ms else \
@@ -587,11 +604,14 @@
                 "gpu": step.get("gpu", 0)}
 
     def work_ms(self, task):
-        return self.step(task)["estimate_ms"]
+        return self.step(task).get("estimate_ms", 0)
 
     def outcome(self, worker, run):
         return "done"
 
+    def on_arrival(self, worker):
+        """A start has arrived at a worker."""
+
     def on_start(self, worker, task, attempt, call):
         self.starts.append((now_ms(), worker.id, task, attempt))
         self.record.line("worker %s starts task=%s attempt=%d" % (worker.id, task, attempt))
