--- a/review/standin-3/world.py
+++ b/review/standin-3/world.py
@@ -449,7 +449,7 @@
 
 class Cloud(HttpServer):
     """The machine list. before: a coroutine that is awaited before an upkeep is carried out, and
-    tells whether it is answered."""
+    tells whether it is answered; None, if it isn't carried out either."""
 
     UPKEEP_S = 2.0
 
@@ -483,6 +483,8 @@
                                (path, json.dumps(call), holder, token))
         if self.before and path == "/v1/machine-upkeep":
             answered = await self.before(call)
+            if answered is None:
+                return NO_ANSWER
             if not answered:
                 await self.order(path, call, holder, token)
                 return NO_ANSWER
