--- a/review/standin-3/world.py
+++ b/review/standin-3/world.py
@@ -588,6 +588,7 @@
         self.steps = {}
         self.starts, self.ends, self.noted, self.upkeep_log = [], [], set(), []
         self.max_attempts = 4
+        self.services = [self.SERVICE]
         # Of balapan-signup.
         self.bounds = {"stop_ms": "400", "far_factor": "1.5", "config_ms": "2000",
                        "max_skew_ms": "5000", "fencing": "true"}
@@ -656,7 +657,8 @@
                         "kind": "non_idempotent", "timeout_ms": 3000, "target_latency_ms": 600,
                         "priority": 0, "service": self.SERVICE, "max_attempts": self.max_attempts,
                         "slack_factor": 1.6}],
-            "services": [{"name": self.SERVICE, "admission_check": True}], "limits": {}})
+            "services": [{"name": name, "admission_check": True} for name in self.services],
+            "limits": {}})
 
     def put_wave(self, wave):
         self.cloud.waves[wave["wave"]] = wave
