--- a/review/standin-3/world.py
+++ b/review/standin-3/world.py
@@ -2,8 +2,8 @@
 clients. They follow PROTOCOL.md of the given pages. All run in one process, on loopback addresses
 and the real clock; sesamepick-jobd runs as separate processes with the command of the deploy file.
 
-A case sets the attributes of the objects to bring its disruption about: see Store.mute, Worker.reject
-and Cloud.before.
+A case sets the attributes of the objects to bring its disruption about: see Store.mute, Worker.reject,
+Worker.dark, World.on_arrival and Cloud.before. KEEP_LOGS names a folder for the daemons' logs.
 """
 import asyncio
 import base64
@@ -268,7 +268,7 @@
 
 class Worker(HttpServer):
     """One life of a machine. reject: run-start is answered with this status, and nothing is done.
-    on_start and on_end are told of each run."""
+    dark: nothing is answered."""
 
     HOLD_MAX_MS = 10000
     LISTED = 500
@@ -278,7 +278,6 @@
         self.world, self.id, self.machine, self.service = world, ident, machine, service
         self.capacity, self.labels = capacity, labels
         self.reject = None
-        self.slow_answer_s = 0
         self.alive = False
         self.dark = False
         self.state = "ready"
@@ -369,10 +368,7 @@
         if self.dark:
             return NO_ANSWER
         if path == "/v1/run-start":
-            answer = self.run_start(call)
-            if self.slow_answer_s:
-                await asyncio.sleep(self.slow_answer_s)
-            return answer
+            return self.run_start(call)
         if path == "/v1/run-stop":
             return self.run_stop(call)
         if path == "/v1/hold":
@@ -460,7 +456,9 @@
         self.waves = {}
         self.tokens = {}
         self.before = None
-        self.down = False
+        # Whether fencing tokens are checked, and all orders in the order of their arrival.
+        self.fencing = True
+        self.orders = []
         self.upkeeps = []
 
     def add(self, name, service, labels, capacity, worker=None):
@@ -494,11 +492,12 @@
         machine = self.machines.get(call["machine"])
         if not machine:
             return 400, {}
-        if token < self.tokens.get(call["machine"], 0):
+        self.orders.append((now_ms(), call["machine"], token, holder))
+        if self.fencing and token < self.tokens.get(call["machine"], 0):
             self.world.record.line("machine list refuses token=%d for %s: fence" %
                                    (token, call["machine"]))
             return 409, {"reason": "fence"}
-        self.tokens[call["machine"]] = token
+        self.tokens[call["machine"]] = max(token, self.tokens.get(call["machine"], 0))
         if path == "/v1/machine-move":
             return 409, {"reason": "busy"}
         wave = self.waves.get(call["wave"])
