--- a/review/standin-3/world.py
+++ b/review/standin-3/world.py
@@ -9,6 +9,7 @@
 import base64
 import json
 import os
+import random
 import re
 import signal
 import socket
@@ -44,9 +45,15 @@
 
 
 def free_port(address="127.0.0.1"):
-    with socket.socket() as sock:
-        sock.bind((address, 0))
-        return sock.getsockname()[1]
+    """Returns a free port below those that the kernel gives to connections."""
+    while True:
+        port = random.randrange(20000, 32000)
+        with socket.socket() as sock:
+            try:
+                sock.bind((address, port))
+            except OSError:
+                continue
+            return port
 
 
 async def read_message(reader):
@@ -533,10 +540,19 @@
 
     def __init__(self, world, name):
         self.world, self.name = world, name
-        self.frontend, self.readiness, self.relay = free_port(), free_port(), free_port()
         self.process = None
 
     async def start(self):
+        """Starts it, with other ports if one of them was taken meanwhile."""
+        for _ in range(5):
+            self.frontend, self.readiness, self.relay = free_port(), free_port(), free_port()
+            await self.launch()
+            await asyncio.sleep(0.2)
+            if self.process.returncode is None:
+                return
+            self.world.record.line("host %s ended at its start" % self.name)
+
+    async def launch(self):
         text = open(os.path.join(ROOT, "deploy", "system.toml"), encoding="utf-8").read()
         run = re.search(r'^run = "(.*)"$', text, re.M).group(1)
         values = {"node_name": self.name, "listen.frontend": "127.0.0.1:%d" % self.frontend,
@@ -643,9 +659,8 @@
             self.workers.append(worker)
             self.cloud.add(worker.machine, self.SERVICE, labels, capacity, worker)
         for i in range(n_hosts):
-            host = Host(self, "edge-zone-a-%d" % (i + 1))
-            self.hosts.append(host)
-            await host.start()
+            self.hosts.append(Host(self, "edge-zone-a-%d" % (i + 1)))
+        await asyncio.gather(*(host.start() for host in self.hosts))
         await self.until(lambda: any(host.leads() for host in self.hosts), 20)
         await asyncio.sleep(3)
 
