scheduler, config: log how late jobs and endpoints are learned, and passed records

The logs could not tell whether tasks waited because hosts were requested late, or because the leader learned late of jobs and of endpoints that had started, or what of the configuration went over the links between hosts. Adds a line for each job and endpoint with its age when the leader learns of it, and one for each record of the configuration that is passed on or arrives and is not newer.

No change of behaviour. test-scheduler and test-config_state pass.

--- a/jobd/config_state.c
+++ b/jobd/config_state.c
@@ -69,6 +69,10 @@
     {
       notice.record = g_bytes_get_data (state->record, &notice.record_len);
       peer->record_sent_ms = now_ms;
+      log_info ("config",
+                "configuration passed on: version=%" G_GINT64_FORMAT
+                " peer_version=%" G_GINT64_FORMAT " bytes=%zu",
+                state->version, peer->version, notice.record_len);
     }
   return notice;
 }
@@ -112,6 +116,12 @@
                 notice->version);
       state->on_record (state->ctx, notice->record, notice->record_len);
     }
+  else if (notice->record_len > 0)
+    log_info (
+        "config",
+        "configuration passed on by another host, which is not newer: version=%" G_GINT64_FORMAT
+        " own=%" G_GINT64_FORMAT " bytes=%zu",
+        notice->version, state->version, notice->record_len);
   if (sent_after_ms > 0 && notice->version > 0 && notice->age_ms >= 0 &&
       notice->age_ms <= AGE_MAX_MS)
     config_state_confirm (state, notice->version, sent_after_ms - notice->age_ms);
--- a/lib/jobs/scheduled_jobs.c
+++ b/lib/jobs/scheduled_jobs.c
@@ -222,6 +222,9 @@
   pool = scheduler_pool (scheduler, job->definition->pool);
   TAILQ_INSERT_TAIL (&pool->jobs, job, pool_link);
   /* A workspace at its cap starts none of them, and needs no hosts for more. */
+  if (!job->inherited)
+    scheduler_log (scheduler, "job learned: job=%s pool=%s age_ms=%" G_GINT64_FORMAT, job->id,
+                   pool->name, scheduler->wall_ms - job->definition->accepted_ms);
   if (!job->inherited && !(job->account && workspace_account_is_full (job->account)))
     demand_add_arrival (&pool->demand, job, HOST_READY_MS, scheduler->now_ms);
   scheduler_forecast_job (scheduler, pool, job);
--- a/lib/jobs/scheduler.c
+++ b/lib/jobs/scheduler.c
@@ -201,6 +201,8 @@
       endpoint->fence = scheduler->highest_fence;
       endpoint->born_ms = entry->born_ms;
       g_hash_table_insert (scheduler->endpoints, endpoint->id, endpoint);
+      scheduler_log (scheduler, "endpoint added: endpoint=%s pool=%s age_ms=%" G_GINT64_FORMAT,
+                     entry->id, entry->pool, scheduler->wall_ms - entry->born_ms);
     }
   if (endpoint_entry_is_old (endpoint, entry))
     {
