--- a/include/lib/jobs/scheduler.h
+++ b/include/lib/jobs/scheduler.h
@@ -224,6 +224,9 @@
  * leader, and leases_end_ms, when the leases that it grants must have ended in case one has. Not
  * limited at first. */
 void scheduler_set_leadership (struct scheduler *scheduler, int64_t sole_ms, int64_t leases_end_ms);
+/* Sets the time up to which the journal has been read: jobs that were accepted later may be
+ * missing. Not limited at first. */
+void scheduler_set_journal_read (struct scheduler *scheduler, int64_t read_ms);
 /* Returns whether all leases that earlier leaders granted have certainly expired. */
 bool scheduler_earlier_leases_ended (const struct scheduler *scheduler, int64_t now_ms);
 
--- a/jobd/leader.c
+++ b/jobd/leader.c
@@ -650,6 +650,7 @@
                                                        : REGISTRY_INTERVAL_MS);
   leader_request_host_list (leader, now_ms);
   leader_limit_leases (leader, now_ms);
+  scheduler_set_journal_read (leader->scheduler, topic_reader_caught_up_ms (jobd->journal));
   scheduler_tick (leader->scheduler, now_ms, jobd->clock.wall_ms);
   job_admission_publish (jobd->admission, leader->scheduler, leader->sender);
   if (leader->host_commands)
--- a/lib/jobs/placement.c
+++ b/lib/jobs/placement.c
@@ -416,7 +416,8 @@
 static struct pool_room
 pool_get_room (const struct scheduler *scheduler, const struct pool *pool)
 {
-  struct resources arrivals = demand_forecast (&pool->demand, scheduler->now_ms);
+  struct resources arrivals =
+      demand_forecast (&pool->demand, scheduler_arrivals_known_ms (scheduler));
   struct pool_room room = { .arrivals_cpu_milli = arrivals.cpu_milli,
                             .arrivals_memory_mb = arrivals.memory_mb };
   const struct endpoint *endpoint;
--- a/lib/jobs/pool_size.c
+++ b/lib/jobs/pool_size.c
@@ -18,6 +18,9 @@
   STARVED_MS = 250,
   /* Minimum time that a host stays in a pool. */
   HOST_STAY_MIN_MS = 1500,
+  /* Age of the last read of the journal from which on jobs are missing. Without any new job, a read
+   * ends with each heartbeat record of the leader. */
+  JOURNAL_UNREAD_MS = 500,
 };
 
 /* Forecasts what jobs yet to arrive will use, and logs the beginning and the end of a rise. */
@@ -25,7 +28,8 @@
 pool_forecast (struct scheduler *scheduler, struct pool *pool)
 {
   bool was_rising = pool->demand.rise.since_ms > 0;
-  struct resources later = demand_forecast_rising (&pool->demand, scheduler->now_ms);
+  struct resources later =
+      demand_forecast_rising (&pool->demand, scheduler_arrivals_known_ms (scheduler));
 
   if (was_rising != (pool->demand.rise.since_ms > 0))
     scheduler_log (scheduler, "%s: pool=%s forecast_cpu_milli=%" G_GINT64_FORMAT,
@@ -403,6 +407,45 @@
   return size;
 }
 
+/* Notes whether jobs are missing because the journal has not been read lately. */
+static void
+scheduler_check_journal (struct scheduler *scheduler)
+{
+  int64_t unread_ms = scheduler->now_ms - scheduler_arrivals_known_ms (scheduler);
+  bool unread = unread_ms >= JOURNAL_UNREAD_MS;
+
+  if (unread != scheduler->journal_unread)
+    scheduler_log (scheduler, "%s: journal_unread_ms=%" G_GINT64_FORMAT,
+                   unread ? "arrivals unknown, pools keep their hosts" : "arrivals known again",
+                   unread_ms);
+  scheduler->journal_unread = unread;
+}
+
+/* Computes how many hosts a pool needs. While jobs are missing, that is not less than it was when
+ * the journal was last read. */
+static void
+pool_count_needed (struct scheduler *scheduler, struct pool *pool)
+{
+  struct resources size = pool_host_size (scheduler, pool);
+  unsigned urgent_min = scheduler->journal_unread ? pool->hosts_urgent : 0;
+  unsigned wanted_min = scheduler->journal_unread ? pool->hosts_wanted : 0;
+  struct host_request request;
+  struct host_need need;
+
+  pool_sum_demand (scheduler, pool);
+  pool_add_lost_capacity (scheduler, pool);
+  request = (struct host_request){ pool->request, pool->late_request, pool->suspect_request };
+  need = host_demand_count (&request, &size);
+  resources_add (&pool->request, &pool->late_request);
+  pool->hosts_urgent = MAX (need.urgent, urgent_min);
+  pool->hosts_wanted = MAX (need.wanted, wanted_min);
+  pool->hosts_beside_suspects = need.beside_suspects;
+  /* Free capacity may be fragmented, or be on endpoints that a step's spread limit excludes. */
+  if (pool_is_starved (scheduler, pool))
+    pool->hosts_urgent = MAX (pool->hosts_urgent, pool->n_hosts + 1);
+  pool->hosts_wanted = MAX (pool->hosts_wanted, pool->hosts_urgent);
+}
+
 /* Computes how many hosts each pool needs and moves hosts accordingly. */
 void
 scheduler_size_pools (struct scheduler *scheduler)
@@ -412,26 +455,12 @@
 
   if (!scheduler->host_commands_allowed || !scheduler->hosts_loaded)
     return;
+  scheduler_check_journal (scheduler);
   scheduler_count_hosts (scheduler);
   scheduler_sum_workspace_demand (scheduler);
   TAILQ_FOREACH (pool, &scheduler->pools, link)
     {
-      struct resources size = pool_host_size (scheduler, pool);
-      struct host_request request;
-      struct host_need need;
-
-      pool_sum_demand (scheduler, pool);
-      pool_add_lost_capacity (scheduler, pool);
-      request = (struct host_request){ pool->request, pool->late_request, pool->suspect_request };
-      need = host_demand_count (&request, &size);
-      resources_add (&pool->request, &pool->late_request);
-      pool->hosts_urgent = need.urgent;
-      pool->hosts_wanted = need.wanted;
-      pool->hosts_beside_suspects = need.beside_suspects;
-      /* Free capacity may be fragmented, or be on endpoints that a step's spread limit excludes. */
-      if (pool_is_starved (scheduler, pool))
-        pool->hosts_urgent = MAX (pool->hosts_urgent, pool->n_hosts + 1);
-      pool->hosts_wanted = MAX (pool->hosts_wanted, pool->hosts_urgent);
+      pool_count_needed (scheduler, pool);
       if (pool->standby)
         standby = pool;
     }
--- a/lib/jobs/scheduler.c
+++ b/lib/jobs/scheduler.c
@@ -89,6 +89,7 @@
   scheduler->leading_since_ms = now_ms;
   scheduler->sole_ms = INT64_MAX;
   scheduler->leases_end_ms = INT64_MAX;
+  scheduler->journal_read_ms = INT64_MAX;
   scheduler->highest_fence = config->epoch * INCARNATIONS_PER_EPOCH;
   scheduler->host_commands_allowed = true;
   scheduler->starts_per_pass = STARTS_PER_PASS_DIRECT;
@@ -277,6 +278,19 @@
   scheduler->leases_end_ms = leases_end_ms;
 }
 
+void
+scheduler_set_journal_read (struct scheduler *scheduler, int64_t read_ms)
+{
+  scheduler->journal_read_ms = read_ms;
+}
+
+/* Returns the time up to which all arrivals of jobs are known. */
+int64_t
+scheduler_arrivals_known_ms (const struct scheduler *scheduler)
+{
+  return MIN (scheduler->now_ms, scheduler->journal_read_ms);
+}
+
 bool
 scheduler_earlier_leases_ended (const struct scheduler *scheduler, int64_t now_ms)
 {
--- a/lib/jobs/scheduler_state.h
+++ b/lib/jobs/scheduler_state.h
@@ -130,6 +130,9 @@
    * must have ended. */
   int64_t sole_ms;
   int64_t leases_end_ms;
+  /* Up to when the journal has been read, and whether that is so long ago that jobs are missing. */
+  int64_t journal_read_ms;
+  bool journal_unread;
   /* Id to struct endpoint. */
   GHashTable *endpoints;
   /* Highest fence of any endpoint, also of those that are no longer known. */
@@ -196,6 +199,7 @@
 };
 
 /* scheduler.c */
+int64_t scheduler_arrivals_known_ms (const struct scheduler *scheduler);
 struct pool *scheduler_pool (struct scheduler *scheduler, const char *name);
 void endpoint_remove (struct endpoint *endpoint);
 void scheduler_log (struct scheduler *scheduler, const char *format, ...) G_GNUC_PRINTF (2, 3);
--- a/tests/jobs/simulation.c
+++ b/tests/jobs/simulation.c
@@ -339,6 +339,8 @@
       simulation_read_lists (simulation);
     }
   simulation_keep_tasks (simulation);
+  if (!simulation->journal_unreadable)
+    scheduler_set_journal_read (simulation->scheduler, simulation->now_ms);
   scheduler_tick (simulation->scheduler, simulation->now_ms, simulation->now_ms);
   if (!simulation->flushing && !simulation->store_down &&
       scheduler_is_dirty (simulation->scheduler))
--- a/tests/jobs/simulation.h
+++ b/tests/jobs/simulation.h
@@ -145,6 +145,8 @@
   bool store_down;
   /* The leader can read neither the registry nor the machine list. */
   bool lists_unreadable;
+  /* The leader can't read the journal, and learns of no job that is accepted meanwhile. */
+  bool journal_unreadable;
   /* The leader can't read the machine list. */
   bool machine_list_unreadable;
   struct wave_request wave;
--- a/tests/jobs/test_pools.c
+++ b/tests/jobs/test_pools.c
@@ -113,6 +113,56 @@
   simulation_destroy (simulation);
 }
 
+/* Submits n jobs of six cores for a second each, 8 a second. */
+static void
+submit_busy_period (struct simulation *simulation, const char *prefix, unsigned n)
+{
+  Sp__JobStep step = make_step (6);
+
+  step.estimate_ms = 1000;
+  for (unsigned i = 0; i < n; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("%s%u", prefix, i);
+
+      simulation_submit (simulation, id, "one", &step, 1, 3);
+      simulation_run (simulation, 120);
+    }
+}
+
+/* Guards against a leader that can't read the journal, takes the absence of news for an absence of
+ * jobs, and gives up the hosts of a pool in the middle of its busy period. */
+static void
+test_unread_journal (void)
+{
+  enum
+  {
+    JOBS = 24,
+    UNREAD_MS = 3000,
+    STEP_MS = 100,
+  };
+  struct simulation *simulation = simulation_create (1);
+
+  simulation_add_pool (simulation, "spare", true);
+  simulation_add_hosts (simulation, "one", 2);
+  simulation_add_hosts (simulation, "spare", 10);
+  simulation_start_new_leader (simulation);
+  simulation_run (simulation, 2500);
+  submit_busy_period (simulation, "before", JOBS);
+  simulation->journal_unreadable = true;
+  for (int64_t elapsed_ms = 0; elapsed_ms < UNREAD_MS; elapsed_ms += STEP_MS)
+    {
+      simulation_run (simulation, STEP_MS);
+      /* 48 cores at 85% of 10 per host need 6 hosts. */
+      CU_ASSERT (count_hosts (simulation, "one") >= 6);
+    }
+  simulation->journal_unreadable = false;
+  submit_busy_period (simulation, "after", JOBS);
+  simulation_run (simulation, 12000);
+  CU_ASSERT_EQUAL (count_hosts (simulation, "one"), 2);
+  CU_ASSERT_EQUAL (simulation_violations (simulation), 0);
+  simulation_destroy (simulation);
+}
+
 /* Two pools are short of hosts, one of them only for jobs that are late already. The pool whose
  * jobs can still meet their objective comes first; otherwise the backlog of one queue takes all
  * hosts and makes the next queue late as well. */
@@ -329,6 +379,7 @@
   { "demand shift", test_demand_shift },
   { "fragmented capacity", test_fragmented_capacity },
   { "hosts moved ahead", test_hosts_moved_ahead },
+  { "unread journal", test_unread_journal },
   { "timely first", test_timely_first },
   { "late pool releases hosts", test_late_pool_releases_hosts },
   { "lost moves", test_lost_moves },
