wave: a wave that is behind in a busy period takes no more hosts than its plan asks for

Cause: whether a wave is behind its plan was decided once a pass and by begun maintenance only. One host behind was enough to choose as many as the limit allows, batch tasks included, while pools were short of hosts.

Change: it is decided anew for each host, and hosts that are chosen and being drained count as if begun. So a wave catches up to its even rate and stops there.

Why it works: the number of hosts that a wave takes from pools that lack them is bounded by the wave's rate, not by its limit of hosts at once.

Test: waves, "behind in a busy period": fails on the former code (98 of its checks), passes now; the wave completes in its time in both.

--- a/lib/jobs/wave.c
+++ b/lib/jobs/wave.c
@@ -245,16 +245,37 @@
     }
 }
 
-/* Returns whether a wave is behind its plan, which starts maintaining hosts at an even rate. */
+/* Counts the hosts whose maintenance has not begun but which the wave has chosen. */
+static unsigned
+wave_count_chosen (const struct scheduler *scheduler, const struct wave *wave)
+{
+  GHashTableIter iter;
+  gpointer key;
+  unsigned n = 0;
+
+  g_hash_table_iter_init (&iter, wave->remaining);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    {
+      const struct host *host = scheduler_host (scheduler, key);
+      const struct endpoint *endpoint = host ? host_endpoint (scheduler, host) : NULL;
+
+      n += host && (host->maintenance_unknown || (host->command_in_flight && !host->target_pool) ||
+                    (endpoint && endpoint->cordoned_for_wave));
+    }
+  return n;
+}
+
+/* Returns whether a wave is behind its plan, which chooses hosts at an even rate. */
 static bool
-wave_is_behind (const struct scheduler *scheduler, const struct wave *wave)
+wave_is_behind (const struct scheduler *scheduler, const struct wave *wave, unsigned n_chosen)
 {
   unsigned remaining = g_hash_table_size (wave->remaining);
   unsigned total = remaining + g_hash_table_size (wave->begun);
   int64_t elapsed_ms = scheduler->now_ms - wave->start_ms;
   int64_t plan_ms = MAX (wave->duration_ms * WAVE_PACE_PERMILLE / PERMILLE, 1);
 
-  return (int64_t) g_hash_table_size (wave->begun) * plan_ms < (int64_t) total * elapsed_ms;
+  return (int64_t) (g_hash_table_size (wave->begun) + n_chosen) * plan_ms <
+         (int64_t) total * elapsed_ms;
 }
 
 /* Cordons a host and starts to drain it, or maintains it at once if it is empty. */
@@ -334,7 +355,8 @@
   wave->next_log_ms = scheduler->now_ms + WAVE_LOG_INTERVAL_MS;
   scheduler_log (scheduler, "wave: wave=%u left=%u begun=%u away=%u emptying=%u limit=%u behind=%d",
                  wave->number, g_hash_table_size (wave->remaining), g_hash_table_size (wave->begun),
-                 unavailable, draining, wave->max_unavailable, wave_is_behind (scheduler, wave));
+                 unavailable, draining, wave->max_unavailable,
+                 wave_is_behind (scheduler, wave, wave_count_chosen (scheduler, wave)));
   g_hash_table_iter_init (&iter, wave->remaining);
   while (g_hash_table_iter_next (&iter, &key, NULL))
     {
@@ -350,13 +372,15 @@
     }
 }
 
-/* Returns the highest cost that a host may have to be chosen now. While pools are short of hosts,
- * none is chosen unless the wave is behind. Otherwise hosts with long-running tasks are chosen
- * early because they take longest, and hosts with batch tasks only when the wave is behind. */
+/* Returns the highest cost that the next host may have to be chosen now. While pools are short of
+ * hosts, none is chosen unless the wave is behind, and then no more than its plan asks for.
+ * Otherwise hosts with long-running tasks are chosen early because they take longest, and hosts
+ * with batch tasks only when the wave is behind. */
 static enum drain_cost
-wave_drain_cost_limit (const struct scheduler *scheduler, const struct wave *wave)
+wave_drain_cost_limit (const struct scheduler *scheduler, const struct wave *wave,
+                       unsigned n_chosen)
 {
-  if (wave_is_behind (scheduler, wave))
+  if (wave_is_behind (scheduler, wave, n_chosen))
     return DRAIN_COST_BATCH;
   return scheduler->hosts_are_short ? DRAIN_COST_FORBIDDEN : DRAIN_COST_LONG_RUNNING;
 }
@@ -366,20 +390,23 @@
 wave_advance (struct scheduler *scheduler, struct wave *wave)
 {
   unsigned unavailable = wave_count_unavailable (scheduler, wave);
-  enum drain_cost limit = wave_drain_cost_limit (scheduler, wave);
   unsigned draining;
+  unsigned n_chosen;
 
   wave_remove_unlisted (scheduler, wave);
   draining = wave_advance_hosts (scheduler, wave, &unavailable);
+  n_chosen = wave_count_chosen (scheduler, wave);
   wave_log (scheduler, wave, unavailable, draining);
   while (unavailable + draining < wave->max_unavailable)
     {
+      enum drain_cost limit = wave_drain_cost_limit (scheduler, wave, n_chosen);
       struct host *host =
           limit == DRAIN_COST_FORBIDDEN ? NULL : wave_choose_host (scheduler, wave, limit);
 
       if (!host)
         break;
       wave_begin_host (scheduler, wave, host);
+      n_chosen++;
       if (host->command_in_flight)
         unavailable++;
       else
--- a/tests/jobs/test_waves.c
+++ b/tests/jobs/test_waves.c
@@ -320,6 +320,47 @@
     }
 }
 
+/* Guards against a wave that falls behind its plan while its pool is short of hosts and then takes
+ * as many of them at once as its limit allows, in the middle of the busy period. */
+static void
+test_behind_in_a_busy_period (void)
+{
+  enum
+  {
+    WAVE_MS = 27000,
+    /* The plan: all hosts at an even rate in seven tenths of the time. */
+    PLAN_MS = WAVE_MS * 7 / 10,
+    /* All hosts together need 15 s for the job. */
+    BUSY_MS = 10000,
+    STEP_MS = 100,
+  };
+  struct simulation *simulation = simulation_create (1);
+  Sp__JobStep step = SP__JOB_STEP__INIT;
+
+  step.n_tasks = 600;
+  step.cpu_milli = 2000;
+  step.memory_mb = 1000;
+  step.estimate_ms = 1000;
+  simulation->work_ms = 1000;
+  simulation_add_hosts (simulation, "pool", HOSTS);
+  simulation_start_new_leader (simulation);
+  simulation_run (simulation, 100);
+  simulation_submit (simulation, "job", "pool", &step, 1, 3);
+  simulation_run (simulation, 1000);
+  request_wave (simulation, HOSTS, HOSTS - 2, WAVE_MS);
+  for (int64_t elapsed_ms = 0; elapsed_ms < BUSY_MS; elapsed_ms += STEP_MS)
+    {
+      CU_ASSERT (count_maintained (simulation) <= 1 + HOSTS * elapsed_ms / PLAN_MS);
+      simulation_run (simulation, STEP_MS);
+    }
+  simulation_run (simulation, WAVE_MS - BUSY_MS);
+  CU_ASSERT_TRUE (simulation->wave_completed);
+  simulation_run (simulation, WAVE_MS);
+  CU_ASSERT_EQUAL (simulation_job_state (simulation, "job"), SP__JOB_STATE__JOB_COMPLETED);
+  CU_ASSERT_EQUAL (simulation_violations (simulation), 0);
+  simulation_destroy (simulation);
+}
+
 static const struct suite_test tests[] = {
   { "host not in the wave", test_host_not_in_wave },
   { "long-running tasks", test_long_running_tasks },
@@ -328,6 +369,7 @@
   { "takeover", test_takeover },
   { "stops by a former leader", test_stops_by_former_leader },
   { "limit reached after a lost stop", test_limit_reached_after_a_lost_stop },
+  { "behind in a busy period", test_behind_in_a_busy_period },
   { "lost commands", test_lost_commands },
   { "lost commands to standby hosts", test_lost_commands_to_standby_hosts },
 };
