config_state: a host that is behind asks one peer for the configuration

That all hosts read each version from the store, whose reads are limited, is the other part and is not changed here.

Change: the host that is behind asks for the record, one peer at a time, and a host that is asked sends records to all its peers together at a limited rate. The delay before a host that may read the version itself is sent it stays, on the side that asks.

--- a/include/lib/jobs/command_message.h
+++ b/include/lib/jobs/command_message.h
@@ -14,6 +14,8 @@
   /* The raw record, or NULL. */
   const void *record;
   size_t record_len;
+  /* The host asks the receiver for its record, which is newer. */
+  bool wanted;
 };
 
 /* Encoding of what a leader and its relays send each other. Batches are built by appending one
--- a/jobd/command_sender.c
+++ b/jobd/command_sender.c
@@ -233,6 +233,7 @@
     .age_ms = batch->config_age_ms,
     .record = batch->config_record.data,
     .record_len = batch->config_record.len,
+    .wanted = batch->config_wanted,
   };
 
   config_peer_received (&link->config, &link->sender->jobd->config, &notice, batch->acked_sequence,
--- a/jobd/config_state.c
+++ b/jobd/config_state.c
@@ -16,15 +16,15 @@
 
 /* What was confirmed of an older version holds for a newer one, so that confirmed_ms stays. */
 void
-config_state_replace (struct config_state *state, int64_t version, const void *record, size_t len,
-                      int64_t now_ms)
+config_state_replace (struct config_state *state, int64_t version, const void *record, size_t len)
 {
   if (state->record && version <= state->version)
     return;
   g_clear_pointer (&state->record, g_bytes_unref);
   state->version = version;
   state->record = g_bytes_new (record, len);
-  state->learned_ms = now_ms;
+  state->newer_since_ms = 0;
+  state->asked = NULL;
 }
 
 void
@@ -40,15 +40,13 @@
   return state->confirmed_ms > 0 ? MAX (now_ms - state->confirmed_ms, 0) : INT64_MAX;
 }
 
-/* Returns whether the peer's version is older than this host's, also since it had time to read the
- * newer one itself. */
+/* Returns whether the record is to be sent to a peer now. */
 static bool
 config_peer_needs_record (const struct config_peer *peer, const struct config_state *state,
                           int64_t now_ms)
 {
-  if (!state->record || peer->heard_ms == 0 || peer->version >= state->version)
-    return false;
-  if (peer->heard_ms < state->learned_ms + CONFIG_RECORD_DELAY_MS)
+  if (!state->record || !peer->wants_record || peer->version >= state->version ||
+      now_ms < state->next_record_ms)
     return false;
   /* A peer that isn't heard of doesn't get the record again, so that it doesn't pile up in the
    * queue of a broken link. */
@@ -56,19 +54,38 @@
                                        now_ms >= peer->record_sent_ms + CONFIG_RECORD_INTERVAL_MS);
 }
 
+/* Returns whether to ask a peer for its record, and notes that it was asked. */
+static bool
+config_state_asks (struct config_state *state, const struct config_peer *peer, int64_t now_ms)
+{
+  if (peer->version <= state->version || state->newer_since_ms == 0 ||
+      now_ms < state->newer_since_ms + CONFIG_RECORD_DELAY_MS)
+    return false;
+  if (state->asked && now_ms < state->asked_ms + CONFIG_RECORD_INTERVAL_MS)
+    return state->asked == peer;
+  /* One that has not answered in time lets the others go first. */
+  if (state->asked == peer && now_ms < state->asked_ms + 2 * CONFIG_RECORD_INTERVAL_MS)
+    return false;
+  state->asked = peer;
+  state->asked_ms = now_ms;
+  return true;
+}
+
 struct config_notice
-config_peer_prepare (struct config_peer *peer, const struct config_state *state, int64_t now_ms)
+config_peer_prepare (struct config_peer *peer, struct config_state *state, int64_t now_ms)
 {
   int64_t age_ms = config_state_age_ms (state, now_ms);
   struct config_notice notice = {
     .version = state->version,
     .age_ms = age_ms <= AGE_MAX_MS ? age_ms : -1,
+    .wanted = config_state_asks (state, peer, now_ms),
   };
 
   if (config_peer_needs_record (peer, state, now_ms))
     {
       notice.record = g_bytes_get_data (state->record, &notice.record_len);
       peer->record_sent_ms = now_ms;
+      state->next_record_ms = now_ms + (int64_t) notice.record_len / CONFIG_RECORD_BYTES_PER_MS;
       log_info ("config",
                 "configuration passed on: version=%" G_GINT64_FORMAT
                 " peer_version=%" G_GINT64_FORMAT " bytes=%zu",
@@ -103,7 +120,10 @@
   int64_t sent_after_ms = 0;
 
   peer->version = notice->version;
+  peer->wants_record = notice->wanted;
   peer->heard_ms = now_ms;
+  if (notice->version > state->version && state->newer_since_ms == 0)
+    state->newer_since_ms = now_ms;
   if (peer->probe_number > 0 && acked_number >= peer->probe_number &&
       acked_number <= peer->sent_number)
     {
--- a/jobd/main.c
+++ b/jobd/main.c
@@ -180,7 +180,7 @@
             offset);
   queue_table_destroy (jobd->queues);
   jobd->queues = queues;
-  config_state_replace (&jobd->config, queues->version, data, len, jobd_now_ms (jobd));
+  config_state_replace (&jobd->config, queues->version, data, len);
   leader_config_changed (jobd->leader);
 }
 
--- a/jobd/relay_server.c
+++ b/jobd/relay_server.c
@@ -268,6 +268,7 @@
     .age_ms = batch->config_age_ms,
     .record = batch->config_record.data,
     .record_len = batch->config_record.len,
+    .wanted = batch->config_wanted,
   };
 
   config_peer_received (&session->config, &session->server->jobd->config, &notice,
--- a/lib/jobs/command_message.c
+++ b/lib/jobs/command_message.c
@@ -155,6 +155,7 @@
   part.config_age_ms = notice->age_ms;
   part.config_record.data = (uint8_t *) notice->record;
   part.config_record.len = notice->record_len;
+  part.config_wanted = notice->wanted;
   part.heard_sequence = heard_sequence;
   append_message (batch, &part.base);
 }
@@ -270,6 +271,7 @@
   part.config_age_ms = notice->age_ms;
   part.config_record.data = (uint8_t *) notice->record;
   part.config_record.len = notice->record_len;
+  part.config_wanted = notice->wanted;
   append_message (batch, &part.base);
 }
 
--- a/protocols/command.pb-c.c
+++ b/protocols/command.pb-c.c
@@ -1171,7 +1171,7 @@
   (ProtobufCMessageInit) sp__appended_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sp__command_batch__field_descriptors[13] =
+static const ProtobufCFieldDescriptor sp__command_batch__field_descriptors[14] =
 {
   {
     "sequence",
@@ -1329,6 +1329,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "config_wanted",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Sp__CommandBatch, config_wanted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sp__command_batch__field_indices_by_name[] = {
   12,   /* field[12] = append_ms */
@@ -1338,6 +1350,7 @@
   6,   /* field[6] = config_age_ms */
   7,   /* field[7] = config_record */
   5,   /* field[5] = config_version */
+  13,   /* field[13] = config_wanted */
   9,   /* field[9] = durations */
   1,   /* field[1] = epoch */
   10,   /* field[10] = heard_sequence */
@@ -1348,7 +1361,7 @@
 static const ProtobufCIntRange sp__command_batch__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor sp__command_batch__descriptor =
 {
@@ -1358,7 +1371,7 @@
   "Sp__CommandBatch",
   "sp",
   sizeof(Sp__CommandBatch),
-  13,
+  14,
   sp__command_batch__field_descriptors,
   sp__command_batch__field_indices_by_name,
   1,  sp__command_batch__number_ranges,
@@ -1584,7 +1597,7 @@
   (ProtobufCMessageInit) sp__queue_durations__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sp__result_batch__field_descriptors[9] =
+static const ProtobufCFieldDescriptor sp__result_batch__field_descriptors[10] =
 {
   {
     "acked_sequence",
@@ -1694,12 +1707,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "config_wanted",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Sp__ResultBatch, config_wanted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sp__result_batch__field_indices_by_name[] = {
   0,   /* field[0] = acked_sequence */
   7,   /* field[7] = config_age_ms */
   8,   /* field[8] = config_record */
   6,   /* field[6] = config_version */
+  9,   /* field[9] = config_wanted */
   5,   /* field[5] = confirms_epoch */
   1,   /* field[1] = epoch */
   3,   /* field[3] = records */
@@ -1709,7 +1735,7 @@
 static const ProtobufCIntRange sp__result_batch__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor sp__result_batch__descriptor =
 {
@@ -1719,7 +1745,7 @@
   "Sp__ResultBatch",
   "sp",
   sizeof(Sp__ResultBatch),
-  9,
+  10,
   sp__result_batch__field_descriptors,
   sp__result_batch__field_indices_by_name,
   1,  sp__result_batch__number_ranges,
--- a/protocols/command.pb-c.h
+++ b/protocols/command.pb-c.h
@@ -230,7 +230,7 @@
   int64_t config_version;
   int64_t config_age_ms;
   /*
-   * The configuration as the store holds it, only for a receiver whose version is older.
+   * The configuration as the store holds it, only for a receiver that has asked for it.
    */
   ProtobufCBinaryData config_record;
   /*
@@ -254,10 +254,15 @@
    * How long the leader's appends take, in milliseconds.
    */
   uint32_t append_ms;
+  /*
+   * The sender's version of the configuration is older than the receiver's, and it asks for the
+   * record.
+   */
+  protobuf_c_boolean config_wanted;
 };
 #define SP__COMMAND_BATCH__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sp__command_batch__descriptor) \
-    , 0, 0, 0,NULL, 0,NULL, 0, 0, 0, {0,NULL}, 0,NULL, 0,NULL, 0, 0,NULL, 0 }
+    , 0, 0, 0,NULL, 0,NULL, 0, 0, 0, {0,NULL}, 0,NULL, 0,NULL, 0, 0,NULL, 0, 0 }
 
 
 /*
@@ -347,10 +352,11 @@
   int64_t config_version;
   int64_t config_age_ms;
   ProtobufCBinaryData config_record;
+  protobuf_c_boolean config_wanted;
 };
 #define SP__RESULT_BATCH__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sp__result_batch__descriptor) \
-    , 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, {0,NULL} }
+    , 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, {0,NULL}, 0 }
 
 
 /* Sp__EndpointCommand methods */
