endpoint_heartbeats: match reported attempts without building names

In busy periods some thousand reports a second list seven or more attempts each.

Change: the pass over the reported attempts that was there already notes in the task that the report lists it; names are parsed by hand. A name with characters after its numbers is no task's any more.

No test bounds the cost.

--- a/include/lib/jobs/job.h
+++ b/include/lib/jobs/job.h
@@ -101,6 +101,8 @@
   /* The endpoint has restarted since the start was sent; a report shows whether the attempt was
    * lost or runs on the new incarnation. */
   bool endpoint_restarted;
+  /* Number of the last report of an endpoint that lists the current attempt. */
+  uint64_t listed_in_report;
   /* May crash the endpoints that start it, and is only started on trial. */
   bool suspect;
   /* Number of jobs of which a task may have caused the last crash; 0 if it isn't known. */
--- a/lib/jobs/endpoint_heartbeats.c
+++ b/lib/jobs/endpoint_heartbeats.c
@@ -486,21 +486,6 @@
     task->confirmed_ms = MAX (task->confirmed_ms, sent_ms);
 }
 
-/* Returns whether a report lists a task's current attempt. */
-static bool
-report_lists_attempt (const struct endpoint_report *report, const struct task *task)
-{
-  g_autofree char *name = task_name (task);
-
-  for (size_t i = 0; i < report->n_attempts; i++)
-    {
-      if (report->attempts[i].attempt == task->attempt &&
-          strcmp (report->attempts[i].task, name) == 0)
-        return true;
-    }
-  return false;
-}
-
 /* Returns whether an attempt that is missing from a report requested at sent_ms neither runs nor
  * will: it was confirmed to run before, or invalidated by a stop or by a higher fence. Reports
  * under a lower fence aren't handled. */
@@ -513,10 +498,10 @@
          task->fence_raised_ms > 0 && task->fence_raised_ms <= sent_ms;
 }
 
-/* Releases tasks whose attempts are missing from a report and can't run any more. */
+/* Releases tasks whose attempts are missing from the report that is being handled and can't run any
+ * more. */
 static void
-endpoint_release_unlisted (struct scheduler *scheduler, struct endpoint *endpoint,
-                           const struct endpoint_report *report, int64_t sent_ms)
+endpoint_release_unlisted (struct scheduler *scheduler, struct endpoint *endpoint, int64_t sent_ms)
 {
   struct task *task = TAILQ_FIRST (&endpoint->tasks);
 
@@ -524,7 +509,7 @@
     {
       struct task *next = TAILQ_NEXT (task, endpoint_link);
 
-      if (task_is_settled (task, sent_ms) && !report_lists_attempt (report, task))
+      if (task_is_settled (task, sent_ms) && task->listed_in_report != scheduler->n_reports)
         {
           scheduler->counts.lapses++;
           scheduler_log (
@@ -554,15 +539,18 @@
     }
 }
 
-/* Records that a task's current attempt runs on the present incarnation of its endpoint. */
+/* Records that the report that is being handled lists a task's current attempt, which runs on the
+ * present incarnation of its endpoint. */
 static void
 endpoint_confirm_attempt (const struct scheduler *scheduler, const struct endpoint *endpoint,
                           const struct endpoint_attempt *running)
 {
   struct task *task = scheduler_find_task (scheduler, running->task);
 
-  if (task && task->endpoint == endpoint && task->attempt == running->attempt)
-    task->endpoint_restarted = false;
+  if (!task || task->endpoint != endpoint || task->attempt != running->attempt)
+    return;
+  task->listed_in_report = scheduler->n_reports;
+  task->endpoint_restarted = false;
 }
 
 /* Handles that a report shows an incarnation before its registry entry was read. The endpoint gets
@@ -615,12 +603,13 @@
         scheduler, endpoint->lease_uncertain ? LEASE_LONGEST_MS : scheduler->config.lease_ms);
   endpoint->lease_uncertain = false;
   endpoint->reported_ms = scheduler->now_ms;
+  scheduler->n_reports++;
   endpoint_handle_completions (scheduler, endpoint, report);
   for (size_t i = 0; i < report->n_attempts; i++)
     endpoint_confirm_attempt (scheduler, endpoint, &report->attempts[i]);
   endpoint_record_restart_losses (scheduler, endpoint);
   /* Before the attempts: an earlier one of a task that is released here is adopted. */
-  endpoint_release_unlisted (scheduler, endpoint, report, sent_ms);
+  endpoint_release_unlisted (scheduler, endpoint, sent_ms);
   endpoint->n_unknown_attempts = 0;
   endpoint_clear_unknown (endpoint);
   for (size_t i = 0; i < report->n_attempts; i++)
--- a/lib/jobs/scheduled_jobs.c
+++ b/lib/jobs/scheduled_jobs.c
@@ -1,6 +1,6 @@
 #include "scheduler_state.h"
 
-#include <stdio.h>
+#include <string.h>
 
 /* Jobs that the scheduler works on: added, their steps made ready, cancelled, finished and
  * removed. */
@@ -320,20 +320,44 @@
   scheduler_remove_job (scheduler, job);
 }
 
+/* Reads a dot and a decimal number at *text, and advances it. Returns false if they aren't there or
+ * the number is too large. */
+static bool
+parse_number_after_dot (const char **text, uint32_t *number)
+{
+  const char *digit = *text + 1;
+  uint64_t value = 0;
+
+  if ((*text)[0] != '.' || !g_ascii_isdigit (*digit))
+    return false;
+  for (; g_ascii_isdigit (*digit) && value <= UINT32_MAX; digit++)
+    value = value * 10 + (uint64_t) (*digit - '0');
+  *text = digit;
+  *number = (uint32_t) value;
+  return value <= UINT32_MAX;
+}
+
 /* Returns a task by its name on endpoints, or NULL if there is no such job or task. */
 struct task *
 scheduler_find_task (const struct scheduler *scheduler, const char *name)
 {
   char id[64];
-  unsigned occurrence;
-  unsigned step;
-  unsigned index;
+  uint32_t numbers[3];
+  size_t id_len = strcspn (name, ".");
+  const char *rest = name + id_len;
   const struct job *job;
 
-  if (sscanf (name, "%63[^.].%u.%u.%u", id, &occurrence, &step, &index) != 4)
+  if (id_len == 0 || id_len >= sizeof id)
     return NULL;
-  job = job_table_find (scheduler->all_jobs, id);
-  return job ? job_task (job, occurrence, step, index) : NULL;
+  memcpy (id, name, id_len);
+  id[id_len] = '\0';
+  for (unsigned i = 0; i < G_N_ELEMENTS (numbers); i++)
+    {
+      if (!parse_number_after_dot (&rest, &numbers[i]))
+        return NULL;
+    }
+  job = rest[0] == '\0' ? job_table_find (scheduler->all_jobs, id) : NULL;
+  return job ? job_task (job, numbers[0], numbers[1], numbers[2]) : NULL;
 }
 
 /* Starts the occurrences of repeated jobs that are due, and finishes cancelled jobs whose tasks
--- a/lib/jobs/scheduler_state.h
+++ b/lib/jobs/scheduler_state.h
@@ -138,6 +138,8 @@
   /* Highest fence of any endpoint, also of those that are no longer known. */
   uint64_t highest_fence;
   bool registry_loaded;
+  /* Number of endpoints' reports so far. */
+  uint64_t n_reports;
   struct response_loss response_loss;
   /* Number of unresponsive endpoints with tasks, as of the last pass. */
   unsigned n_unresponsive_with_tasks;
