topic_reader: ask for less after a read that timed out

Cause: the reads of all hosts share what the store sends (80 MB a second). A read asked for up to 1 MB with a timeout of 1.7 s, an additional one of 0.7 s. Once enough hosts are behind at once, no read ends in time: 147 of 1 MB take 1.8 s. What has arrived is thrown away, the same is asked for again, and the load that keeps all of them behind lasts by itself. A timeout for each read, and no bound for what all of them ask of the store at once.

Change: each timeout makes the next read ask for a quarter, down to 16 KB, and each read that ends soon for twice as much. A read without a record though there are more asks for more, as the next record may be larger.

Why it works: what all hosts ask for together falls until it arrives within their timeouts, whatever their number and the store's rate are; from then on each read brings them forward.

Tests: topic_reader, "large reads time out": the reader never catches up with the former size, and passes now; "large record after timeouts".

--- a/include/platform/store.h
+++ b/include/platform/store.h
@@ -98,9 +98,10 @@
 void store_add_record (GByteArray *records, const char *key, const void *value, size_t len);
 void store_append (struct store *store, const struct store_append *append, store_done *done,
                    void *ctx);
-/* Reads the records from an offset on. If there is none, the store waits up to wait_ms for one. */
+/* Reads up to max_kb of the records from an offset on. If there is none, the store waits up to
+ * wait_ms for one. */
 void store_read (struct store *store, const char *topic, unsigned partition, int64_t from,
-                 long wait_ms, long timeout_ms, store_done *done, void *ctx);
+                 unsigned max_kb, long wait_ms, long timeout_ms, store_done *done, void *ctx);
 /* Reads the newest record of each key that follows the key after, or of each key if that is
  * NULL. */
 void store_read_newest (struct store *store, const char *topic, unsigned partition,
--- a/jobd/topic_reader.c
+++ b/jobd/topic_reader.c
@@ -16,6 +16,13 @@
   /* Minimum time between two series of additional reads. All hosts share the store's limit of
    * reads. */
   EXTRA_READS_INTERVAL_MS = 50,
+  /* Most that a read asks for. All hosts share what the store sends, and what has arrived of a read
+   * at its timeout is lost: each timeout makes the next reads smaller, down to the least, and reads
+   * that end soon make them larger again. */
+  READ_KB_MAX = 1024,
+  READ_KB_MIN = 16,
+  READ_KB_DIVISOR = 4,
+  READ_SOON_MS = 250,
 };
 
 /* Someone who waits until the reader has read to the end. */
@@ -43,6 +50,8 @@
   int64_t from;
   int64_t end;
   unsigned load;
+  /* When its read in progress was sent. */
+  int64_t sent_ms;
 };
 
 struct topic_reader
@@ -71,6 +80,8 @@
   int64_t read_to_end_ms;
   int64_t healthy_since_ms;
   bool failing;
+  /* How much the next read asks for. */
+  unsigned read_kb;
   struct extra_reads extra;
 };
 
@@ -123,6 +134,21 @@
     }
 }
 
+/* Chooses how much the next read asks for, after a read that was sent at sent_ms. */
+static void
+topic_reader_adapt_size (struct topic_reader *reader, const struct store_response *response,
+                         int64_t sent_ms)
+{
+  bool larger = response->n_records > 0 ? topic_reader_now_ms (reader) - sent_ms <= READ_SOON_MS
+                                        /* The next record may be larger than what was asked for. */
+                                        : reader->next_offset < response->end;
+
+  if (response->result == STORE_UNKNOWN)
+    reader->read_kb = MAX (reader->read_kb / READ_KB_DIVISOR, (unsigned) READ_KB_MIN);
+  else if (response->result == STORE_DONE && larger)
+    reader->read_kb = MIN (reader->read_kb * 2, (unsigned) READ_KB_MAX);
+}
+
 /* Handles that all records up to the end as of a read have been passed. Responses may overtake each
  * other. */
 static void
@@ -169,8 +195,8 @@
 topic_reader_read_failed (struct topic_reader *reader, const struct store_response *response)
 {
   if (!reader->failing)
-    log_warning ("tail", "read failed, retrying: topic=%s result=%d status=%d",
-                 reader->config.topic, response->result, response->status);
+    log_warning ("tail", "read failed, retrying: topic=%s result=%d status=%d next_kb=%u",
+                 reader->config.topic, response->result, response->status, reader->read_kb);
   reader->failing = true;
   reader->healthy_since_ms = 0;
   topic_reader_schedule (reader, reader->sent_ms + RETRY_DELAY_MS - topic_reader_now_ms (reader));
@@ -228,6 +254,7 @@
   struct topic_reader *reader = ctx;
   int64_t now_ms = topic_reader_now_ms (reader);
 
+  topic_reader_adapt_size (reader, response, reader->sent_ms);
   if (response->result == STORE_EXPIRED)
     {
       topic_reader_reload (reader, response, "records expired", 0);
@@ -269,8 +296,8 @@
     store_read_newest (reader->store, config->topic, config->partition, reader->page_key,
                        LOAD_TIMEOUT_MS, topic_reader_on_page, reader);
   else
-    store_read (reader->store, config->topic, config->partition, reader->from, config->wait_ms,
-                config->wait_ms + READ_MARGIN_MS, topic_reader_on_read, reader);
+    store_read (reader->store, config->topic, config->partition, reader->from, reader->read_kb,
+                config->wait_ms, config->wait_ms + READ_MARGIN_MS, topic_reader_on_read, reader);
 }
 
 /* Reports the end of the additional reads to those that they serve. */
@@ -310,6 +337,7 @@
             " result=%d status=%d sends=%u valid=%d",
             reader->config.topic, extra->from, response->n_records, response->end, response->result,
             response->status, response->n_sends, valid);
+  topic_reader_adapt_size (reader, response, extra->sent_ms);
   if (!valid)
     {
       extra_reads_finish (reader, false);
@@ -335,8 +363,9 @@
 extra_reads_send (struct topic_reader *reader)
 {
   reader->extra.from = reader->next_offset;
-  store_read (reader->store, reader->config.topic, reader->config.partition, reader->extra.from, 0,
-              READ_MARGIN_MS, extra_reads_on_read, reader);
+  reader->extra.sent_ms = topic_reader_now_ms (reader);
+  store_read (reader->store, reader->config.topic, reader->config.partition, reader->extra.from,
+              reader->read_kb, 0, READ_MARGIN_MS, extra_reads_on_read, reader);
 }
 
 /* Begins a series for all who wait. */
@@ -398,6 +427,7 @@
   reader->config = *config;
   reader->loop = loop;
   reader->store = store;
+  reader->read_kb = READ_KB_MAX;
   ev_timer_init (&reader->timer, topic_reader_on_timer, 0.0, 0.0);
   reader->timer.data = reader;
   ev_timer_init (&reader->extra.timer, extra_reads_on_timer, 0.0, 0.0);
--- a/tests/jobd/scripted_topic.c
+++ b/tests/jobd/scripted_topic.c
@@ -1,6 +1,7 @@
 #include "scripted_topic.h"
 
 #include <jansson.h>
+#include <limits.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -107,6 +108,17 @@
   http_request_respond (request, &response);
 }
 
+/* Answers a read with no record. */
+static void
+read_answer_empty (struct scripted_topic *store, struct http_request *request)
+{
+  bool withhold_records = store->withhold_records;
+
+  store->withhold_records = true;
+  read_answer (store, request, store->first, store->records->len);
+  store->withhold_records = withhold_records;
+}
+
 /* Answers a withheld read. */
 static void
 held_read_answer (struct held_read *held)
@@ -269,10 +281,18 @@
 {
   struct scripted_topic *store = ctx;
   const char *from = http_request_query (request, "from");
+  unsigned max_kb = UINT_MAX;
 
   http_request_set_data (request, NULL);
+  if (from)
+    max_kb = (unsigned) atoi (http_request_query (request, "max_kb"));
   if (!from)
     handle_page (store, request);
+  else if (max_kb < store->kb_of_a_record)
+    read_answer_empty (store, request);
+  else if (store->kb_in_time > 0 && max_kb > store->kb_in_time &&
+           atoll (from) < (int64_t) store->records->len)
+    read_hold (store, request, atoll (from), true, 0);
   else if (strcmp (http_request_query (request, "wait_ms"), "0") == 0)
     handle_extra_read (store, request, atoll (from));
   else
--- a/tests/jobd/scripted_topic.h
+++ b/tests/jobd/scripted_topic.h
@@ -31,6 +31,10 @@
   unsigned fail_extra_reads;
   /* Number of the next pages that claim to have more, but hold nothing. */
   unsigned empty_pages;
+  /* Responses with records to reads that ask for more than this never arrive; 0 for no limit. Reads
+   * that ask for less than the second get no record. */
+  unsigned kb_in_time;
+  unsigned kb_of_a_record;
   /* Reads return no record although there are some. */
   bool withhold_records;
   /* A read of expired records returns the oldest that there are instead of 410. */
--- a/tests/jobd/test_topic_reader.c
+++ b/tests/jobd/test_topic_reader.c
@@ -501,6 +501,53 @@
   fixture_stop (&fixture);
 }
 
+/* Guards against hosts that are behind together and ask the store, whose reads they share, for more
+ * than arrives before their timeouts: they read the same again and again, and none of them learnt
+ * of anything for the rest of the day. */
+static void
+test_large_reads_time_out (void)
+{
+  enum
+  {
+    KB_IN_TIME = 100,
+    N_NEW = 50,
+  };
+  struct fixture fixture;
+
+  fixture_start (&fixture, 3);
+  fixture_open (&fixture);
+  fixture_run_until_loaded (&fixture);
+  fixture.scripted.kb_in_time = KB_IN_TIME;
+  scripted_topic_append_many (&fixture.scripted, N_NEW);
+  fixture_run (&fixture, LIMIT_MS);
+  CU_ASSERT_EQUAL (fixture.last_offset, 3 + N_NEW - 1);
+  CU_ASSERT_TRUE (fixture_read_to_end (&fixture));
+  fixture_stop (&fixture);
+}
+
+/* After timeouts the next record is larger than what is asked for. */
+static void
+test_large_record_after_timeouts (void)
+{
+  enum
+  {
+    KB_OF_A_RECORD = 300,
+  };
+  struct fixture fixture;
+
+  fixture_start (&fixture, 3);
+  fixture_open (&fixture);
+  fixture_run_until_loaded (&fixture);
+  fixture.scripted.hold_reads = true;
+  fixture_run (&fixture, 2 * READ_TIMEOUT_MS + REPEAT_LIMIT_MS);
+  fixture.scripted.kb_of_a_record = KB_OF_A_RECORD;
+  fixture.scripted.hold_reads = false;
+  scripted_topic_append_many (&fixture.scripted, 1);
+  fixture_run (&fixture, READ_TIMEOUT_MS);
+  CU_ASSERT_EQUAL (fixture.last_offset, 3);
+  fixture_stop (&fixture);
+}
+
 static const struct suite_test tests[] = {
   { "reads on to the end", test_reads_on_to_the_end },
   { "end as of the first response", test_end_as_of_the_first_response },
@@ -516,6 +563,8 @@
   { "load with failed pages", test_load_with_failed_pages },
   { "questions share reads", test_questions_share_reads },
   { "questions in a row", test_questions_in_a_row },
+  { "large reads time out", test_large_reads_time_out },
+  { "large record after timeouts", test_large_record_after_timeouts },
 };
 
 int
